--- /dev/null
+++ b/admission/src/main/java/org/agatefield/admission/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder; the package's owner writes its description. */
+package org.agatefield.admission;
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/core/NonRepeatableCall.java
@@ -0,0 +1,41 @@
+package org.agatefield.daemon.core;
+
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.agatefield.model.Address;
+import org.agatefield.model.PlainService;
+
+/**
+ * A call of a plain service that must run at most once. Immutable.
+ *
+ * @param requestId unique to this arrival of the call, for logs
+ * @param caller the caller's name; keys of different callers are different
+ * @param service the service
+ * @param method the HTTP method
+ * @param path the path and query below {@code /services/name}
+ * @param key the caller's idempotency key
+ * @param bodySha256 the SHA-256 of method, path and body, as hexadecimal digits
+ * @param remaining time until the deadline, from now
+ */
+public record NonRepeatableCall(
+    String requestId,
+    String caller,
+    PlainService service,
+    String method,
+    String path,
+    String key,
+    String bodySha256,
+    Duration remaining) {
+
+  /** Sends the call to an upstream. */
+  @FunctionalInterface
+  public interface Sender {
+    /**
+     * Sends the call once, with the idempotency key, and returns the whole answer.
+     *
+     * <p>The future fails with an {@link org.agatefield.model.AgatefieldException} whose run state
+     * is {@code NO} only if not one byte reached the upstream.
+     */
+    CompletableFuture<ServiceExchange> send(Address upstream);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/core/StepHook.java
@@ -0,0 +1,20 @@
+package org.agatefield.daemon.core;
+
+/**
+ * Told when a daemon reaches a named step; a test's implementation pauses or ends the process
+ * there.
+ *
+ * <p>Called on the thread that takes the step. Safe for use by any thread.
+ */
+@FunctionalInterface
+public interface StepHook {
+  /** The hook of a daemon outside tests: does nothing. */
+  StepHook NONE = (step, subject) -> {};
+
+  /**
+   * Called when {@code step} is reached.
+   *
+   * @param subject what the step is about, such as an idempotency key or an upstream's name
+   */
+  void reached(Step step, String subject);
+}
