--- /dev/null
+++ b/standin/src/main/java/org/agatefield/standin/store/WatchAnswer.java
@@ -0,0 +1,87 @@
+package org.agatefield.standin.store;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+
+/**
+ * One watch of the stand-in store: writes changes as JSON lines, and a bookmark each few seconds.
+ *
+ * <p>Used on one event loop alone.
+ */
+final class WatchAnswer {
+  private static final long BOOKMARK_INTERVAL_MILLISECONDS = 5_000;
+
+  private final Vertx vertx;
+  private final HttpServerResponse response;
+  private final String plural;
+  private final LongSupplier lagMilliseconds;
+  private final Consumer<ObjectTable.Change> observer = this::changed;
+  private long timer;
+  private long reportedVersion;
+
+  WatchAnswer(
+      Vertx vertx, HttpServerResponse response, String plural, LongSupplier lagMilliseconds) {
+    this.vertx = vertx;
+    this.response = response;
+    this.plural = plural;
+    this.lagMilliseconds = lagMilliseconds;
+  }
+
+  /** Starts the watch unless changes after the version are no longer kept. */
+  boolean start(ObjectTable table, long fromVersion) {
+    response.setChunked(true).putHeader("Content-Type", "application/json");
+    reportedVersion = fromVersion;
+    if (!table.observe(fromVersion, observer)) {
+      response.setChunked(false);
+      return false;
+    }
+    response.writeHead();
+    timer = vertx.setPeriodic(BOOKMARK_INTERVAL_MILLISECONDS, fired -> bookmark());
+    return true;
+  }
+
+  void stop(ObjectTable table) {
+    vertx.cancelTimer(timer);
+    table.forget(observer);
+  }
+
+  void end() {
+    response.end();
+  }
+
+  private void changed(ObjectTable.Change change) {
+    if (!change.plural().equals(plural)) {
+      return;
+    }
+    long lag = lagMilliseconds.getAsLong();
+    if (lag == 0) {
+      report(change);
+      return;
+    }
+    vertx.setTimer(lag, fired -> report(change));
+  }
+
+  private void report(ObjectTable.Change change) {
+    if (response.ended() || response.closed()) {
+      return;
+    }
+    reportedVersion = change.version();
+    ObjectNode line = new ObjectMapper().createObjectNode();
+    line.put("type", change.type()).set("object", change.object());
+    response.write(line + "\n");
+  }
+
+  private void bookmark() {
+    if (response.ended() || response.closed()) {
+      return;
+    }
+    ObjectNode line = new ObjectMapper().createObjectNode();
+    line.put("type", "BOOKMARK");
+    line.putObject("object").putObject("metadata").put("resourceVersion", "" + reportedVersion);
+    response.write(line + "\n");
+  }
+}
