--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimCodec.java
@@ -0,0 +1,127 @@
+package org.agatefield.daemon.calls;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.idempotency.Claim;
+
+/**
+ * Translates claims to and from the content of objects. A body is written in base64, in the claim
+ * itself or in parts. Stateless and safe for use by any thread.
+ */
+final class ClaimCodec {
+  static final String KEEP_UNTIL = "keepUntilMilliseconds";
+
+  private static final String ATTEMPT = "attempt";
+  private static final String PARTS = "parts";
+  private static final String BODY = "body";
+
+  private ClaimCodec() {}
+
+  /** Returns the content of a claim without an outcome. */
+  static ObjectNode encode(Claim<ServiceExchange> claim) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put(ATTEMPT, claim.attemptId())
+        .put("holder", claim.holder())
+        .put("bodyHash", claim.bodyHash())
+        .put("claimedAtMilliseconds", claim.claimedAtMilliseconds())
+        .put("timeoutMilliseconds", claim.timeoutMilliseconds())
+        .put(KEEP_UNTIL, claim.keepUntilMilliseconds());
+  }
+
+  /** Returns the content of a claim whose outcome is lost. */
+  static ObjectNode encodeLost(Claim<ServiceExchange> claim) {
+    ObjectNode content = encode(claim);
+    content.putObject("outcome").put("state", "LOST");
+    return content;
+  }
+
+  /** Returns the content of a claim with an answer, whose body lies in parts if there are any. */
+  static ObjectNode encodeAnswered(
+      Claim<ServiceExchange> claim, ServiceExchange answer, int parts) {
+    ObjectNode content = encode(claim);
+    ObjectNode outcome = content.putObject("outcome");
+    outcome.put("state", "ANSWERED").put("status", answer.status());
+    ArrayNode headers = outcome.putArray("headers");
+    for (ServiceExchange.Header header : answer.headers()) {
+      headers.addArray().add(header.name()).add(header.value());
+    }
+    if (parts == 0) {
+      outcome.put(BODY, answer.body().getBytes());
+    } else {
+      outcome.put(PARTS, parts);
+    }
+    return content;
+  }
+
+  /** Returns the content of a part of a body. */
+  static ObjectNode encodePart(Claim<ServiceExchange> claim, Buffer part) {
+    return JsonNodeFactory.instance
+        .objectNode()
+        .put(ATTEMPT, claim.attemptId())
+        .put(KEEP_UNTIL, claim.keepUntilMilliseconds())
+        .put(BODY, part.getBytes());
+  }
+
+  /** Returns the attempt that wrote a claim. */
+  static String attemptOf(JsonNode content) {
+    return content.path(ATTEMPT).asText();
+  }
+
+  /** Returns the number of parts that the body of a claim's answer lies in. */
+  static int partsOf(JsonNode content) {
+    return content.path("outcome").path(PARTS).asInt();
+  }
+
+  /** Returns the bytes of a body or a part of one. */
+  static Buffer bodyOf(JsonNode node) {
+    try {
+      return Buffer.buffer(node.path(BODY).binaryValue());
+    } catch (IOException exception) {
+      throw new UncheckedIOException("a recorded body is not base64", exception);
+    }
+  }
+
+  /**
+   * Reads a claim.
+   *
+   * @param parts the joined parts of the body; empty if it lies in the claim
+   */
+  static Claim<ServiceExchange> decode(JsonNode content, Optional<Buffer> parts) {
+    return new Claim<>(
+        content.path(ATTEMPT).asText(),
+        content.path("holder").asText(),
+        content.path("bodyHash").asText(),
+        content.path("claimedAtMilliseconds").asLong(),
+        content.path("timeoutMilliseconds").asLong(),
+        content.path(KEEP_UNTIL).asLong(),
+        decodeOutcome(content.path("outcome"), parts));
+  }
+
+  private static Optional<Claim.Outcome<ServiceExchange>> decodeOutcome(
+      JsonNode outcome, Optional<Buffer> parts) {
+    return switch (outcome.path("state").asText()) {
+      case "" -> Optional.empty();
+      case "LOST" -> Optional.of(new Claim.Outcome<>(Optional.empty()));
+      default -> Optional.of(new Claim.Outcome<>(Optional.of(decodeAnswer(outcome, parts))));
+    };
+  }
+
+  private static ServiceExchange decodeAnswer(JsonNode outcome, Optional<Buffer> parts) {
+    List<ServiceExchange.Header> headers = new ArrayList<>();
+    for (JsonNode header : outcome.path("headers")) {
+      headers.add(new ServiceExchange.Header(header.path(0).asText(), header.path(1).asText()));
+    }
+    Buffer body = parts.orElseGet(() -> bodyOf(outcome));
+    return new ServiceExchange(outcome.path("status").asInt(), headers, body);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimRemover.java
@@ -0,0 +1,147 @@
+package org.agatefield.daemon.calls;
+
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.agatefield.idempotency.ClaimEvent;
+import org.agatefield.platform.Backoff;
+import org.agatefield.platform.StoreException;
+import org.agatefield.platform.StoreFailure;
+import org.agatefield.platform.StoredObject;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Removes claims of this process that it has not sent for and never will, also those whose create
+ * takes effect late.
+ *
+ * <p>Invariant: an attempt is only handed over here after the process has decided for good not to
+ * send for it. Safe for use by any thread.
+ */
+final class ClaimRemover implements AutoCloseable {
+  private static final Logger LOGGER = LogManager.getLogger(ClaimRemover.class);
+  private static final Duration FIRST_DELAY = Duration.ofMillis(100);
+  private static final Duration LONGEST_DELAY = Duration.ofSeconds(10);
+  private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
+
+  private final Vertx vertx;
+  private final ClaimStore claims;
+  private final Duration lateEffectWindow;
+  private final Map<String, Removal> removals = new ConcurrentHashMap<>();
+  private volatile boolean closed;
+
+  /** One claim to remove. Its backoff is used by one try at a time. */
+  private record Removal(
+      String name, String attemptId, boolean mayAppearLate, long startedAt, Backoff backoff) {}
+
+  ClaimRemover(Vertx vertx, ClaimStore claims, Duration lateEffectWindow) {
+    this.vertx = vertx;
+    this.claims = claims;
+    this.lateEffectWindow = lateEffectWindow;
+  }
+
+  /**
+   * Removes a claim, now or when it comes to be in the store.
+   *
+   * @param mayAppearLate whether the result of its create is unknown
+   */
+  void remove(String name, String attemptId, boolean mayAppearLate) {
+    Removal removal =
+        new Removal(
+            name,
+            attemptId,
+            mayAppearLate,
+            System.nanoTime(),
+            new Backoff(FIRST_DELAY, LONGEST_DELAY));
+    if (removals.putIfAbsent(attemptId, removal) == null) {
+      tryRemove(removal);
+    }
+  }
+
+  /**
+   * Returns whether it is certain that this process has not sent for the attempt and never will.
+   */
+  boolean isAbandoned(String attemptId) {
+    return removals.containsKey(attemptId);
+  }
+
+  /** Returns the number of claims that are not known to be removed. */
+  int size() {
+    return removals.size();
+  }
+
+  /** Removes an abandoned claim that was just read. */
+  <A> CompletableFuture<ClaimEvent<A>> removeFound(StoredObject object) {
+    return claims
+        .delete(object)
+        .handle(
+            (done, failure) ->
+                failure == null || isOvertaken(failure)
+                    ? new ClaimEvent.Removed<>()
+                    : new ClaimEvent.RemoveFailed<>());
+  }
+
+  @Override
+  public void close() {
+    closed = true;
+  }
+
+  private void tryRemove(Removal removal) {
+    if (closed) {
+      return;
+    }
+    claims
+        .readObject(removal.name())
+        .whenComplete((found, failure) -> found(removal, found, failure));
+  }
+
+  private void found(Removal removal, Optional<StoredObject> found, Throwable failure) {
+    if (failure != null) {
+      retry(removal);
+      return;
+    }
+    boolean present =
+        found
+            .map(object -> ClaimCodec.attemptOf(object.content()))
+            .filter(removal.attemptId()::equals)
+            .isPresent();
+    if (!present) {
+      finishOrWatch(removal);
+      return;
+    }
+    claims.delete(found.get()).whenComplete((done, error) -> deleted(removal, error));
+  }
+
+  private void deleted(Removal removal, Throwable failure) {
+    if (failure != null && !isOvertaken(failure)) {
+      retry(removal);
+      return;
+    }
+    LOGGER.info("claim removed claim={} attempt={} run=no", removal.name(), removal.attemptId());
+    removals.remove(removal.attemptId());
+  }
+
+  private void finishOrWatch(Removal removal) {
+    long watched = (System.nanoTime() - removal.startedAt()) / NANOSECONDS_PER_MILLISECOND;
+    if (!removal.mayAppearLate() || watched > lateEffectWindow.toMillis()) {
+      removals.remove(removal.attemptId());
+      return;
+    }
+    retry(removal);
+  }
+
+  private void retry(Removal removal) {
+    if (!closed) {
+      vertx.setTimer(removal.backoff().nextMilliseconds(), fired -> tryRemove(removal));
+    }
+  }
+
+  private static boolean isOvertaken(Throwable failure) {
+    Optional<StoreFailure> known = StoreException.failureOf(failure);
+    return known.equals(Optional.of(StoreFailure.NOT_FOUND))
+        || known.equals(Optional.of(StoreFailure.CONFLICT));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimStore.java
@@ -0,0 +1,147 @@
+package org.agatefield.daemon.calls;
+
+import io.vertx.core.buffer.Buffer;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.idempotency.Claim;
+import org.agatefield.platform.ObjectKey;
+import org.agatefield.platform.ObjectKind;
+import org.agatefield.platform.ObjectStore;
+import org.agatefield.platform.ResolvingObjectStore;
+import org.agatefield.platform.StoreException;
+import org.agatefield.platform.StoreFailure;
+import org.agatefield.platform.StoredObject;
+
+/**
+ * Claims as objects of the store.
+ *
+ * <p>An answer's body of up to half a megabyte lies in the claim; a larger one lies in parts, which
+ * are written before the claim says that it is answered. Safe for use by any thread.
+ */
+final class ClaimStore {
+  private static final int PART_BYTES = 512 * 1024;
+
+  private final ObjectStore store;
+  private final ObjectStore resolving;
+
+  ClaimStore(ObjectStore store) {
+    this.store = store;
+    this.resolving = new ResolvingObjectStore(store);
+  }
+
+  /** Reads a claim with its whole answer; empty if there is none. */
+  CompletableFuture<Optional<StoredClaim>> read(String name) {
+    return readObject(name).thenCompose(this::readAnswer);
+  }
+
+  /** Reads the object of a claim; empty if there is none. */
+  CompletableFuture<Optional<StoredObject>> readObject(String name) {
+    return store
+        .get(key(name))
+        .thenApply(Optional::of)
+        .exceptionallyCompose(
+            failure ->
+                StoreException.failureOf(failure).equals(Optional.of(StoreFailure.NOT_FOUND))
+                    ? CompletableFuture.completedFuture(Optional.empty())
+                    : CompletableFuture.failedFuture(failure));
+  }
+
+  /** Creates a claim; an unknown result is not resolved here, the protocol does that. */
+  CompletableFuture<StoredClaim> create(String name, Claim<ServiceExchange> claim) {
+    return store
+        .create(key(name), claim.attemptId(), ClaimCodec.encode(claim))
+        .thenApply(object -> new StoredClaim(object, claim));
+  }
+
+  /** Writes the outcome into a claim, if it is still as it was read. */
+  CompletableFuture<StoredObject> record(
+      StoredClaim previous, Claim.Outcome<ServiceExchange> outcome, String writeIdentifier) {
+    Claim<ServiceExchange> claim = previous.claim();
+    if (outcome.answer().isEmpty()) {
+      return resolving.update(previous.object(), writeIdentifier, ClaimCodec.encodeLost(claim));
+    }
+    ServiceExchange answer = outcome.answer().get();
+    int parts = answer.body().length() <= PART_BYTES ? 0 : partCount(answer.body());
+    return writeParts(previous, answer.body(), 0, parts)
+        .thenCompose(
+            written ->
+                resolving.update(
+                    previous.object(),
+                    writeIdentifier,
+                    ClaimCodec.encodeAnswered(claim, answer, parts)));
+  }
+
+  /** Deletes a claim, if it is still as it was read. */
+  CompletableFuture<Void> delete(StoredObject object) {
+    return resolving.delete(object);
+  }
+
+  private CompletableFuture<Optional<StoredClaim>> readAnswer(Optional<StoredObject> found) {
+    if (found.isEmpty()) {
+      return CompletableFuture.completedFuture(Optional.empty());
+    }
+    StoredObject object = found.get();
+    int parts = ClaimCodec.partsOf(object.content());
+    if (parts == 0) {
+      return CompletableFuture.completedFuture(Optional.of(stored(object, Optional.empty())));
+    }
+    String attempt = ClaimCodec.attemptOf(object.content());
+    return readParts(object.key().name(), attempt, 0, parts, Buffer.buffer())
+        .thenApply(body -> Optional.of(stored(object, Optional.of(body))));
+  }
+
+  private CompletableFuture<Buffer> readParts(
+      String name, String attempt, int part, int parts, Buffer body) {
+    if (part == parts) {
+      return CompletableFuture.completedFuture(body);
+    }
+    return store
+        .get(partKey(name, attempt, part))
+        .thenCompose(
+            object -> {
+              body.appendBuffer(ClaimCodec.bodyOf(object.content()));
+              return readParts(name, attempt, part + 1, parts, body);
+            });
+  }
+
+  private CompletableFuture<Void> writeParts(StoredClaim claim, Buffer body, int part, int parts) {
+    if (part == parts) {
+      return CompletableFuture.completedFuture(null);
+    }
+    int end = Math.min(body.length(), (part + 1) * PART_BYTES);
+    Buffer bytes = body.getBuffer(part * PART_BYTES, end);
+    String attempt = claim.claim().attemptId();
+    ObjectKey key = partKey(claim.object().key().name(), attempt, part);
+    return resolving
+        .create(key, attempt, ClaimCodec.encodePart(claim.claim(), bytes))
+        .handle((created, failure) -> failure)
+        .thenCompose(failure -> acceptExistingPart(failure))
+        .thenCompose(written -> writeParts(claim, body, part + 1, parts));
+  }
+
+  /** A part's name holds the attempt, so that one that exists is from an earlier try. */
+  private static CompletableFuture<Void> acceptExistingPart(Throwable failure) {
+    boolean exists =
+        StoreException.failureOf(failure).equals(Optional.of(StoreFailure.ALREADY_EXISTS));
+    return failure == null || exists
+        ? CompletableFuture.completedFuture(null)
+        : CompletableFuture.failedFuture(failure);
+  }
+
+  private static StoredClaim stored(StoredObject object, Optional<Buffer> parts) {
+    return new StoredClaim(object, ClaimCodec.decode(object.content(), parts));
+  }
+
+  private static int partCount(Buffer body) {
+    return (body.length() + PART_BYTES - 1) / PART_BYTES;
+  }
+
+  private static ObjectKey key(String name) {
+    return new ObjectKey(ObjectKind.CLAIM, name);
+  }
+
+  private static ObjectKey partKey(String name, String attempt, int part) {
+    return new ObjectKey(ObjectKind.CLAIM, name + "." + attempt + ".part-" + part);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/HolderJudge.java
@@ -0,0 +1,38 @@
+package org.agatefield.daemon.calls;
+
+import java.time.Duration;
+import org.agatefield.daemon.core.InstanceDirectory;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.idempotency.Claim;
+import org.agatefield.idempotency.ClaimEvent.HolderState;
+
+/**
+ * Judges whether the holder of a claim without an outcome may still be executing the call.
+ *
+ * <p>Uses wall clocks of several instances; a wrong verdict changes what a retry is told, never
+ * whether the call is run. Safe for use by any thread.
+ */
+final class HolderJudge {
+  private final InstanceDirectory instances;
+  private final ClaimRemover remover;
+  private final Duration grace;
+
+  HolderJudge(InstanceDirectory instances, ClaimRemover remover, Duration grace) {
+    this.instances = instances;
+    this.remover = remover;
+    this.grace = grace;
+  }
+
+  HolderState stateOf(Claim<ServiceExchange> claim) {
+    if (remover.isAbandoned(claim.attemptId())) {
+      return HolderState.ABANDONED;
+    }
+    long age = System.currentTimeMillis() - claim.claimedAtMilliseconds();
+    if (age < grace.toMillis()) {
+      return HolderState.RUNNING;
+    }
+    boolean alive = instances.alive().stream().anyMatch(each -> each.id().equals(claim.holder()));
+    boolean inTime = age < claim.timeoutMilliseconds() + grace.toMillis();
+    return alive && inTime ? HolderState.RUNNING : HolderState.GONE;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/OutcomeRecorder.java
@@ -0,0 +1,98 @@
+package org.agatefield.daemon.calls;
+
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.UUID;
+import org.agatefield.daemon.core.InvariantMonitor;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.idempotency.Claim;
+import org.agatefield.platform.Backoff;
+import org.agatefield.platform.StoreException;
+import org.agatefield.platform.StoreFailure;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Writes one outcome into its claim, again and again until the store takes it.
+ *
+ * <p>Invariant: an answer in the store is never replaced. One try runs at a time; fields are used
+ * by that try alone.
+ */
+final class OutcomeRecorder {
+  private static final Logger LOGGER = LogManager.getLogger(OutcomeRecorder.class);
+  private static final Duration FIRST_DELAY = Duration.ofMillis(50);
+  private static final Duration LONGEST_DELAY = Duration.ofSeconds(5);
+
+  private final Vertx vertx;
+  private final ClaimStore claims;
+  private final InvariantMonitor monitor;
+  private final Runnable recorded;
+  private final Backoff backoff = new Backoff(FIRST_DELAY, LONGEST_DELAY);
+  private final String writeIdentifier = UUID.randomUUID().toString();
+  private StoredClaim claim;
+  private Claim.Outcome<ServiceExchange> outcome;
+
+  OutcomeRecorder(Vertx vertx, ClaimStore claims, InvariantMonitor monitor, Runnable recorded) {
+    this.vertx = vertx;
+    this.claims = claims;
+    this.monitor = monitor;
+    this.recorded = recorded;
+  }
+
+  /** Starts to write; {@code recorded} is run once the store has an outcome. */
+  void start(StoredClaim own, Claim.Outcome<ServiceExchange> known) {
+    claim = own;
+    outcome = known;
+    write();
+  }
+
+  private void write() {
+    claims.record(claim, outcome, writeIdentifier).whenComplete(this::written);
+  }
+
+  private void written(Object object, Throwable failure) {
+    if (failure == null) {
+      recorded.run();
+      return;
+    }
+    Optional<StoreFailure> known = StoreException.failureOf(failure);
+    if (known.equals(Optional.of(StoreFailure.TOO_LARGE))) {
+      LOGGER.error("answer exceeds the store's limit claim={}", claim.object().key(), failure);
+      outcome = new Claim.Outcome<>(Optional.empty());
+    }
+    LOGGER.debug("outcome not recorded yet claim={}", claim.object().key(), failure);
+    vertx.setTimer(backoff.nextMilliseconds(), fired -> readAgain());
+  }
+
+  private void readAgain() {
+    claims.read(claim.object().key().name()).whenComplete(this::readCompleted);
+  }
+
+  private void readCompleted(Optional<StoredClaim> found, Throwable failure) {
+    if (failure != null) {
+      vertx.setTimer(backoff.nextMilliseconds(), fired -> readAgain());
+      return;
+    }
+    String attempt = claim.claim().attemptId();
+    boolean own = found.filter(now -> now.claim().attemptId().equals(attempt)).isPresent();
+    monitor.check(
+        InvariantMonitor.Promise.AT_MOST_ONCE,
+        own,
+        () -> "the claim " + claim.object().key() + " of a call that was sent is gone");
+    if (!own || hasAnswer(found.get()) || outcome.answer().isEmpty() && hasOutcome(found.get())) {
+      recorded.run();
+      return;
+    }
+    claim = found.get();
+    write();
+  }
+
+  private static boolean hasOutcome(StoredClaim found) {
+    return found.claim().outcome().isPresent();
+  }
+
+  private static boolean hasAnswer(StoredClaim found) {
+    return found.claim().outcome().flatMap(Claim.Outcome::answer).isPresent();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/StoreBackedCalls.java
@@ -0,0 +1,175 @@
+package org.agatefield.daemon.calls;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import java.util.Map;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.agatefield.daemon.core.Dispatcher;
+import org.agatefield.daemon.core.InstanceDirectory;
+import org.agatefield.daemon.core.InvariantMonitor;
+import org.agatefield.daemon.core.NonRepeatableCall;
+import org.agatefield.daemon.core.NonRepeatableCalls;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.daemon.core.ServiceRequest;
+import org.agatefield.daemon.core.StepHook;
+import org.agatefield.idempotency.Arrival;
+import org.agatefield.idempotency.Claim;
+import org.agatefield.idempotency.ClaimNames;
+import org.agatefield.idempotency.RetentionPolicy;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.RunState;
+import org.agatefield.platform.ObjectStore;
+
+/**
+ * Runs calls at most once by claims in the platform's store.
+ *
+ * <p>Calls of one key at this instance join one execution; calls at other instances meet in the
+ * store. An execution stays known until its outcome is in the store, so that retries here are
+ * served meanwhile. Safe for use by any thread.
+ */
+public final class StoreBackedCalls implements NonRepeatableCalls, AutoCloseable {
+  private final Map<String, ClaimExecution> executions = new ConcurrentHashMap<>();
+  private final CallParts parts;
+  private final InstanceDirectory instances;
+  private final CallLimits limits;
+  private final RetentionPolicy retention;
+  private final MetricRegistry metrics;
+
+  /** Creates the calls of an instance. */
+  public StoreBackedCalls(
+      Vertx vertx,
+      ObjectStore store,
+      InstanceDirectory instances,
+      OutcomeQuery outcomes,
+      CallLimits limits,
+      StepHook hook,
+      InvariantMonitor monitor,
+      MetricRegistry metrics) {
+    ClaimStore claims = new ClaimStore(store);
+    ClaimRemover remover = new ClaimRemover(vertx, claims, limits.lateEffectWindow());
+    HolderJudge holders = new HolderJudge(instances, remover, limits.holderGrace());
+    this.parts = new CallParts(vertx, claims, remover, holders, outcomes, hook, monitor);
+    this.instances = instances;
+    this.limits = limits;
+    this.retention =
+        new RetentionPolicy(limits.retention().toMillis(), limits.clockSkew().toMillis());
+    this.metrics = metrics;
+    metrics.register("agatefield.calls.running", (Gauge<Integer>) this::runningCalls);
+    metrics.register("agatefield.calls.claimsToRemove", (Gauge<Integer>) remover::size);
+  }
+
+  @Override
+  public CompletableFuture<ServiceExchange> execute(
+      NonRepeatableCall call,
+      ServiceRequest request,
+      Dispatcher dispatcher,
+      NonRepeatableCall.Sender sender) {
+    if (retention.isExpired(call.key(), System.currentTimeMillis())) {
+      return CompletableFuture.failedFuture(
+          new AgatefieldException(
+              ErrorKind.KEY_EXPIRED, "the key is older than outcomes are kept; nothing was sent"));
+    }
+    String name = ClaimNames.nameOf(call.caller(), call.service().name(), call.key());
+    ClaimExecution created = newExecution(call, request, dispatcher, sender, name);
+    ClaimExecution running = executions.putIfAbsent(name, created);
+    if (running == null) {
+      metrics.counter("agatefield.calls.started").inc();
+      created.start();
+      return withDeadline(created, call);
+    }
+    if (!running.bodyHash().equals(call.bodySha256())) {
+      return CompletableFuture.failedFuture(
+          new AgatefieldException(
+              ErrorKind.KEY_REUSED, "the key was used before with another request"));
+    }
+    metrics.counter("agatefield.calls.joined").inc();
+    return withDeadline(running, call);
+  }
+
+  @Override
+  public int runningCalls() {
+    return (int) executions.values().stream().filter(ClaimExecution::isClaimed).count();
+  }
+
+  @Override
+  public void close() {
+    parts.remover().close();
+  }
+
+  private ClaimExecution newExecution(
+      NonRepeatableCall call,
+      ServiceRequest request,
+      Dispatcher dispatcher,
+      NonRepeatableCall.Sender sender,
+      String name) {
+    long now = System.nanoTime();
+    long joinLimit = Math.min(call.remaining().toNanos(), limits.joinLimit().toNanos());
+    Arrival arrival =
+        new Arrival(
+            UUID.randomUUID().toString(),
+            call.bodySha256(),
+            now + call.remaining().toNanos(),
+            now + joinLimit,
+            call.service().outcomePath().isPresent());
+    return new ClaimExecution(
+        parts,
+        call,
+        request,
+        dispatcher,
+        sender,
+        name,
+        arrival,
+        claimOf(call, arrival),
+        () -> executions.remove(name));
+  }
+
+  private Claim<ServiceExchange> claimOf(NonRepeatableCall call, Arrival arrival) {
+    long now = System.currentTimeMillis();
+    return new Claim<>(
+        arrival.attemptId(),
+        instances.self().id(),
+        call.bodySha256(),
+        now,
+        call.service().timeoutMilliseconds(),
+        retention.keepUntil(call.key(), now),
+        Optional.empty());
+  }
+
+  /** Gives each caller the shared reply or, at its own deadline, a failure; the call goes on. */
+  private CompletableFuture<ServiceExchange> withDeadline(
+      ClaimExecution execution, NonRepeatableCall call) {
+    CompletableFuture<ServiceExchange> own = new CompletableFuture<>();
+    long timer =
+        parts
+            .vertx()
+            .setTimer(
+                Math.max(1, call.remaining().toMillis()),
+                fired -> own.completeExceptionally(deadlineExceeded()));
+    execution
+        .reply()
+        .whenComplete(
+            (answer, failure) -> {
+              parts.vertx().cancelTimer(timer);
+              if (failure == null) {
+                own.complete(answer);
+              } else {
+                own.completeExceptionally(failure);
+              }
+            });
+    return own;
+  }
+
+  private static AgatefieldException deadlineExceeded() {
+    return new AgatefieldException(
+        ErrorKind.DEADLINE_EXCEEDED,
+        RunState.UNKNOWN,
+        "the deadline passed; a retry with the same key gets the answer once it is known",
+        null,
+        null);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/StoredClaim.java
@@ -0,0 +1,8 @@
+package org.agatefield.daemon.calls;
+
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.idempotency.Claim;
+import org.agatefield.platform.StoredObject;
+
+/** A claim with the object that holds it. Immutable. */
+record StoredClaim(StoredObject object, Claim<ServiceExchange> claim) {}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/leases/package-info.java
@@ -0,0 +1,2 @@
+/** Leases of a daemon over the platform's store. */
+package org.agatefield.daemon.leases;
--- /dev/null
+++ b/idempotency/src/main/java/org/agatefield/idempotency/ClaimStep.java
@@ -0,0 +1,15 @@
+package org.agatefield.idempotency;
+
+import java.util.List;
+
+/**
+ * A decision: the new state and what to do, in order. Immutable.
+ *
+ * @param <A> the answer
+ */
+public record ClaimStep<A>(ClaimState<A> state, List<ClaimAction<A>> actions) {
+  /** Copies the list. */
+  public ClaimStep {
+    actions = List.copyOf(actions);
+  }
+}
