Read and check settings; add the operators' command and the daemon's frame

Ruled out: a TOML parser with positions in its tree (none among the declared libraries); a small index of lines serves the faults instead. Conclusion: wiring can start as the packages arrive.

--- /dev/null
+++ b/command/src/main/java/org/agatefield/command/CommandException.java
@@ -0,0 +1,17 @@
+package org.agatefield.command;
+
+/** A failure that ends the command with a message for its user. Immutable. */
+final class CommandException extends RuntimeException {
+  private static final long serialVersionUID = 1L;
+
+  private final CommandExitCode code;
+
+  CommandException(CommandExitCode code, String message) {
+    super(message);
+    this.code = code;
+  }
+
+  CommandExitCode code() {
+    return code;
+  }
+}
--- /dev/null
+++ b/command/src/main/java/org/agatefield/command/LoadGenerator.java
@@ -0,0 +1,132 @@
+package org.agatefield.command;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.agatefield.model.Address;
+import org.agatefield.model.Closer;
+
+/**
+ * Starts requests at a steady rate, whether or not earlier ones have been answered.
+ *
+ * <p>Times count from the planned start of a request, so that a slow server cannot hide its delays.
+ * For use by one thread.
+ */
+public final class LoadGenerator implements AutoCloseable {
+  private static final int MAXIMUM_CONNECTIONS = 1_000;
+  private static final int SIGNIFICANT_DIGITS = 3;
+  private static final long LAST_ANSWERS_SECONDS = 60;
+  private static final String END_MARKER = "[DONE]";
+  private static final int TAIL_BYTES = 32;
+
+  private final Closer closer = new Closer();
+  private final Map<String, String> headers;
+  private final Address address;
+  private final HttpClient client;
+  private final AtomicLong whole = new AtomicLong();
+  private final AtomicLong refused = new AtomicLong();
+  private final AtomicLong failed = new AtomicLong();
+  private final Histogram firstPart = new ConcurrentHistogram(SIGNIFICANT_DIGITS);
+  private final Histogram wholeAnswer = new ConcurrentHistogram(SIGNIFICANT_DIGITS);
+
+  LoadGenerator(Address address, Map<String, String> headers) {
+    this.address = address;
+    this.headers = Map.copyOf(headers);
+    Vertx vertx = Vertx.vertx();
+    closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
+    this.client =
+        vertx.createHttpClient(
+            new HttpClientOptions(), new PoolOptions().setHttp1MaxSize(MAXIMUM_CONNECTIONS));
+  }
+
+  LoadReportTable run(LoadPlan plan) throws InterruptedException {
+    long requests = plan.duration().toSeconds() * plan.requestsPerSecond();
+    long intervalNanoseconds = TimeUnit.SECONDS.toNanos(1) / plan.requestsPerSecond();
+    CountDownLatch answered = new CountDownLatch((int) requests);
+    long begin = System.nanoTime();
+    for (long number = 0; number < requests; number++) {
+      long plannedStart = begin + number * intervalNanoseconds;
+      waitUntil(plannedStart);
+      start(plan, plannedStart, answered);
+    }
+    boolean complete = answered.await(LAST_ANSWERS_SECONDS, TimeUnit.SECONDS);
+    if (!complete) {
+      failed.addAndGet(answered.getCount());
+    }
+    return new LoadReportTable(whole.get(), refused.get(), failed.get(), firstPart, wholeAnswer);
+  }
+
+  private static void waitUntil(long nanoseconds) {
+    long remaining = nanoseconds - System.nanoTime();
+    while (remaining > 0) {
+      LockSupport.parkNanos(remaining);
+      remaining = nanoseconds - System.nanoTime();
+    }
+  }
+
+  private void start(LoadPlan plan, long plannedStart, CountDownLatch answered) {
+    RequestOptions options =
+        new RequestOptions()
+            .setMethod(HttpMethod.POST)
+            .setHost(address.host())
+            .setPort(address.port())
+            .setURI("/v1/chat/completions")
+            .addHeader("Content-Type", "application/json");
+    headers.forEach(options::addHeader);
+    client
+        .request(options)
+        .compose(request -> request.send(Buffer.buffer(plan.body())))
+        .compose(response -> read(response, plannedStart))
+        .onFailure(failure -> failed.incrementAndGet())
+        .onComplete(ended -> answered.countDown());
+  }
+
+  private Future<Void> read(HttpClientResponse response, long plannedStart) {
+    AnswerTail tail = new AnswerTail(TAIL_BYTES);
+    response.handler(
+        part -> {
+          if (tail.isEmpty()) {
+            record(firstPart, plannedStart);
+          }
+          tail.append(part);
+        });
+    return response.end().onSuccess(ended -> count(response, tail, plannedStart));
+  }
+
+  private void count(HttpClientResponse response, AnswerTail tail, long plannedStart) {
+    int status = response.statusCode();
+    if (status == 429 || status == 503) {
+      refused.incrementAndGet();
+      return;
+    }
+    if (status != 200 || !tail.text().contains(END_MARKER)) {
+      failed.incrementAndGet();
+      return;
+    }
+    whole.incrementAndGet();
+    record(wholeAnswer, plannedStart);
+  }
+
+  private static void record(Histogram histogram, long plannedStart) {
+    histogram.recordValue(
+        Math.max(0, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - plannedStart)));
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+}
--- a/command/src/main/java/org/agatefield/command/package-info.java
+++ b/command/src/main/java/org/agatefield/command/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder; the package's owner writes its description. */
+/** The operators' command, {@code agatefieldctl}. */
 package org.agatefield.command;
--- a/daemon/src/main/java/org/agatefield/daemon/package-info.java
+++ b/daemon/src/main/java/org/agatefield/daemon/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder; the package's owner writes its description. */
+/** The daemon: the program of every entry instance. This package only wires its parts together. */
 package org.agatefield.daemon;
--- /dev/null
+++ b/settings/src/main/java/org/agatefield/settings/SettingsTable.java
@@ -0,0 +1,166 @@
+package org.agatefield.settings;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.regex.Pattern;
+import org.agatefield.model.Address;
+
+/**
+ * Reads the keys of one table of a settings file and gathers its faults.
+ *
+ * <p>Invariant: a getter that finds a fault adds it to the shared list and returns a placeholder,
+ * so that all faults are found in one pass. For use by one thread.
+ */
+final class SettingsTable {
+  private static final Pattern IP_ADDRESS =
+      Pattern.compile("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]+]):\\d{1,5}");
+  private static final Address PLACEHOLDER_ADDRESS = new Address("0.0.0.0", 1);
+  private static final String ADDRESS_RULE = "\"IP:port\" with an IP number and a port 1 to 65535";
+
+  private final String file;
+  private final String name;
+  private final JsonNode node;
+  private final TomlLineIndex lines;
+  private final List<SettingsFault> faults;
+  private final Set<String> knownKeys = new HashSet<>();
+
+  SettingsTable(
+      String file, String name, JsonNode root, TomlLineIndex lines, List<SettingsFault> faults) {
+    this.file = file;
+    this.name = name;
+    this.lines = lines;
+    this.faults = faults;
+    JsonNode found = root.path(name);
+    if (!found.isMissingNode() && !found.isObject()) {
+      faults.add(new SettingsFault(file, lines.lineOf(name), name, found.toString(), "a table"));
+    }
+    this.node = found.isObject() ? found : MissingNode.getInstance();
+  }
+
+  boolean isPresent() {
+    return !node.isMissingNode();
+  }
+
+  String text(String key, Pattern pattern, String rule) {
+    JsonNode value = value(key);
+    if (value.isMissingNode()) {
+      return missing(key, rule);
+    }
+    if (!value.isTextual() || !pattern.matcher(value.textValue()).matches()) {
+      return fault(key, value.toString(), rule);
+    }
+    return value.textValue();
+  }
+
+  String choice(String key, List<String> allowed, String defaultValue) {
+    JsonNode value = value(key);
+    if (value.isMissingNode()) {
+      return defaultValue;
+    }
+    if (!value.isTextual() || !allowed.contains(value.textValue())) {
+      fault(key, value.toString(), "one of " + String.join(", ", allowed));
+      return defaultValue;
+    }
+    return value.textValue();
+  }
+
+  long integer(String key, long minimum, long maximum, long defaultValue) {
+    JsonNode value = value(key);
+    if (value.isMissingNode()) {
+      return defaultValue;
+    }
+    boolean inRange =
+        value.isIntegralNumber()
+            && value.canConvertToLong()
+            && value.longValue() >= minimum
+            && value.longValue() <= maximum;
+    if (!inRange) {
+      fault(key, value.toString(), "a whole number from " + minimum + " to " + maximum);
+      return defaultValue;
+    }
+    return value.longValue();
+  }
+
+  Duration milliseconds(String key, long minimum, long maximum, long defaultValue) {
+    return Duration.ofMillis(integer(key, minimum, maximum, defaultValue));
+  }
+
+  Duration seconds(String key, long minimum, long maximum, long defaultValue) {
+    return Duration.ofSeconds(integer(key, minimum, maximum, defaultValue));
+  }
+
+  Address address(String key) {
+    JsonNode value = value(key);
+    if (value.isMissingNode()) {
+      missing(key, ADDRESS_RULE);
+      return PLACEHOLDER_ADDRESS;
+    }
+    return parseAddress(key, value).orElse(PLACEHOLDER_ADDRESS);
+  }
+
+  List<Address> addresses(String key) {
+    JsonNode value = value(key);
+    if (value.isMissingNode()) {
+      return List.of();
+    }
+    if (!value.isArray()) {
+      fault(key, value.toString(), "a list of " + ADDRESS_RULE);
+      return List.of();
+    }
+    List<Address> addresses = new ArrayList<>();
+    for (JsonNode element : value) {
+      parseAddress(key, element).ifPresent(addresses::add);
+    }
+    return addresses;
+  }
+
+  /** Adds a fault for every key that no getter asked for. */
+  void rejectUnknownKeys() {
+    node.fieldNames()
+        .forEachRemaining(
+            key -> {
+              if (!knownKeys.contains(key)) {
+                fault(key, "an unknown key", "only " + String.join(", ", sortedKnownKeys()));
+              }
+            });
+  }
+
+  private List<String> sortedKnownKeys() {
+    return knownKeys.stream().sorted().toList();
+  }
+
+  private JsonNode value(String key) {
+    knownKeys.add(key);
+    return node.path(key);
+  }
+
+  private Optional<Address> parseAddress(String key, JsonNode value) {
+    boolean wellFormed = value.isTextual() && IP_ADDRESS.matcher(value.textValue()).matches();
+    if (!wellFormed) {
+      fault(key, value.toString(), ADDRESS_RULE);
+      return Optional.empty();
+    }
+    try {
+      return Optional.of(Address.parse(value.textValue()));
+    } catch (IllegalArgumentException exception) {
+      fault(key, value.toString(), ADDRESS_RULE);
+      return Optional.empty();
+    }
+  }
+
+  private String missing(String key, String rule) {
+    return fault(key, "nothing", rule);
+  }
+
+  private String fault(String key, String found, String rule) {
+    String fullKey = name + "." + key;
+    faults.add(new SettingsFault(file, lines.lineOf(fullKey), fullKey, found, rule));
+    return "";
+  }
+}
