--- /dev/null
+++ b/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
@@ -0,0 +1,266 @@
+package org.agatefield.admission;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.Priority;
+
+/**
+ * The requests that wait at one instance, for all targets.
+ *
+ * <p>Invariants: neither bound is ever exceeded; a request is chosen or refused at most once, never
+ * both; higher priorities go first; what is refused was never chosen. Not safe for use by several
+ * threads: the embedding program holds one lock around each call.
+ */
+public final class AdmissionQueue implements QueueView {
+  private static final Duration FULL_RETRY_AFTER = Duration.ofSeconds(1);
+  private static final Priority[] HIGHEST_FIRST = {
+    Priority.INTERACTIVE, Priority.STANDARD, Priority.BATCH
+  };
+
+  private final QueueBounds bounds;
+  private final SheddingPolicy shedding;
+  private final SelectionOrder order;
+  private final Map<Long, QueuedRequest> waiting = new HashMap<>();
+  private final Map<Priority, CallerBacklogs> all = emptyBacklogs();
+  private final Map<String, Map<Priority, CallerBacklogs>> byTarget = new HashMap<>();
+  private final Map<String, DrainMeter> meters = new HashMap<>();
+  private long waitingBytes;
+
+  /** Creates an empty queue. */
+  public AdmissionQueue(QueueBounds bounds, SheddingPolicy shedding, SelectionOrder order) {
+    this.bounds = bounds;
+    this.shedding = shedding;
+    this.order = order;
+  }
+
+  /** Lets {@code request} wait, or refuses it or what must make room for it. */
+  public Offer offer(QueuedRequest request, long nowNanoseconds) {
+    Optional<Refusal> refusal = shedding.onArrival(request, this, nowNanoseconds);
+    if (refusal.isPresent()) {
+      return new Offer(false, List.of(refusal.get()));
+    }
+    List<Refusal> displaced = new ArrayList<>();
+    while (!fits(request)) {
+      Optional<QueuedRequest> victim = victimFor(request);
+      if (victim.isEmpty()) {
+        displaced.add(full(request));
+        return new Offer(false, displaced);
+      }
+      remove(victim.get());
+      displaced.add(full(victim.get()));
+    }
+    add(request);
+    return new Offer(true, displaced);
+  }
+
+  /** Chooses the next request for a runner that has a place and can serve {@code targets}. */
+  public Selection next(String resource, Collection<String> targets, long nowNanoseconds) {
+    List<Refusal> refused = new ArrayList<>();
+    for (Priority priority : HIGHEST_FIRST) {
+      List<QueuedRequest> heads = timelyHeads(priority, targets, nowNanoseconds, refused);
+      if (!heads.isEmpty()) {
+        QueuedRequest chosen = order.choose(resource, heads);
+        remove(chosen);
+        return new Selection(Optional.of(chosen), refused);
+      }
+    }
+    return new Selection(Optional.empty(), refused);
+  }
+
+  /** Removes and returns the requests whose deadline can no longer be met. */
+  public List<Refusal> expire(long nowNanoseconds) {
+    List<Refusal> refused = new ArrayList<>();
+    for (Priority priority : HIGHEST_FIRST) {
+      timelyHeads(priority, List.copyOf(byTarget.keySet()), nowNanoseconds, refused);
+    }
+    return refused;
+  }
+
+  /** Removes a request whose caller has gone; returns whether it was waiting. */
+  public boolean cancel(long id) {
+    QueuedRequest request = waiting.get(id);
+    if (request == null) {
+      return false;
+    }
+    remove(request);
+    return true;
+  }
+
+  /** Records that a request for {@code target} was sent to an upstream. */
+  public void started(String target) {
+    meter(target).started();
+  }
+
+  /** Records that a request for {@code target} is no longer at an upstream. */
+  public void finished(String target) {
+    meter(target).finished();
+  }
+
+  /** Learns how long a request took that was answered whole. */
+  public void measured(String target, double cost, long serviceNanoseconds) {
+    meter(target).measured(cost, serviceNanoseconds);
+  }
+
+  /** Returns the number of waiting requests. */
+  public int size() {
+    return waiting.size();
+  }
+
+  /** Returns the bytes that waiting requests hold. */
+  public long bytes() {
+    return waitingBytes;
+  }
+
+  /** Returns the number of requests for {@code target} that are at upstreams. */
+  public int running(String target) {
+    return meter(target).running();
+  }
+
+  @Override
+  public int waitingFor(QueuedRequest request) {
+    int count = 0;
+    for (CallerBacklogs backlogs : backlogsOf(request.target()).values()) {
+      count += backlogs.size();
+    }
+    return count;
+  }
+
+  @Override
+  public long expectedWaitNanoseconds(QueuedRequest request) {
+    return meter(request.target()).expectedDrainNanoseconds(requestsBefore(request));
+  }
+
+  @Override
+  public long expectedServiceNanoseconds(QueuedRequest request) {
+    return meter(request.target()).expectedServiceNanoseconds(request.cost());
+  }
+
+  /** Fairness bounds what goes before: others get at most their weights' share meanwhile. */
+  private double requestsBefore(QueuedRequest request) {
+    Map<Priority, CallerBacklogs> backlogs = backlogsOf(request.target());
+    double higher = 0;
+    for (Priority priority : HIGHEST_FIRST) {
+      if (priority.compareTo(request.priority()) > 0) {
+        higher += backlogs.get(priority).size();
+      }
+    }
+    CallerBacklogs same = backlogs.get(request.priority());
+    int own = same.sizeOf(request.caller());
+    double shared = own * same.totalWeightWith(request) / request.weight();
+    return higher + Math.min(same.size(), shared);
+  }
+
+  private List<QueuedRequest> timelyHeads(
+      Priority priority, Collection<String> targets, long nowNanoseconds, List<Refusal> refused) {
+    List<QueuedRequest> timely = new ArrayList<>();
+    for (String target : targets) {
+      Map<Priority, CallerBacklogs> backlogs = byTarget.get(target);
+      if (backlogs != null) {
+        addTimelyHeads(backlogs.get(priority), nowNanoseconds, timely, refused);
+      }
+    }
+    return timely;
+  }
+
+  private void addTimelyHeads(
+      CallerBacklogs backlogs,
+      long nowNanoseconds,
+      List<QueuedRequest> timely,
+      List<Refusal> refused) {
+    boolean removed = true;
+    while (removed) {
+      removed = false;
+      for (QueuedRequest head : backlogs.heads()) {
+        Optional<Refusal> refusal = shedding.beforeStart(head, this, nowNanoseconds);
+        if (refusal.isPresent()) {
+          remove(head);
+          refused.add(refusal.get());
+          removed = true;
+        }
+      }
+    }
+    timely.addAll(backlogs.heads());
+  }
+
+  private boolean fits(QueuedRequest request) {
+    return waiting.size() < bounds.requests() && waitingBytes + request.bytes() <= bounds.bytes();
+  }
+
+  private Optional<QueuedRequest> victimFor(QueuedRequest request) {
+    for (int position = HIGHEST_FIRST.length - 1; position >= 0; position--) {
+      Priority priority = HIGHEST_FIRST[position];
+      if (priority.compareTo(request.priority()) > 0) {
+        return Optional.empty();
+      }
+      Optional<QueuedRequest> victim = all.get(priority).lastOfLargestBacklog();
+      if (victim.isPresent() && priority.compareTo(request.priority()) < 0) {
+        return victim;
+      }
+      if (victim.isPresent()) {
+        return victim.filter(last -> load(last, 0) > load(request, 1));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private double load(QueuedRequest request, int joining) {
+    int own = all.get(request.priority()).sizeOf(request.caller()) + joining;
+    return (double) own / request.weight();
+  }
+
+  private Refusal full(QueuedRequest request) {
+    CallerBacklogs same = all.get(request.priority());
+    int own = same.sizeOf(request.caller());
+    double share = same.size() * request.weight() / same.totalWeightWith(request);
+    if (own > share && same.size() > own) {
+      return new Refusal(
+          request, ErrorKind.OVER_FAIR_SHARE, FULL_RETRY_AFTER, "over the caller's fair share");
+    }
+    return new Refusal(request, ErrorKind.OVERLOADED, FULL_RETRY_AFTER, "the queue is full");
+  }
+
+  private void add(QueuedRequest request) {
+    waiting.put(request.id(), request);
+    all.get(request.priority()).add(request);
+    byTarget
+        .computeIfAbsent(request.target(), ignored -> emptyBacklogs())
+        .get(request.priority())
+        .add(request);
+    waitingBytes += request.bytes();
+  }
+
+  private void remove(QueuedRequest request) {
+    waiting.remove(request.id());
+    all.get(request.priority()).remove(request);
+    Map<Priority, CallerBacklogs> backlogs = byTarget.get(request.target());
+    backlogs.get(request.priority()).remove(request);
+    waitingBytes -= request.bytes();
+    if (backlogs.values().stream().allMatch(CallerBacklogs::isEmpty)) {
+      byTarget.remove(request.target());
+    }
+  }
+
+  private Map<Priority, CallerBacklogs> backlogsOf(String target) {
+    Map<Priority, CallerBacklogs> backlogs = byTarget.get(target);
+    return backlogs == null ? emptyBacklogs() : backlogs;
+  }
+
+  private DrainMeter meter(String target) {
+    return meters.computeIfAbsent(target, ignored -> new DrainMeter());
+  }
+
+  private static Map<Priority, CallerBacklogs> emptyBacklogs() {
+    Map<Priority, CallerBacklogs> backlogs = new EnumMap<>(Priority.class);
+    for (Priority priority : Priority.values()) {
+      backlogs.put(priority, new CallerBacklogs());
+    }
+    return backlogs;
+  }
+}
--- /dev/null
+++ b/admission/src/main/java/org/agatefield/admission/NoShedding.java
@@ -0,0 +1,17 @@
+package org.agatefield.admission;
+
+import java.util.Optional;
+
+/** Refuses nothing: the baseline of a queue without limits. Immutable. */
+public final class NoShedding implements SheddingPolicy {
+  @Override
+  public Optional<Refusal> onArrival(QueuedRequest request, QueueView queue, long nowNanoseconds) {
+    return Optional.empty();
+  }
+
+  @Override
+  public Optional<Refusal> beforeStart(
+      QueuedRequest request, QueueView queue, long nowNanoseconds) {
+    return Optional.empty();
+  }
+}
