--- /dev/null
+++ b/routing/src/main/java/org/agatefield/routing/ExpectedTimeChooser.java
@@ -0,0 +1,81 @@
+package org.agatefield.routing;
+
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Chooses the upstream with the least expected time: waiting behind what it has, reading the part
+ * of the prompt that it has not cached, loading the adapter, crossing to another region.
+ *
+ * <p>Confined to one thread at a time.
+ */
+public final class ExpectedTimeChooser implements UpstreamChooser {
+  private final CostModel costs;
+  private final PrefixTable prefixes;
+  private final UniformRandomProvider random;
+
+  /** Creates a chooser; {@code random} decides between equals. */
+  public ExpectedTimeChooser(CostModel costs, PrefixTable prefixes, UniformRandomProvider random) {
+    this.costs = costs;
+    this.prefixes = prefixes;
+    this.random = random;
+  }
+
+  @Override
+  public Optional<Choice> choose(
+      RoutingRequest request, List<Candidate> candidates, long nowNanoseconds) {
+    Candidate best = null;
+    Estimate bestEstimate = null;
+    int equals = 0;
+    for (Candidate candidate : candidates) {
+      Estimate estimate = estimate(request, candidate);
+      if (best == null || estimate.total() < bestEstimate.total()) {
+        best = candidate;
+        bestEstimate = estimate;
+        equals = 1;
+      } else if (estimate.total() == bestEstimate.total() && random.nextInt(++equals) == 0) {
+        best = candidate;
+        bestEstimate = estimate;
+      }
+    }
+    if (best == null) {
+      return Optional.empty();
+    }
+    return Optional.of(new Choice(best, bestEstimate.describe()));
+  }
+
+  @Override
+  public void sent(RoutingRequest request, String upstream) {
+    prefixes.sent(upstream, request.prefixHashes());
+  }
+
+  private record Estimate(long load, long prefill, long adapter, long crossing) {
+    private long total() {
+      return load + prefill + adapter + crossing;
+    }
+
+    private String describe() {
+      return String.format(
+          "policy=expected-time load_us=%d prefill_us=%d adapter_us=%d crossing_us=%d",
+          load / 1_000, prefill / 1_000, adapter / 1_000, crossing / 1_000);
+    }
+  }
+
+  private Estimate estimate(RoutingRequest request, Candidate candidate) {
+    double share = (double) candidate.outstanding() / candidate.limit();
+    long load = (long) (candidate.nanosecondsPerRequest() * share);
+    double cached = prefixes.cachedShare(candidate.upstream(), request.prefixHashes());
+    long uncachedTokens = Math.round(request.promptTokens() * (1 - cached));
+    long prefill = uncachedTokens * costs.prefillNanosecondsPerToken();
+    long adapter = candidate.adapterLoaded() ? 0 : costs.adapterLoadNanoseconds();
+    return new Estimate(load, prefill, adapter, crossing(request, candidate));
+  }
+
+  private long crossing(RoutingRequest request, Candidate candidate) {
+    if (candidate.region().equals(request.region())) {
+      return 0;
+    }
+    return costs.crossingNanoseconds() + request.linkBytes() * costs.crossingNanosecondsPerByte();
+  }
+}
--- /dev/null
+++ b/routing/src/main/java/org/agatefield/routing/OutlierDetector.java
@@ -0,0 +1,128 @@
+package org.agatefield.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+
+/**
+ * Keeps slow and failing upstreams from getting new requests for a while.
+ *
+ * <p>Invariant (the floor): of any candidates, at least half, and never fewer than one, remain.
+ * Confined to one thread at a time.
+ */
+public final class OutlierDetector {
+  private static final int FAILURES_TO_EJECT = 3;
+  private static final int MAXIMUM_DOUBLINGS = 5;
+  private static final int MINIMUM_SAMPLES = 10;
+  private static final double SMOOTHING = 0.2;
+  private static final double SLOW_FACTOR = 4;
+  private static final long SLOW_FLOOR_NANOSECONDS = 500_000_000L;
+
+  private final long baseEjectionNanoseconds;
+  private final Map<String, Health> upstreams = new HashMap<>();
+
+  private static final class Health {
+    private int consecutiveFailures;
+    private int ejections;
+    private int samples;
+    private double firstPartNanoseconds;
+    private long ejectedUntil = Long.MIN_VALUE;
+  }
+
+  /** Creates a detector that ejects for {@code baseEjectionNanoseconds} at first, then longer. */
+  public OutlierDetector(long baseEjectionNanoseconds) {
+    this.baseEjectionNanoseconds = baseEjectionNanoseconds;
+  }
+
+  /** Records a whole answer. */
+  public void succeeded(String upstream) {
+    Health health = health(upstream);
+    health.consecutiveFailures = 0;
+    health.ejections = Math.max(0, health.ejections - 1);
+  }
+
+  /** Records a failed or unreachable attempt; returns whether the upstream is now ejected. */
+  public boolean failed(String upstream, long nowNanoseconds) {
+    Health health = health(upstream);
+    health.consecutiveFailures++;
+    if (health.consecutiveFailures < FAILURES_TO_EJECT) {
+      return false;
+    }
+    eject(health, nowNanoseconds);
+    return true;
+  }
+
+  /**
+   * Records how long an upstream took to the first part of an answer; returns whether it is now
+   * ejected because it is much slower than the median of the others.
+   */
+  public boolean firstPart(String upstream, long nanoseconds, long nowNanoseconds) {
+    Health health = health(upstream);
+    health.samples++;
+    double weight = Math.max(SMOOTHING, 1.0 / health.samples);
+    health.firstPartNanoseconds += weight * (nanoseconds - health.firstPartNanoseconds);
+    if (health.samples < MINIMUM_SAMPLES || health.samples % MINIMUM_SAMPLES != 0) {
+      return false;
+    }
+    double median = medianOfOthers(upstream);
+    double threshold = Math.max(SLOW_FLOOR_NANOSECONDS, SLOW_FACTOR * median);
+    if (median == 0 || health.firstPartNanoseconds < threshold) {
+      return false;
+    }
+    eject(health, nowNanoseconds);
+    return true;
+  }
+
+  /** Returns whether the upstream is ejected now. */
+  public boolean isEjected(String upstream, long nowNanoseconds) {
+    Health health = upstreams.get(upstream);
+    return health != null && nowNanoseconds < health.ejectedUntil;
+  }
+
+  /** Returns the candidates that may be used, those ejected first to come back where needed. */
+  public <T> List<T> admitted(
+      List<T> candidates, Function<T, String> upstreamName, long nowNanoseconds) {
+    List<T> admitted = new ArrayList<>(candidates.size());
+    List<T> ejected = new ArrayList<>();
+    for (T candidate : candidates) {
+      boolean out = isEjected(upstreamName.apply(candidate), nowNanoseconds);
+      (out ? ejected : admitted).add(candidate);
+    }
+    int floor = (candidates.size() + 1) / 2;
+    if (admitted.size() < floor) {
+      ejected.sort(
+          (left, right) ->
+              Long.compare(
+                  health(upstreamName.apply(left)).ejectedUntil,
+                  health(upstreamName.apply(right)).ejectedUntil));
+      admitted.addAll(ejected.subList(0, floor - admitted.size()));
+    }
+    return admitted;
+  }
+
+  private void eject(Health health, long nowNanoseconds) {
+    int doublings = Math.min(MAXIMUM_DOUBLINGS, health.ejections);
+    health.ejectedUntil = nowNanoseconds + (baseEjectionNanoseconds << doublings);
+    health.ejections = doublings + 1;
+    health.consecutiveFailures = 0;
+    health.samples = 0;
+    health.firstPartNanoseconds = 0;
+  }
+
+  private double medianOfOthers(String upstream) {
+    double[] others =
+        upstreams.entrySet().stream()
+            .filter(entry -> !entry.getKey().equals(upstream))
+            .filter(entry -> entry.getValue().samples >= MINIMUM_SAMPLES)
+            .mapToDouble(entry -> entry.getValue().firstPartNanoseconds)
+            .sorted()
+            .toArray();
+    return others.length == 0 ? 0 : others[others.length / 2];
+  }
+
+  private Health health(String upstream) {
+    return upstreams.computeIfAbsent(upstream, ignored -> new Health());
+  }
+}
