Add the engine client over HTTP and the stand-ins of engine, service, weight store and relay

Cause: the whole path needs an engine client and upstreams to talk to. Change: HttpEngineClient with the whole-answer rule (attempt identifier in header and events, end marker after a finish reason), stand-ins with their own counts and fault endpoints.

--- a/engine/src/main/java/org/agatefield/engine/EngineAnswerListener.java
+++ b/engine/src/main/java/org/agatefield/engine/EngineAnswerListener.java
@@ -1,6 +1,5 @@
 package org.agatefield.engine;
 
-import io.vertx.core.buffer.Buffer;
 import org.agatefield.model.AgatefieldException;
 
 /**
@@ -8,14 +7,14 @@
  *
  * <p>Invariant: after {@link #head}, any number of {@link #part}, then exactly one of {@link
  * #ended} and {@link #failed}; {@link #failed} may come first. Parts of another attempt never
- * arrive.
+ * arrive. An answer that is not a stream comes as one part, after it was checked whole.
  */
 public interface EngineAnswerListener {
-  /** The status and content type came. */
-  void head(int status, String contentType);
+  /** The engine accepted the request and begins to answer with this content type. */
+  void head(String contentType);
 
-  /** One whole server-sent event, or a piece of an answer that is not a stream of events. */
-  void part(Buffer part);
+  /** A whole part of the answer came. */
+  void part(EngineAnswerPart part);
 
   /** The whole answer came, with its end marker. */
   void ended();
--- /dev/null
+++ b/engine/src/main/java/org/agatefield/engine/EngineRefusal.java
@@ -0,0 +1,21 @@
+package org.agatefield.engine;
+
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+
+/** An engine refused a request before running any of it. Immutable. */
+public final class EngineRefusal extends AgatefieldException {
+  private static final long serialVersionUID = 1L;
+
+  private final EngineRefusalReason reason;
+
+  EngineRefusal(ErrorKind kind, EngineRefusalReason reason, String message) {
+    super(kind, message);
+    this.reason = reason;
+  }
+
+  /** Returns why the engine refused. */
+  public EngineRefusalReason reason() {
+    return reason;
+  }
+}
--- /dev/null
+++ b/engine/src/main/java/org/agatefield/engine/HttpGeneration.java
@@ -0,0 +1,287 @@
+package org.agatefield.engine;
+
+import io.vertx.core.Context;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.agatefield.model.Address;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+
+/**
+ * A generation over HTTP.
+ *
+ * <p>Invariants: the listener hears at most one end, and nothing after it or after {@link
+ * #cancel()}; a request whose answer is given up is reset, so that its connection is never used
+ * again. All state is confined to one Vert.x context; the methods of {@link EngineCall} are safe
+ * for use by any thread.
+ */
+final class HttpGeneration implements EngineCall {
+  private static final String REQUEST_ID_HEADER = "X-Request-Id";
+  private static final String EVENT_STREAM = "text/event-stream";
+  private static final int STATUS_OK = 200;
+  private static final int MAXIMUM_REFUSAL_BYTES = 64 * 1024;
+
+  private final Vertx vertx;
+  private final Context context;
+  private final HttpEngineClient client;
+  private final Address engine;
+  private final EngineRequest request;
+  private final EngineAnswerListener listener;
+  private final AnswerChecker checker;
+  private HttpClientRequest httpRequest;
+  private HttpClientResponse httpResponse;
+  private Buffer body = Buffer.buffer();
+  private EventParser events;
+  private boolean over;
+  private boolean exchangeOver;
+  private boolean paused;
+  private long idleTimer = -1;
+  private long lastActivityNanoseconds;
+
+  HttpGeneration(
+      Vertx vertx,
+      Context context,
+      HttpEngineClient client,
+      Address engine,
+      EngineRequest request,
+      EngineAnswerListener listener) {
+    this.vertx = vertx;
+    this.context = context;
+    this.client = client;
+    this.engine = engine;
+    this.request = request;
+    this.listener = listener;
+    this.checker =
+        new AnswerChecker(request.attemptIdentifier(), request.firstToken(), client.rules());
+  }
+
+  void begin() {
+    onContext(this::connect);
+  }
+
+  @Override
+  public void cancel() {
+    onContext(this::giveUp);
+  }
+
+  @Override
+  public void pause() {
+    onContext(
+        () -> {
+          paused = true;
+          if (httpResponse != null) {
+            httpResponse.pause();
+          }
+        });
+  }
+
+  @Override
+  public void resume() {
+    onContext(
+        () -> {
+          paused = false;
+          lastActivityNanoseconds = System.nanoTime();
+          if (httpResponse != null) {
+            httpResponse.resume();
+          }
+        });
+  }
+
+  private void onContext(Runnable action) {
+    if (Vertx.currentContext() == context) {
+      action.run();
+    } else {
+      context.runOnContext(ignored -> action.run());
+    }
+  }
+
+  private void connect() {
+    client
+        .connect(engine, HttpMethod.POST, request.path())
+        .onFailure(failure -> fail(HttpEngineClient.notConnected(engine, failure)))
+        .onSuccess(this::send);
+  }
+
+  private void send(HttpClientRequest connected) {
+    httpRequest = connected;
+    if (over) {
+      connected.reset();
+      return;
+    }
+    connected.putHeader("content-type", "application/json");
+    connected.putHeader(REQUEST_ID_HEADER, request.attemptIdentifier());
+    connected.exceptionHandler(failure -> fail(HttpEngineClient.failed(engine, failure)));
+    connected
+        .send(request.body())
+        .onFailure(failure -> fail(HttpEngineClient.failed(engine, failure)))
+        .onSuccess(this::answer);
+  }
+
+  private void answer(HttpClientResponse response) {
+    if (over) {
+      return;
+    }
+    httpResponse = response;
+    response.exceptionHandler(failure -> fail(cut("its connection broke: " + failure)));
+    if (response.statusCode() != STATUS_OK) {
+      response.handler(bytes -> collect(bytes, MAXIMUM_REFUSAL_BYTES));
+      response.endHandler(ignored -> refused(response));
+      return;
+    }
+    guarded(() -> checker.head(response.getHeader(REQUEST_ID_HEADER)));
+    if (over) {
+      return;
+    }
+    startIdleTimer();
+    readAnswer(response, Optional.ofNullable(response.getHeader("content-type")).orElse(""));
+    if (paused) {
+      response.pause();
+    }
+  }
+
+  private void readAnswer(HttpClientResponse response, String contentType) {
+    listener.head(contentType);
+    if (contentType.startsWith(EVENT_STREAM)) {
+      readEvents(response);
+    } else {
+      readWhole(response);
+    }
+  }
+
+  private void readEvents(HttpClientResponse response) {
+    events = new EventParser(client.options().maximumEventBytes(), this::event);
+    response.handler(
+        bytes -> {
+          lastActivityNanoseconds = System.nanoTime();
+          guarded(() -> events.accept(bytes));
+        });
+    response.endHandler(ignored -> endOfStream());
+  }
+
+  private void event(ServerSentEvent event) {
+    if (over) {
+      return;
+    }
+    Optional<EngineAnswerPart> part = checker.event(event);
+    part.ifPresent(listener::part);
+  }
+
+  private void refused(HttpClientResponse response) {
+    exchangeOver = true;
+    fail(RefusalReader.read(response.statusCode(), body));
+  }
+
+  private void endOfStream() {
+    exchangeOver = true;
+    if (checker.isWhole()) {
+      succeed();
+    } else {
+      fail(cut("its stream ended without its end marker"));
+    }
+  }
+
+  private void readWhole(HttpClientResponse response) {
+    response.handler(
+        bytes -> {
+          lastActivityNanoseconds = System.nanoTime();
+          collect(bytes, client.options().maximumAnswerBytes());
+        });
+    response.endHandler(ignored -> guarded(this::endOfWhole));
+  }
+
+  private void endOfWhole() {
+    exchangeOver = true;
+    if (over) {
+      return;
+    }
+    EngineAnswerPart part = checker.whole(body);
+    listener.part(part);
+    succeed();
+  }
+
+  private void collect(Buffer bytes, int limit) {
+    if (over) {
+      return;
+    }
+    if (body.length() + bytes.length() > limit) {
+      fail(cut("its answer exceeds " + limit + " bytes"));
+      return;
+    }
+    body.appendBuffer(bytes);
+  }
+
+  private void guarded(Runnable action) {
+    try {
+      action.run();
+    } catch (AgatefieldException failure) {
+      fail(failure);
+    } catch (IllegalStateException failure) {
+      fail(cut(failure.getMessage()));
+    }
+  }
+
+  private AgatefieldException cut(String what) {
+    return new AgatefieldException(
+        ErrorKind.UPSTREAM_ANSWER_CUT, "the engine at " + engine + ": " + what);
+  }
+
+  private void startIdleTimer() {
+    lastActivityNanoseconds = System.nanoTime();
+    scheduleIdleCheck(client.options().idleTimeout().toNanos());
+  }
+
+  private void scheduleIdleCheck(long delayNanoseconds) {
+    long milliseconds = Math.max(1, TimeUnit.NANOSECONDS.toMillis(delayNanoseconds));
+    idleTimer = vertx.setTimer(milliseconds, ignored -> checkIdle());
+  }
+
+  private void checkIdle() {
+    if (over) {
+      return;
+    }
+    long limit = client.options().idleTimeout().toNanos();
+    long idle = paused ? 0 : System.nanoTime() - lastActivityNanoseconds;
+    if (idle >= limit) {
+      fail(cut("it sent nothing for " + TimeUnit.NANOSECONDS.toMillis(idle) + " ms"));
+      return;
+    }
+    scheduleIdleCheck(limit - idle);
+  }
+
+  private void succeed() {
+    if (over) {
+      return;
+    }
+    over = true;
+    vertx.cancelTimer(idleTimer);
+    listener.ended();
+  }
+
+  private void fail(AgatefieldException failure) {
+    if (over) {
+      return;
+    }
+    if (checker.isCrossed()) {
+      client.countCrossed();
+    }
+    giveUp();
+    listener.failed(failure);
+  }
+
+  private void giveUp() {
+    if (over) {
+      return;
+    }
+    over = true;
+    vertx.cancelTimer(idleTimer);
+    if (httpRequest != null && !exchangeOver) {
+      httpRequest.reset();
+      client.sendCancel(engine, request.attemptIdentifier());
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/agatefield/standin/relay/RelayDirection.java
@@ -0,0 +1,104 @@
+package org.agatefield.standin.relay;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.util.function.Supplier;
+
+/**
+ * One direction of a relay, with one bandwidth for all its connections.
+ *
+ * <p>Confined to the event loop of the relay.
+ */
+final class RelayDirection {
+  private static final long NANOSECONDS_PER_SECOND = 1_000_000_000L;
+  private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000L;
+  private static final long HALF_OPEN_CHECK_MILLISECONDS = 20;
+
+  private final Vertx vertx;
+  private final Supplier<RelayBehaviour> behaviour;
+  private long freeAtNanoseconds = System.nanoTime();
+  private long bytes;
+
+  RelayDirection(Vertx vertx, Supplier<RelayBehaviour> behaviour) {
+    this.vertx = vertx;
+    this.behaviour = behaviour;
+  }
+
+  long bytes() {
+    return bytes;
+  }
+
+  void relay(NetSocket source, NetSocket target) {
+    Ordered ordered = new Ordered(target);
+    source.handler(data -> received(source, data, ordered));
+    source.endHandler(ignored -> ordered.close());
+    source.exceptionHandler(ignored -> target.close());
+  }
+
+  private void received(NetSocket source, Buffer data, Ordered ordered) {
+    RelayBehaviour current = behaviour.get();
+    bytes += data.length();
+    if (current.halfOpen()) {
+      source.pause();
+      vertx.setTimer(
+          HALF_OPEN_CHECK_MILLISECONDS, ignored -> waitWhileHalfOpen(source, data, ordered));
+      return;
+    }
+    long now = System.nanoTime();
+    long start = Math.max(now, freeAtNanoseconds);
+    long transfer =
+        current.bitsPerSecond() == 0
+            ? 0
+            : data.length() * 8L * NANOSECONDS_PER_SECOND / current.bitsPerSecond();
+    freeAtNanoseconds = start + transfer;
+    long waitNanoseconds = freeAtNanoseconds - now;
+    if (waitNanoseconds > NANOSECONDS_PER_MILLISECOND) {
+      source.pause();
+      vertx.setTimer(
+          waitNanoseconds / NANOSECONDS_PER_MILLISECOND, ignored -> source.resume());
+    }
+    ordered.write(data, current.delayMilliseconds() + waitNanoseconds / NANOSECONDS_PER_MILLISECOND);
+  }
+
+  private void waitWhileHalfOpen(NetSocket source, Buffer data, Ordered ordered) {
+    if (behaviour.get().halfOpen()) {
+      vertx.setTimer(
+          HALF_OPEN_CHECK_MILLISECONDS, ignored -> waitWhileHalfOpen(source, data, ordered));
+      return;
+    }
+    bytes -= data.length();
+    received(source, data, ordered);
+    source.resume();
+  }
+
+  /** Writes to a socket after delays, in the order of the calls. */
+  private final class Ordered {
+    private final NetSocket target;
+    private long lastDueNanoseconds = System.nanoTime();
+
+    private Ordered(NetSocket target) {
+      this.target = target;
+    }
+
+    private void write(Buffer data, long delayMilliseconds) {
+      after(delayMilliseconds, () -> target.write(data));
+    }
+
+    private void close() {
+      after(behaviour.get().delayMilliseconds(), target::close);
+    }
+
+    private void after(long delayMilliseconds, Runnable action) {
+      long now = System.nanoTime();
+      long due = now + delayMilliseconds * NANOSECONDS_PER_MILLISECOND;
+      lastDueNanoseconds = Math.max(due, lastDueNanoseconds);
+      long wait = (lastDueNanoseconds - now) / NANOSECONDS_PER_MILLISECOND;
+      if (wait <= 0) {
+        action.run();
+        return;
+      }
+      vertx.setTimer(wait, ignored -> action.run());
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/agatefield/standin/weights/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the rate-limited weight store. */
+package org.agatefield.standin.weights;
