--- /dev/null
+++ b/configuration/src/main/java/org/agatefield/configuration/ConfigurationReader.java
@@ -0,0 +1,81 @@
+package org.agatefield.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.agatefield.model.ConfigurationDocument;
+
+/**
+ * Reads documents from JSON and names every fault at once.
+ *
+ * <p>A document is read in three steps: the JSON schema, the rules between fields, and the proof
+ * that what is deployed fits into the memory there is. Each step runs only if the earlier ones
+ * found no fault. Has no state; safe for use by any thread.
+ */
+public final class ConfigurationReader {
+  private ConfigurationReader() {}
+
+  /**
+   * Returns the document in {@code text}.
+   *
+   * @throws ConfigurationFaultsException with every fault, if the document is not valid
+   */
+  public static ConfigurationDocument read(String text) throws ConfigurationFaultsException {
+    JsonNode root;
+    try {
+      root = DocumentMapper.MAPPER.readTree(text);
+    } catch (JsonProcessingException exception) {
+      throw notJson(exception.getOriginalMessage());
+    }
+    return read(root);
+  }
+
+  /**
+   * Returns the document in a JSON tree.
+   *
+   * @throws ConfigurationFaultsException with every fault, if the document is not valid
+   */
+  public static ConfigurationDocument read(JsonNode root) throws ConfigurationFaultsException {
+    ConfigurationDocument document = parse(root);
+    List<ConfigurationFault> faults = new ArrayList<>(DocumentRules.check(document));
+    throwIfAny(faults);
+    faults.addAll(MemoryFeasibility.of(document).faults());
+    throwIfAny(faults);
+    return document;
+  }
+
+  /**
+   * Returns the document in a JSON tree that an earlier {@link #read} accepted: the rules between
+   * fields and the memory are not checked again.
+   *
+   * @throws ConfigurationFaultsException if the tree breaks the schema
+   */
+  public static ConfigurationDocument parse(JsonNode root) throws ConfigurationFaultsException {
+    if (root == null || !root.isObject()) {
+      throw notJson("not a JSON object");
+    }
+    throwIfAny(DocumentSchema.check(root));
+    ObjectNode filled = root.deepCopy();
+    DocumentDefaults.fill(filled);
+    try {
+      return DocumentMapper.MAPPER.treeToValue(filled, ConfigurationDocument.class);
+    } catch (JsonProcessingException | IllegalArgumentException exception) {
+      throw new ConfigurationFaultsException(
+          List.of(new ConfigurationFault("$", "a value out of range", exception.getMessage())));
+    }
+  }
+
+  private static ConfigurationFaultsException notJson(String reason) {
+    return new ConfigurationFaultsException(
+        List.of(new ConfigurationFault("$", reason, "the document is one JSON object")));
+  }
+
+  private static void throwIfAny(List<ConfigurationFault> faults)
+      throws ConfigurationFaultsException {
+    if (!faults.isEmpty()) {
+      throw new ConfigurationFaultsException(faults);
+    }
+  }
+}
--- /dev/null
+++ b/configuration/src/main/java/org/agatefield/configuration/ConfigurationWriter.java
@@ -0,0 +1,29 @@
+package org.agatefield.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import org.agatefield.model.ConfigurationDocument;
+
+/**
+ * Writes documents as canonical JSON: every field that has a value, in the order of the records.
+ *
+ * <p>Invariant: equal documents give equal text, and {@link ConfigurationReader} reads the same
+ * document back. Safe for use by any thread.
+ */
+public final class ConfigurationWriter {
+  private ConfigurationWriter() {}
+
+  /** Returns the document as a JSON tree. */
+  public static JsonNode toTree(ConfigurationDocument document) {
+    return DocumentMapper.MAPPER.valueToTree(document);
+  }
+
+  /** Returns the document as indented JSON text. */
+  public static String toText(ConfigurationDocument document) {
+    try {
+      return DocumentMapper.MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(document);
+    } catch (JsonProcessingException exception) {
+      throw new IllegalStateException("a configuration document has no JSON form", exception);
+    }
+  }
+}
