Add the membership state machine and the peer transport

Cause: instances must know each other without hearing from all others. Not yet shown: no property has been run on it so far; that follows.

--- /dev/null
+++ b/membership/src/main/java/org/agatefield/membership/Membership.java
@@ -0,0 +1,231 @@
+package org.agatefield.membership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.agatefield.model.Address;
+import org.agatefield.model.Instance;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * One member of a group: takes events and the time, and says what to do.
+ *
+ * <p>Invariants: a member is declared dead only after a suspicion that it had time to refute; the
+ * dead come back only by a higher incarnation of their own; the number of messages that a member
+ * starts in an interval does not depend on the number of members, nor does the size of a message.
+ * Not safe for use by several threads; the caller hands in events one at a time, with a monotonic
+ * time in milliseconds.
+ */
+public final class Membership {
+  private final MembershipSettings settings;
+  private final MemberTable table = new MemberTable();
+  private final GossipQueue queue = new GossipQueue();
+  private final LocalHealth health;
+  private final TargetChoice targets;
+  private final Schedule schedule;
+  private final Prober prober;
+  private final StateExchange exchange;
+  private MemberUpdate self;
+  private long generation;
+  private int announcementsLeft;
+  private long lastEvent;
+  private List<Address> seeds = List.of();
+
+  /**
+   * Creates a member that knows nobody.
+   *
+   * @param self this member; its identifier was never used before
+   * @param now the time in milliseconds on a monotonic clock
+   */
+  public Membership(
+      Instance self, MembershipSettings settings, UniformRandomProvider random, long now) {
+    this.settings = settings;
+    this.self = new MemberUpdate(self, 0, Liveness.ALIVE);
+    this.health = new LocalHealth(settings.maximumHealthScore());
+    this.targets = new TargetChoice(self, settings.remoteShare(), random);
+    this.schedule = new Schedule(settings, random, now);
+    this.prober = new Prober(settings, table, health, targets);
+    this.exchange = new StateExchange(settings, table, targets);
+    this.lastEvent = now;
+  }
+
+  /** Takes one event and returns what to do, in order. */
+  public List<MembershipAction> handle(MembershipEvent event, long now) {
+    noticePause(now);
+    Outbox outbox = new Outbox();
+    if (event instanceof MembershipEvent.Tick) {
+      tick(now, outbox);
+    } else if (event instanceof MembershipEvent.Received received) {
+      receive(received.message(), now, outbox);
+    } else if (event instanceof MembershipEvent.SeedsChanged changed) {
+      seeds = changed.addresses();
+    } else if (event instanceof MembershipEvent.GenerationRaised raised) {
+      raiseGeneration(raised.generation());
+    } else if (event instanceof MembershipEvent.LeaveRequested) {
+      leave(outbox);
+    }
+    return outbox.actions;
+  }
+
+  /** Returns what this member says of itself. */
+  public MemberUpdate self() {
+    return self;
+  }
+
+  /** Returns the other members that are alive or suspected, in the order of their identifiers. */
+  public List<MemberUpdate> present() {
+    return table.present();
+  }
+
+  /** Returns the dead that are still remembered, in the order of their identifiers. */
+  public List<MemberUpdate> dead() {
+    return table.dead();
+  }
+
+  /** Returns by how many times this member stretches its intervals; 0 when all is well. */
+  public int healthScore() {
+    return health.score();
+  }
+
+  /** Gathers the actions of one event; gives every message its common parts. */
+  final class Outbox {
+    private final List<MembershipAction> actions = new ArrayList<>();
+
+    /** Sends a message that carries news. */
+    void send(Address address, MembershipMessage.Body body) {
+      int limit = settings.transmissions(table.presentCount() + 1);
+      send(address, queue.take(settings.updatesPerMessage(), limit), body);
+    }
+
+    /** Sends a message that carries given statements. */
+    void send(Address address, List<MemberUpdate> updates, MembershipMessage.Body body) {
+      MembershipMessage message = new MembershipMessage(self, generation, updates, body);
+      actions.add(new MembershipAction.Send(address, message));
+    }
+
+    /** Sends a message that tells a member what is believed of it, beside news. */
+    void sendTo(MemberUpdate member, MembershipMessage.Body body) {
+      if (member.liveness() == Liveness.ALIVE) {
+        send(member.instance().peerAddress(), body);
+        return;
+      }
+      int limit = settings.transmissions(table.presentCount() + 1);
+      List<MemberUpdate> updates = new ArrayList<>();
+      updates.add(member);
+      updates.addAll(queue.take(settings.updatesPerMessage() - 1, limit));
+      send(member.instance().peerAddress(), updates, body);
+    }
+
+    /** Reports and spreads what is now believed of a member. */
+    void changed(MemberUpdate update) {
+      queue.add(update);
+      actions.add(new MembershipAction.MemberChanged(update));
+    }
+  }
+
+  private void noticePause(long now) {
+    long gap = now - lastEvent;
+    lastEvent = now;
+    if (gap < settings.pauseMilliseconds()) {
+      return;
+    }
+    prober.reset();
+    table.postponeSuspicions(gap);
+    health.worsen();
+  }
+
+  private void tick(long now, Outbox outbox) {
+    table.expireSuspicions(now).forEach(outbox::changed);
+    table.forgetDead(now - settings.deadRetentionMilliseconds(), settings.maximumDead());
+    prober.tick(now, outbox);
+    if (schedule.probeDue(now, health)) {
+      prober.start(now, outbox);
+    }
+    if (schedule.gossipDue(now)) {
+      gossip(outbox);
+    }
+    if (schedule.exchangeDue(now)) {
+      exchange.start(self, outbox);
+    }
+    if (schedule.contactDue(now, table.presentCount() == 0)) {
+      exchange.contactSeed(self, seeds, outbox);
+      exchange.contactDead(self, outbox);
+    }
+  }
+
+  private void gossip(Outbox outbox) {
+    if (queue.isEmpty() && announcementsLeft == 0) {
+      return;
+    }
+    announcementsLeft = Math.max(0, announcementsLeft - 1);
+    for (MemberUpdate target : targets.gossipTargets(table, settings.gossipFanout())) {
+      outbox.sendTo(target, new MembershipMessage.Gossip());
+    }
+  }
+
+  private void receive(MembershipMessage message, long now, Outbox outbox) {
+    if (message.sender().id().equals(self.id())) {
+      return;
+    }
+    merge(message.sender(), now, outbox);
+    message.updates().forEach(update -> merge(update, now, outbox));
+    hearGeneration(message, outbox);
+    MembershipMessage.Body body = message.body();
+    if (body instanceof MembershipMessage.StateRequest request) {
+      exchange.answer(self, message, request, outbox);
+    } else if (body instanceof MembershipMessage.StateAnswer answer) {
+      exchange.goOn(self, message, answer, outbox);
+    } else {
+      prober.receive(self, message, now, outbox);
+    }
+  }
+
+  private void merge(MemberUpdate update, long now, Outbox outbox) {
+    if (update.id().equals(self.id())) {
+      refute(update, outbox);
+      return;
+    }
+    long suspicion = settings.suspicionMilliseconds(table.presentCount() + 1);
+    if (table.merge(update, now, suspicion)) {
+      table.get(update.id()).map(MemberTable.Entry::update).ifPresent(outbox::changed);
+    }
+  }
+
+  private void refute(MemberUpdate update, Outbox outbox) {
+    if (update.liveness() == Liveness.ALIVE || update.incarnation() < self.incarnation()) {
+      return;
+    }
+    self = new MemberUpdate(self.instance(), update.incarnation() + 1, Liveness.ALIVE);
+    health.worsen();
+    outbox.changed(self);
+  }
+
+  private void hearGeneration(MembershipMessage message, Outbox outbox) {
+    if (message.generation() > generation) {
+      outbox.actions.add(
+          new MembershipAction.GenerationHeard(message.sender().instance(), message.generation()));
+    }
+  }
+
+  private void raiseGeneration(long raised) {
+    if (raised <= generation) {
+      return;
+    }
+    generation = raised;
+    announcementsLeft = settings.transmissions(table.presentCount() + 1);
+  }
+
+  private void leave(Outbox outbox) {
+    Instance leaving = MemberTable.leaving(self.instance());
+    if (leaving.equals(self.instance())) {
+      return;
+    }
+    self = new MemberUpdate(leaving, self.incarnation() + 1, Liveness.ALIVE);
+    outbox.changed(self);
+  }
+
+  /** Returns what is believed of a member, if it was ever heard of and is not forgotten. */
+  public Optional<MemberUpdate> find(String id) {
+    return id.equals(self.id()) ? Optional.of(self) : table.get(id).map(MemberTable.Entry::update);
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/org/agatefield/membership/Prober.java
@@ -0,0 +1,121 @@
+package org.agatefield.membership;
+
+import java.util.List;
+import java.util.Optional;
+import org.agatefield.model.Address;
+
+/**
+ * Probes other members, answers probes, and relays probes for others. Not safe for use by several
+ * threads.
+ */
+final class Prober {
+  private final MembershipSettings settings;
+  private final MemberTable table;
+  private final LocalHealth health;
+  private final TargetChoice targets;
+  private final Probing probing = new Probing();
+
+  Prober(MembershipSettings settings, MemberTable table, LocalHealth health, TargetChoice targets) {
+    this.settings = settings;
+    this.table = table;
+    this.health = health;
+    this.targets = targets;
+  }
+
+  void reset() {
+    probing.reset();
+  }
+
+  void start(long now, Membership.Outbox outbox) {
+    Optional<MemberUpdate> target = targets.nextProbe(table);
+    if (target.isEmpty()) {
+      return;
+    }
+    long relayDeadline = now + health.stretch(settings.probeTimeoutMilliseconds());
+    long deadline =
+        now + health.stretch(settings.probeIntervalMilliseconds()) - settings.tickMilliseconds();
+    Probing.Own own = probing.open(target.get(), relayDeadline, deadline);
+    outbox.sendTo(target.get(), new MembershipMessage.Probe(own.sequence(), target.get().id()));
+  }
+
+  void tick(long now, Membership.Outbox outbox) {
+    probing.relaysDue(now).ifPresent(own -> askRelays(own, outbox));
+    probing.failed(now).ifPresent(own -> fail(own, now, outbox));
+    for (Probing.Relay relay : probing.failedRelays(now)) {
+      MembershipMessage.Body body =
+          new MembershipMessage.Acknowledgement(relay.requestSequence(), false);
+      outbox.send(relay.requester(), body);
+    }
+  }
+
+  private void askRelays(Probing.Own own, Membership.Outbox outbox) {
+    List<MemberUpdate> relays = targets.relays(table, own.target(), settings.indirectProbes());
+    Address address = own.target().instance().peerAddress();
+    probing.relaysAsked(relays.size());
+    for (MemberUpdate relay : relays) {
+      outbox.sendTo(
+          relay, new MembershipMessage.IndirectProbe(own.sequence(), own.target().id(), address));
+    }
+  }
+
+  private void fail(Probing.Own own, long now, Membership.Outbox outbox) {
+    if (own.relaysMissing()) {
+      health.worsen();
+    }
+    String id = own.target().id();
+    long suspicion = settings.suspicionMilliseconds(table.presentCount() + 1);
+    if (table.suspect(id, now + health.stretch(suspicion))) {
+      table.get(id).map(MemberTable.Entry::update).ifPresent(outbox::changed);
+    }
+  }
+
+  void receive(MemberUpdate self, MembershipMessage message, long now, Membership.Outbox outbox) {
+    MembershipMessage.Body body = message.body();
+    if (body instanceof MembershipMessage.Probe probe && probe.target().equals(self.id())) {
+      MemberUpdate sender = believed(message.sender());
+      outbox.sendTo(sender, new MembershipMessage.Acknowledgement(probe.sequence(), true));
+    } else if (body instanceof MembershipMessage.IndirectProbe indirect) {
+      relay(message.sender(), indirect, now, outbox);
+    } else if (body instanceof MembershipMessage.Acknowledgement acknowledgement) {
+      acknowledge(acknowledgement, outbox);
+    }
+  }
+
+  private void relay(
+      MemberUpdate requester,
+      MembershipMessage.IndirectProbe indirect,
+      long now,
+      Membership.Outbox outbox) {
+    Probing.Relay relay =
+        new Probing.Relay(
+            requester.instance().peerAddress(),
+            indirect.sequence(),
+            now + settings.probeTimeoutMilliseconds());
+    Optional<Long> sequence = probing.relay(relay, settings.maximumRelays());
+    if (sequence.isPresent()) {
+      outbox.send(
+          indirect.address(), new MembershipMessage.Probe(sequence.get(), indirect.target()));
+    }
+  }
+
+  private void acknowledge(
+      MembershipMessage.Acknowledgement acknowledgement, Membership.Outbox outbox) {
+    if (probing.acknowledged(acknowledgement.sequence(), acknowledgement.reached())) {
+      health.improve();
+      return;
+    }
+    Optional<Probing.Relay> relay =
+        acknowledgement.reached()
+            ? probing.relayAcknowledged(acknowledgement.sequence())
+            : Optional.empty();
+    if (relay.isPresent()) {
+      outbox.send(
+          relay.get().requester(),
+          new MembershipMessage.Acknowledgement(relay.get().requestSequence(), true));
+    }
+  }
+
+  private MemberUpdate believed(MemberUpdate sender) {
+    return table.get(sender.id()).map(MemberTable.Entry::update).orElse(sender);
+  }
+}
--- /dev/null
+++ b/membership/src/main/java/org/agatefield/membership/StateExchange.java
@@ -0,0 +1,142 @@
+package org.agatefield.membership;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.TreeMap;
+import org.agatefield.model.Address;
+
+/**
+ * Compares member tables with one other member, a page at a time; joins, finds members whose news
+ * was lost, and brings regions together again.
+ *
+ * <p>The receiver also answers with what contradicts the sender's page. Not safe for use by several
+ * threads.
+ */
+final class StateExchange {
+  private static final String START = "";
+
+  private final MembershipSettings settings;
+  private final MemberTable table;
+  private final TargetChoice targets;
+
+  StateExchange(MembershipSettings settings, MemberTable table, TargetChoice targets) {
+    this.settings = settings;
+    this.table = table;
+    this.targets = targets;
+  }
+
+  /** Begins an exchange with a random present member. */
+  void start(MemberUpdate self, Membership.Outbox outbox) {
+    for (MemberUpdate target : targets.gossipTargets(table, 1)) {
+      request(self, target.instance().peerAddress(), START, List.of(), outbox);
+    }
+  }
+
+  /** Begins an exchange with a seed address that is not that of a present member. */
+  void contactSeed(MemberUpdate self, List<Address> seeds, Membership.Outbox outbox) {
+    Collection<Address> known = new ArrayList<>();
+    known.add(self.instance().peerAddress());
+    table.present().forEach(member -> known.add(member.instance().peerAddress()));
+    List<Address> unknown = seeds.stream().filter(seed -> !known.contains(seed)).toList();
+    for (Address seed : targets.pick(unknown, 1)) {
+      request(self, seed, START, List.of(), outbox);
+    }
+  }
+
+  /** Begins an exchange with a dead member, which refutes its death if it is there. */
+  void contactDead(MemberUpdate self, Membership.Outbox outbox) {
+    for (MemberUpdate dead : targets.pick(table.dead(), 1)) {
+      request(self, dead.instance().peerAddress(), START, List.of(dead), outbox);
+    }
+  }
+
+  private void request(
+      MemberUpdate self,
+      Address address,
+      String afterId,
+      List<MemberUpdate> first,
+      Membership.Outbox outbox) {
+    List<MemberUpdate> page = table.page(afterId, settings.updatesPerPage());
+    List<MemberUpdate> updates = new ArrayList<>(first);
+    updates.addAll(page);
+    boolean last = page.size() < settings.updatesPerPage();
+    outbox.send(
+        address, updates, new MembershipMessage.StateRequest(afterId, last, tableHash(self)));
+  }
+
+  void answer(
+      MemberUpdate self,
+      MembershipMessage message,
+      MembershipMessage.StateRequest request,
+      Membership.Outbox outbox) {
+    Address address = message.sender().instance().peerAddress();
+    List<MemberUpdate> contradictions = contradictions(message);
+    if (request.tableHash() == tableHash(self)) {
+      outbox.send(address, contradictions, new MembershipMessage.StateAnswer(START, false));
+      return;
+    }
+    List<MemberUpdate> page = table.page(request.afterId(), settings.updatesPerPage());
+    boolean last = page.size() < settings.updatesPerPage();
+    String next = nextAfterId(message, request.lastPage(), page, last);
+    TreeMap<String, MemberUpdate> updates = new TreeMap<>();
+    page.forEach(update -> updates.put(update.id(), update));
+    contradictions.forEach(update -> updates.put(update.id(), update));
+    boolean more = !(last && request.lastPage());
+    outbox.send(
+        address, List.copyOf(updates.values()), new MembershipMessage.StateAnswer(next, more));
+  }
+
+  void goOn(
+      MemberUpdate self,
+      MembershipMessage message,
+      MembershipMessage.StateAnswer answer,
+      Membership.Outbox outbox) {
+    if (answer.more()) {
+      Address address = message.sender().instance().peerAddress();
+      request(self, address, answer.nextAfterId(), List.of(), outbox);
+    }
+  }
+
+  private static String nextAfterId(
+      MembershipMessage message, boolean requestLast, List<MemberUpdate> page, boolean last) {
+    String ofRequest =
+        message.updates().isEmpty()
+            ? START
+            : message.updates().get(message.updates().size() - 1).id();
+    String ofPage = page.isEmpty() ? START : page.get(page.size() - 1).id();
+    if (requestLast) {
+      return ofPage;
+    }
+    if (last) {
+      return ofRequest;
+    }
+    return ofRequest.compareTo(ofPage) < 0 ? ofRequest : ofPage;
+  }
+
+  /** Returns what this member believes otherwise and more surely than the sender. */
+  private List<MemberUpdate> contradictions(MembershipMessage message) {
+    List<MemberUpdate> found = new ArrayList<>();
+    List<MemberUpdate> stated = new ArrayList<>(message.updates());
+    stated.add(message.sender());
+    for (MemberUpdate update : stated) {
+      table
+          .get(update.id())
+          .map(MemberTable.Entry::update)
+          .filter(mine -> goesBefore(mine, update))
+          .ifPresent(found::add);
+    }
+    return found;
+  }
+
+  private static boolean goesBefore(MemberUpdate mine, MemberUpdate stated) {
+    if (mine.incarnation() != stated.incarnation()) {
+      return mine.incarnation() > stated.incarnation();
+    }
+    return mine.liveness().compareTo(stated.liveness()) > 0;
+  }
+
+  private long tableHash(MemberUpdate self) {
+    return MemberTable.hash(table.present()) + MemberTable.hash(List.of(self));
+  }
+}
--- /dev/null
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -0,0 +1,157 @@
+package org.agatefield.peer;
+
+import java.util.List;
+import java.util.Optional;
+import org.agatefield.model.Address;
+import org.agatefield.model.DemandSample;
+import org.agatefield.model.Instance;
+
+/** A message between instances. */
+public sealed interface PeerMessage {
+  /**
+   * One step of the membership protocol. Immutable.
+   *
+   * @param sender what the sender says of itself
+   * @param generation the highest configuration generation that the sender has
+   * @param updates statements about members
+   * @param leavingUpstreams upstreams that the sender knows to be leaving
+   * @param operation what the message is for
+   */
+  record Membership(
+      MemberStatement sender,
+      long generation,
+      List<MemberStatement> updates,
+      List<LeavingUpstream> leavingUpstreams,
+      MembershipOperation operation)
+      implements PeerMessage {
+    /** Copies the lists. */
+    public Membership {
+      updates = List.copyOf(updates);
+      leavingUpstreams = List.copyOf(leavingUpstreams);
+    }
+  }
+
+  /**
+   * Asks for the configuration if it is newer. Immutable.
+   *
+   * @param generation the highest generation that the sender has
+   */
+  record ConfigurationRequest(long generation) implements PeerMessage {}
+
+  /**
+   * Answers a configuration request. Immutable as long as nobody changes the array.
+   *
+   * @param generation the highest generation that the answerer has
+   * @param document the compressed document; empty if the asker has that generation
+   */
+  record ConfigurationAnswer(long generation, Optional<byte[]> document) implements PeerMessage {}
+
+  /**
+   * Carries demand up the tree. Immutable.
+   *
+   * @param instance who reports
+   * @param samples demand, added up over the instances that it covers
+   * @param ageMilliseconds the age of the oldest part
+   * @param instances number of instances that it covers
+   */
+  record DemandReport(
+      String instance, List<DemandSample> samples, long ageMilliseconds, int instances)
+      implements PeerMessage {
+    /** Copies the list. */
+    public DemandReport {
+      samples = List.copyOf(samples);
+    }
+  }
+
+  /**
+   * Asks for the demand of the asked instance's failure domain or region. Immutable.
+   *
+   * @param scope how much to add up
+   */
+  record DemandRequest(DemandScope scope) implements PeerMessage {}
+
+  /** How much demand is added up. */
+  enum DemandScope {
+    /** The instances of a failure domain. */
+    FAILURE_DOMAIN,
+    /** The failure domains of a region. */
+    REGION
+  }
+
+  /**
+   * A statement about one member. Immutable.
+   *
+   * @param instance the member
+   * @param incarnation the member's own count of its statements
+   * @param liveness what is believed of it
+   */
+  record MemberStatement(Instance instance, long incarnation, MemberLiveness liveness) {}
+
+  /** What is believed of a member. */
+  enum MemberLiveness {
+    /** It answers. */
+    ALIVE,
+    /** It is suspected to be dead. */
+    SUSPECT,
+    /** It is dead. */
+    DEAD
+  }
+
+  /**
+   * A notice that an upstream is leaving. Immutable.
+   *
+   * @param name the upstream's name
+   * @param remainingMilliseconds how long the notice still holds
+   */
+  record LeavingUpstream(String name, long remainingMilliseconds) {}
+
+  /** What a step of the membership protocol is for. */
+  sealed interface MembershipOperation {}
+
+  /**
+   * Asks for an acknowledgement. Immutable.
+   *
+   * @param sequence returned in the acknowledgement
+   * @param target the identifier of the member that should answer
+   */
+  record Probe(long sequence, String target) implements MembershipOperation {}
+
+  /**
+   * Answers a probe. Immutable.
+   *
+   * @param sequence the sequence of the probe
+   * @param reached false if a relay did not reach the target
+   */
+  record Acknowledgement(long sequence, boolean reached) implements MembershipOperation {}
+
+  /**
+   * Asks for a probe of a third member. Immutable.
+   *
+   * @param sequence returned in the acknowledgement
+   * @param target the identifier of the member to probe
+   * @param address where the target listens
+   */
+  record IndirectProbe(long sequence, String target, Address address)
+      implements MembershipOperation {}
+
+  /** Spreads news only. Immutable. */
+  record Gossip() implements MembershipOperation {}
+
+  /**
+   * Begins or continues an exchange of member tables. Immutable.
+   *
+   * @param afterId where the sender's page starts
+   * @param lastPage whether the sender has nothing after it
+   * @param tableHash the hash of the sender's table
+   */
+  record StateRequest(String afterId, boolean lastPage, long tableHash)
+      implements MembershipOperation {}
+
+  /**
+   * Answers a state request. Immutable.
+   *
+   * @param nextAfterId where the next page starts
+   * @param more whether there is one
+   */
+  record StateAnswer(String nextAfterId, boolean more) implements MembershipOperation {}
+}
