--- a/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
@@ -102,7 +102,7 @@
 
   void start() {
     try {
-      perform(protocol.begin());
+      carryOut(protocol.begin());
     } catch (RuntimeException fault) {
       fail(fault);
     }
@@ -115,13 +115,13 @@
         step = protocol.next(state, event, arrival, System.nanoTime());
         state = step.state();
       }
-      perform(step);
+      carryOut(step);
     } catch (RuntimeException fault) {
       fail(fault);
     }
   }
 
-  private void perform(ClaimStep<ServiceExchange> step) {
+  private void carryOut(ClaimStep<ServiceExchange> step) {
     step.actions().forEach(this::perform);
     if (step.state().phase() == ClaimState.Phase.DONE) {
       over.run();
