--- /dev/null
+++ b/lease/src/test/java/org/agatefield/lease/LeaseProtocolTest.java
@@ -0,0 +1,142 @@
+package org.agatefield.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.agatefield.lease.SimulatedLeaseWorld.Fault;
+import org.agatefield.lease.SimulatedLeaseWorld.RealGrant;
+import org.junit.jupiter.api.Test;
+
+class LeaseProtocolTest {
+  private static final int RUNS = 2_000;
+  private static final LeaseTerms TERMS = new LeaseTerms(100, 25, 0);
+
+  @Property(tries = 5_000, seed = "42")
+  void grantsOfTwoHoldersNeverOverlapAndTokensRise(
+      @ForAll long seed,
+      @ForAll @DoubleRange(min = 0, max = 0.5) double faultShare,
+      @ForAll @IntRange(min = 1, max = 5) int contenders) {
+    List<RealGrant> grants = new SimulatedLeaseWorld(seed, faultShare, Fault.NONE).run(contenders);
+    assertEquals(List.of(), violations(grants));
+  }
+
+  @Test
+  void leaseChangesHandsInMostRunsWithFaults() {
+    long changed = 0;
+    for (long seed = 1; seed <= RUNS; seed++) {
+      List<RealGrant> grants = new SimulatedLeaseWorld(seed, 0.2, Fault.NONE).run(4);
+      changed += grants.stream().map(RealGrant::process).distinct().count() > 1 ? 1 : 0;
+    }
+    System.out.println("NONE: changed hands in " + changed + " of " + RUNS + " runs");
+    assertTrue(changed > RUNS / 2);
+  }
+
+  @Test
+  void trustFromTheAnswerOverlaps() {
+    assertTrue(brokenRuns(Fault.TRUST_FROM_ANSWER) > 0);
+  }
+
+  @Test
+  void challengeWithoutWaitingOverlaps() {
+    assertTrue(brokenRuns(Fault.CHALLENGE_WITHOUT_WAITING) > 0);
+  }
+
+  @Test
+  void challengeAfterHalfTheDurationOverlaps() {
+    assertTrue(brokenRuns(Fault.CHALLENGE_AFTER_HALF) > 0);
+  }
+
+  @Test
+  void keptTokenDoesNotRise() {
+    assertTrue(brokenRuns(Fault.KEEP_TOKEN) > 0);
+  }
+
+  @Test
+  void ignoredClockDriftOverlapsInWorstCase() {
+    assertEquals(true, overlapsAtWorstDrift(0));
+    assertEquals(false, overlapsAtWorstDrift(10_000));
+  }
+
+  @Test
+  void releasedLeaseIsTakenAtOnce() {
+    LeaseProtocol protocol = new LeaseProtocol("b", TERMS);
+    LeaseState state = protocol.observe(LeaseState.unknown(), "7", new LeaseRecord("", 4, 100), 0);
+    assertEquals(
+        new LeaseDecision.Update("7", new LeaseRecord("b", 5, 100)), protocol.decide(state, 0));
+  }
+
+  @Test
+  void holderGivesUpOnlyItsOwnLease() {
+    LeaseProtocol protocol = new LeaseProtocol("b", TERMS);
+    LeaseState other = protocol.observe(LeaseState.unknown(), "7", new LeaseRecord("a", 4, 100), 0);
+    assertEquals(Optional.empty(), protocol.release(other));
+    LeaseState own = protocol.written(new LeaseRecord("b", 5, 100), "8", 0, 1);
+    assertEquals(
+        Optional.of(new LeaseDecision.Update("8", new LeaseRecord("", 5, 100))),
+        protocol.release(own));
+  }
+
+  @Test
+  void holderThatLapsedTakesNewToken() {
+    LeaseProtocol protocol = new LeaseProtocol("b", TERMS);
+    LeaseState state = protocol.written(new LeaseRecord("b", 5, 100), "8", 0, 1);
+    assertEquals(
+        new LeaseDecision.Update("8", new LeaseRecord("b", 5, 100)), protocol.decide(state, 99));
+    assertEquals(
+        new LeaseDecision.Update("8", new LeaseRecord("b", 6, 100)), protocol.decide(state, 100));
+  }
+
+  /** A slow holder renews just when its write takes effect; a fast challenger sees it at once. */
+  private static boolean overlapsAtWorstDrift(long driftPerMillion) {
+    LeaseTerms terms = new LeaseTerms(100_000_000, 25_000_000, driftPerMillion);
+    double slow = 0.996;
+    double fast = 1.004;
+    LeaseProtocol holder = new LeaseProtocol("a", terms);
+    LeaseState held = holder.written(new LeaseRecord("a", 1, 100_000_000), "1", 0, 0);
+    final double holderEnds = held.grant().orElseThrow().validUntilNanoseconds() / slow;
+    LeaseProtocol challenger = new LeaseProtocol("b", terms);
+    LeaseState seen =
+        challenger.observe(LeaseState.unknown(), "1", new LeaseRecord("a", 1, 100_000_000), 0);
+    LeaseDecision.Wait wait = (LeaseDecision.Wait) challenger.decide(seen, 0);
+    return wait.nanoseconds() / fast < holderEnds;
+  }
+
+  private static long brokenRuns(Fault fault) {
+    long broken = 0;
+    for (long seed = 1; seed <= RUNS; seed++) {
+      List<RealGrant> grants = new SimulatedLeaseWorld(seed, 0.2, fault).run(4);
+      broken += violations(grants).isEmpty() ? 0 : 1;
+    }
+    System.out.println(fault + ": violations in " + broken + " of " + RUNS + " runs");
+    return broken;
+  }
+
+  private static List<String> violations(List<RealGrant> grants) {
+    List<String> found = new ArrayList<>();
+    for (int later = 0; later < grants.size(); later++) {
+      for (int earlier = 0; earlier < later; earlier++) {
+        compare(grants.get(earlier), grants.get(later), found);
+      }
+    }
+    return found;
+  }
+
+  private static void compare(RealGrant earlier, RealGrant later, List<String> found) {
+    if (earlier.process() == later.process()) {
+      return;
+    }
+    if (earlier.until() > later.from() && later.until() > earlier.from()) {
+      found.add("overlap of " + earlier + " and " + later);
+    }
+    if (later.token() <= earlier.token()) {
+      found.add("token does not rise from " + earlier + " to " + later);
+    }
+  }
+}
--- /dev/null
+++ b/lease/src/test/java/org/agatefield/lease/SimulatedLeaseWorld.java
@@ -0,0 +1,94 @@
+package org.agatefield.lease;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+
+/**
+ * Processes with drifting clocks that contend for one lease over a store whose writes come late and
+ * whose answers are lost. Used from one thread; the same seed gives the same run.
+ */
+final class SimulatedLeaseWorld {
+  /** A part of the protocol that is switched off, to see what it is needed for. */
+  enum Fault {
+    NONE,
+    TRUST_FROM_ANSWER,
+    CHALLENGE_WITHOUT_WAITING,
+    CHALLENGE_AFTER_HALF,
+    IGNORE_CLOCK_DRIFT,
+    KEEP_TOKEN
+  }
+
+  /** The lease with its version. Immutable. */
+  record Versioned(long version, LeaseRecord lease) {}
+
+  /** A grant in real time. Immutable. */
+  record RealGrant(int process, long token, double from, double until) {}
+
+  private static final int STEPS = 600;
+  private static final double LONGEST_STEP_NANOSECONDS = 4_000_000;
+
+  final Random random;
+  final Fault fault;
+  final double faultShare;
+  final List<RealGrant> grants = new ArrayList<>();
+  double realNanoseconds;
+  private final List<Runnable> wire = new ArrayList<>();
+  private final List<SimulatedHolder> holders = new ArrayList<>();
+  private Optional<Versioned> current = Optional.empty();
+  private long lastVersion;
+  private int processes;
+
+  SimulatedLeaseWorld(long seed, double faultShare, Fault fault) {
+    this.random = new Random(seed);
+    this.faultShare = faultShare;
+    this.fault = fault;
+  }
+
+  List<RealGrant> run(int contenders) {
+    for (int index = 0; index < contenders; index++) {
+      holders.add(new SimulatedHolder(this, processes++));
+    }
+    for (int step = 0; step < STEPS; step++) {
+      realNanoseconds += random.nextDouble() * LONGEST_STEP_NANOSECONDS;
+      if (!wire.isEmpty() && random.nextBoolean()) {
+        wire.remove(random.nextInt(wire.size())).run();
+        continue;
+      }
+      int chosen = random.nextInt(holders.size());
+      if (chance(faultShare / 20)) {
+        holders.set(chosen, new SimulatedHolder(this, processes++));
+      } else {
+        holders.get(chosen).step();
+      }
+    }
+    return grants;
+  }
+
+  boolean chance(double share) {
+    return random.nextDouble() < share;
+  }
+
+  void onWire(Runnable action) {
+    wire.add(action);
+  }
+
+  Optional<Versioned> read() {
+    return current;
+  }
+
+  /** Writes if the version is still the expected one; 0 expects that there is no lease. */
+  boolean write(long expectedVersion, LeaseRecord lease) {
+    if (current.map(Versioned::version).orElse(0L) != expectedVersion) {
+      return false;
+    }
+    lastVersion++;
+    current = Optional.of(new Versioned(lastVersion, lease));
+    return true;
+  }
+
+  long version() {
+    return current.map(Versioned::version).orElse(0L);
+  }
+}
