--- a/command/src/main/java/org/agatefield/command/AgatefieldctlMain.java
+++ b/command/src/main/java/org/agatefield/command/AgatefieldctlMain.java
@@ -26,7 +26,9 @@
           commands = {
             ConfigurationGetCommand.class,
             ConfigurationHistoryCommand.class,
-            ConfigurationApplyCommand.class
+            ConfigurationApplyCommand.class,
+            ConfigurationValidateCommand.class,
+            ConfigurationDiffCommand.class
           })
     })
 public final class AgatefieldctlMain {
--- a/command/src/main/java/org/agatefield/command/DocumentFile.java
+++ b/command/src/main/java/org/agatefield/command/DocumentFile.java
@@ -3,6 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import org.agatefield.configuration.ConfigurationFaultsException;
+import org.agatefield.configuration.ConfigurationReader;
+import org.agatefield.model.ConfigurationDocument;
 
 /** Reads documents that the user names. Stateless. */
 final class DocumentFile {
@@ -16,4 +19,13 @@
           CommandExitCode.USAGE, file + ": cannot be read: " + exception.getMessage());
     }
   }
+
+  static ConfigurationDocument parse(String file) {
+    try {
+      return ConfigurationReader.read(read(file));
+    } catch (ConfigurationFaultsException exception) {
+      throw new CommandException(
+          CommandExitCode.REFUSED, file + ": " + System.lineSeparator() + exception.getMessage());
+    }
+  }
 }
--- /dev/null
+++ b/fleet/src/main/java/org/agatefield/fleet/CommandRunner.java
@@ -0,0 +1,46 @@
+package org.agatefield.fleet;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Runs the operators' command as a process and returns what it prints. For use by one thread. */
+final class CommandRunner {
+  private static final String MAIN = "org.agatefield.command.AgatefieldctlMain";
+
+  private final Path directory;
+
+  CommandRunner(Path directory) {
+    this.directory = directory;
+  }
+
+  /** Returns the command's output, and fails with a {@link FleetException} if it fails. */
+  String run(String... arguments) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-cp", System.getProperty("java.class.path"), MAIN));
+    command.addAll(List.of(arguments));
+    try {
+      Process process =
+          new ProcessBuilder(command)
+              .directory(directory.toFile())
+              .redirectErrorStream(true)
+              .start();
+      String output =
+          new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
+      int code = process.waitFor();
+      if (code != 0) {
+        throw new FleetException(
+            "agatefieldctl " + String.join(" ", arguments) + " ended with " + code + ": " + output);
+      }
+      return output;
+    } catch (IOException exception) {
+      throw new FleetException("agatefieldctl cannot be started", exception);
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+      throw new FleetException("interrupted", exception);
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/agatefield/fleet/InstanceObjects.java
@@ -0,0 +1,42 @@
+package org.agatefield.fleet;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.http.HttpMethod;
+import java.time.Duration;
+import java.util.Map;
+import org.agatefield.model.Address;
+
+/** Changes the platform's instance list, as the platform would. For use by one thread. */
+final class InstanceObjects {
+  static final String COLLECTION = "/apis/agatefield.org/v1/namespaces/default/instances";
+
+  private static final Duration CALL_LIMIT = Duration.ofSeconds(20);
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final FleetHttp http;
+  private final Address store;
+
+  InstanceObjects(FleetHttp http, Address store) {
+    this.http = http;
+    this.store = store;
+  }
+
+  void setState(String name, String state) {
+    String path = COLLECTION + "/" + name;
+    FleetHttp.Answer found = FleetHttp.await(http.get(store, path), CALL_LIMIT);
+    try {
+      ObjectNode object = (ObjectNode) MAPPER.readTree(found.text());
+      ((ObjectNode) object.path("spec")).put("state", state);
+      FleetHttp.Answer answer =
+          FleetHttp.await(
+              http.send(HttpMethod.PUT, store, path, Map.of(), object.toString()), CALL_LIMIT);
+      if (answer.status() >= 300) {
+        throw new FleetException("the instance list refused " + name + ": " + answer.text());
+      }
+    } catch (JsonProcessingException exception) {
+      throw new FleetException("the instance list answered no JSON", exception);
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/agatefield/fleet/ProgramLauncher.java
@@ -0,0 +1,65 @@
+package org.agatefield.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.agatefield.model.Address;
+
+/**
+ * Starts the project's programs as processes with the class path of this one. Safe for use by any
+ * thread.
+ */
+final class ProgramLauncher {
+  private static final List<String> JAVA_OPTIONS =
+      List.of("-XX:+UseSerialGC", "-Xss512k", "-XX:+ExitOnOutOfMemoryError");
+
+  private final Path runDirectory;
+
+  ProgramLauncher(Path runDirectory) {
+    this.runDirectory = runDirectory;
+    try {
+      Files.createDirectories(runDirectory);
+    } catch (IOException exception) {
+      throw new FleetException("the run directory cannot be made: " + runDirectory, exception);
+    }
+  }
+
+  Path runDirectory() {
+    return runDirectory;
+  }
+
+  /**
+   * Starts a program; what it prints goes to {@code name.log} in the run directory.
+   *
+   * @param maximumMegabytes the heap's limit
+   * @param options further options of the virtual machine, before the class name
+   */
+  ManagedProcess start(
+      String name,
+      Address address,
+      int maximumMegabytes,
+      List<String> options,
+      String mainClass,
+      List<String> arguments) {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(JAVA_OPTIONS);
+    command.add("-Xmx" + maximumMegabytes + "m");
+    command.addAll(options);
+    command.add("-cp");
+    command.add(System.getProperty("java.class.path"));
+    command.add(mainClass);
+    command.addAll(arguments);
+    Path log = runDirectory.resolve(name + ".log");
+    ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+    builder.redirectInput(ProcessBuilder.Redirect.from(Path.of("/dev/null").toFile()));
+    try {
+      return new ManagedProcess(name, builder.start(), address, log);
+    } catch (IOException exception) {
+      throw new FleetException(name + " cannot be started", exception);
+    }
+  }
+}
--- a/fleet/src/main/java/org/agatefield/fleet/package-info.java
+++ b/fleet/src/main/java/org/agatefield/fleet/package-info.java
@@ -1,2 +1,2 @@
-/** Placeholder; the package's owner writes its description. */
+/** Starts daemons and stand-ins as separate processes, for the quickstart, the soak and tests. */
 package org.agatefield.fleet;
--- a/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
@@ -2,16 +2,20 @@
 
 import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
 
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
-import com.tngtech.archunit.junit.AnalyzeClasses;
-import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.ArchRule;
 import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
 import java.time.Instant;
+import org.junit.jupiter.api.Test;
 
 /** Requirement REQ-LAYERS: dependencies point one way, from the binaries down to the model. */
-@AnalyzeClasses(packages = "org.agatefield", importOptions = ImportOption.DoNotIncludeTests.class)
 class PackageDependencyTest {
+  private static final JavaClasses CLASSES =
+      new ClassFileImporter()
+          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .importPackages("org.agatefield");
   private static final String[] DECISIONS = {
     "org.agatefield.lease..",
     "org.agatefield.membership..",
@@ -21,8 +25,9 @@
     "org.agatefield.placement.."
   };
 
-  @ArchTest
-  static final ArchRule LAYERS_POINT_DOWN =
+  @Test
+  void layersPointDown() {
+    ArchRule rule =
       layeredArchitecture()
           .consideringOnlyDependenciesInAnyPackage("org.agatefield..")
           .layer("Model")
@@ -49,27 +54,36 @@
           .mayOnlyBeAccessedByLayers("Tools")
           .whereLayer("Tools")
           .mayNotBeAccessedByAnyLayer();
+    rule.check(CLASSES);
+  }
 
-  @ArchTest
-  static final ArchRule DECISIONS_DO_NO_INPUT_OR_OUTPUT =
+  @Test
+  void decisionsDoNoInputOrOutput() {
+    ArchRule rule =
       ArchRuleDefinition.noClasses()
           .that()
           .resideInAnyPackage(DECISIONS)
           .should()
           .dependOnClassesThat()
           .resideInAnyPackage("java.io..", "java.net..", "java.nio..", "io.vertx..", "io.netty..");
+    rule.check(CLASSES);
+  }
 
-  @ArchTest
-  static final ArchRule DECISIONS_START_NO_THREAD =
+  @Test
+  void decisionsStartNoThread() {
+    ArchRule rule =
       ArchRuleDefinition.noClasses()
           .that()
           .resideInAnyPackage(DECISIONS)
           .should()
           .dependOnClassesThat()
           .haveFullyQualifiedName("java.lang.Thread");
+    rule.check(CLASSES);
+  }
 
-  @ArchTest
-  static final ArchRule DECISIONS_READ_NO_CLOCK =
+  @Test
+  void decisionsReadNoClock() {
+    ArchRule rule =
       ArchRuleDefinition.noClasses()
           .that()
           .resideInAnyPackage(DECISIONS)
@@ -79,13 +93,18 @@
           .callMethod(System.class, "currentTimeMillis")
           .orShould()
           .callMethod(Instant.class, "now");
+    rule.check(CLASSES);
+  }
 
-  @ArchTest
-  static final ArchRule NOTHING_STARTS_A_PROCESS_BUT_THE_FLEET_TOOL =
+  @Test
+  void nothingStartsAProcessButTheFleetTool() {
+    ArchRule rule =
       ArchRuleDefinition.noClasses()
           .that()
           .resideOutsideOfPackage("org.agatefield.fleet..")
           .should()
           .dependOnClassesThat()
           .haveFullyQualifiedName("java.lang.ProcessBuilder");
+    rule.check(CLASSES);
+  }
 }
