--- a/configuration/src/test/java/org/agatefield/configuration/ConfigurationReaderTest.java
+++ b/configuration/src/test/java/org/agatefield/configuration/ConfigurationReaderTest.java
@@ -74,7 +74,7 @@
   }
 
   @Test
-  void aDocumentThatCannotFitIsRefusedWithTheArithmetic() {
+  void documentsThatCannotFitAreRefusedWithTheArithmetic() {
     ObjectNode tree = (ObjectNode) ConfigurationWriter.toTree(SampleDocuments.sample());
     ((ObjectNode) tree.at("/upstreams/1")).put("memoryMegabytes", 10_400);
     ConfigurationFaultsException failure =
--- a/placement/src/main/java/org/agatefield/placement/LedgerRules.java
+++ b/placement/src/main/java/org/agatefield/placement/LedgerRules.java
@@ -22,7 +22,30 @@
   public static RunnerLedger takeOver(RunnerLedger ledger, long memoryMegabytes, long leaseToken) {
     require(leaseToken >= ledger.plannerToken(), ledger, "a later planner has taken over");
     return new RunnerLedger(
-        ledger.upstream(), memoryMegabytes, leaseToken, ledger.highestToken(), ledger.entries());
+        ledger.upstream(),
+        memoryMegabytes,
+        leaseToken,
+        ledger.highestToken(),
+        ledger.bootIdentifier(),
+        ledger.entries());
+  }
+
+  /**
+   * Records a new start of the engine, which holds nothing that was loaded before; what served is
+   * to be loaded again.
+   */
+  public static RunnerLedger restarted(RunnerLedger ledger, String bootIdentifier) {
+    List<LedgerEntry> entries = new ArrayList<>();
+    for (LedgerEntry entry : ledger.entries()) {
+      entries.add(entry.isLoaded() ? entry.withState(LedgerState.LOADING) : entry);
+    }
+    return new RunnerLedger(
+        ledger.upstream(),
+        ledger.memoryMegabytes(),
+        ledger.plannerToken(),
+        ledger.highestToken(),
+        bootIdentifier,
+        entries);
   }
 
   /**
@@ -196,12 +219,17 @@
         ledger.memoryMegabytes(),
         ledger.plannerToken(),
         ledger.highestToken(),
+        ledger.bootIdentifier(),
         entries);
   }
 
   private static RunnerLedger withHighestToken(RunnerLedger ledger, long token) {
     return new RunnerLedger(
-        ledger.upstream(), ledger.memoryMegabytes(), ledger.plannerToken(), token,
+        ledger.upstream(),
+        ledger.memoryMegabytes(),
+        ledger.plannerToken(),
+        token,
+        ledger.bootIdentifier(),
         ledger.entries());
   }
 
--- /dev/null
+++ b/placement/src/main/java/org/agatefield/placement/LoadBudget.java
@@ -0,0 +1,35 @@
+package org.agatefield.placement;
+
+import org.agatefield.model.WeightStoreLimits;
+
+/**
+ * A token bucket for the loads that the weight store allows. Immutable.
+ *
+ * @param tokens loads that may start now
+ * @param refilledAtNanoseconds when tokens were last added
+ */
+public record LoadBudget(double tokens, long refilledAtNanoseconds) {
+  private static final double NANOSECONDS_PER_SECOND = 1e9;
+
+  /** Returns a budget that allows one load at once. */
+  public static LoadBudget startingAt(long nowNanoseconds) {
+    return new LoadBudget(1, nowNanoseconds);
+  }
+
+  /** Returns the budget after time has passed; it never holds more than the loads at once. */
+  public LoadBudget refill(WeightStoreLimits limits, long nowNanoseconds) {
+    double seconds = (nowNanoseconds - refilledAtNanoseconds) / NANOSECONDS_PER_SECOND;
+    double filled = tokens + seconds * limits.loadsPerSecond();
+    return new LoadBudget(Math.min(filled, limits.concurrentLoads()), nowNanoseconds);
+  }
+
+  /** Returns the budget after one load was started. */
+  public LoadBudget take() {
+    return new LoadBudget(tokens - 1, refilledAtNanoseconds);
+  }
+
+  /** Returns the whole loads that may start now. */
+  public int available() {
+    return (int) Math.max(0, Math.floor(tokens));
+  }
+}
--- a/placement/src/main/java/org/agatefield/placement/RunnerLedger.java
+++ b/placement/src/main/java/org/agatefield/placement/RunnerLedger.java
@@ -16,6 +16,7 @@
  * @param memoryMegabytes accelerator memory that may be reserved
  * @param plannerToken the fencing token of the planner's lease under which it was written last
  * @param highestToken the highest fencing token of any order to the runner
+ * @param bootIdentifier the start of the engine that the entries speak of; empty before the first
  * @param entries one for each version that is or may be there
  */
 public record RunnerLedger(
@@ -23,6 +24,7 @@
     long memoryMegabytes,
     long plannerToken,
     long highestToken,
+    String bootIdentifier,
     List<LedgerEntry> entries) {
   /** Copies the list. */
   public RunnerLedger {
@@ -31,7 +33,7 @@
 
   /** Returns the ledger of a runner that no order was ever sent to. */
   public static RunnerLedger empty(String upstream, long memoryMegabytes) {
-    return new RunnerLedger(upstream, memoryMegabytes, 0, 0, List.of());
+    return new RunnerLedger(upstream, memoryMegabytes, 0, 0, "", List.of());
   }
 
   /** Returns the memory that is reserved. */
--- /dev/null
+++ b/placement/src/main/java/org/agatefield/placement/RunnerObservation.java
@@ -0,0 +1,11 @@
+package org.agatefield.placement;
+
+import org.agatefield.model.LoadReport;
+
+/**
+ * A load report with the time at which it was asked for. Immutable.
+ *
+ * @param report what the engine said
+ * @param askedAtNanoseconds the planner's monotonic time before the request was sent
+ */
+public record RunnerObservation(LoadReport report, long askedAtNanoseconds) {}
--- /dev/null
+++ b/placement/src/main/java/org/agatefield/placement/RunnerSteps.java
@@ -0,0 +1,214 @@
+package org.agatefield.placement;
+
+import java.util.List;
+import java.util.Optional;
+import org.agatefield.model.LoadReport;
+import org.agatefield.model.VersionId;
+
+/**
+ * Brings a runner to what its ledger says, one step at a time, and releases memory on evidence.
+ *
+ * <p>Evidence that an engine no longer holds a version and never will by an earlier order:
+ *
+ * <ul>
+ *   <li>an engine that checks fencing tokens reports the version not held and a highest token that
+ *       is at least the token of the order to unload it, which is above those of all orders to load
+ *       it;
+ *   <li>an engine that ignores tokens reports the version not held, in a report that was asked for
+ *       after the planner had seen the order to unload it for the whole quarantine.
+ * </ul>
+ *
+ * <p>The report must have been asked for after the last order to the runner had ended. Immutable;
+ * safe for use by any thread.
+ *
+ * @param quarantineNanoseconds how long an order may still take effect after it could last be sent
+ */
+public record RunnerSteps(long quarantineNanoseconds) {
+  private static final char VERSION_SEPARATOR = '@';
+
+  /** What the steps are decided on. */
+  private record Scene(
+      RunnerLedger ledger,
+      RunnerObservation observation,
+      boolean checksFencingTokens,
+      LedgerAges ages,
+      long nowNanoseconds) {
+    LoadReport report() {
+      return observation.report();
+    }
+
+    boolean holds(VersionId version) {
+      return report().versions().contains(version.engineName());
+    }
+
+    boolean refuses(long token) {
+      return checksFencingTokens && report().highestFencingToken() > token;
+    }
+  }
+
+  /** Returns the next step of a runner, if there is one to take. */
+  public Optional<RunnerStep> next(
+      RunnerLedger ledger,
+      RunnerObservation observation,
+      boolean checksFencingTokens,
+      LedgerAges ages,
+      long nowNanoseconds) {
+    Scene scene = new Scene(ledger, observation, checksFencingTokens, ages, nowNanoseconds);
+    return afterRestart(scene)
+        .or(() -> adoption(scene))
+        .or(() -> firstOf(scene, RunnerSteps::recordLoaded))
+        .or(() -> firstOf(scene, this::finishUnloading))
+        .or(() -> firstOf(scene, RunnerSteps::replaceLost))
+        .or(() -> firstOf(scene, RunnerSteps::unload))
+        .or(() -> firstOf(scene, RunnerSteps::load))
+        .or(() -> firstOf(scene, this::forget));
+  }
+
+  /** Decides on one entry of a scene. */
+  private interface EntryRule {
+    Optional<RunnerStep> apply(Scene scene, LedgerEntry entry);
+  }
+
+  private static Optional<RunnerStep> firstOf(Scene scene, EntryRule rule) {
+    return scene.ledger().entries().stream()
+        .map(entry -> rule.apply(scene, entry))
+        .flatMap(Optional::stream)
+        .findFirst();
+  }
+
+  private static Optional<RunnerStep> afterRestart(Scene scene) {
+    RunnerLedger ledger = scene.ledger();
+    LoadReport report = scene.report();
+    if (report.bootIdentifier().equals(ledger.bootIdentifier())) {
+      return Optional.empty();
+    }
+    if (scene.checksFencingTokens() && report.highestFencingToken() < ledger.highestToken()) {
+      PlannedOrder raise =
+          new PlannedOrder(
+              PlannedOrder.Action.RAISE_TOKEN, new VersionId("", ""), 0, ledger.highestToken());
+      return Optional.of(RunnerStep.order(ledger, raise, "engine restarted"));
+    }
+    RunnerLedger restarted = LedgerRules.restarted(ledger, report.bootIdentifier());
+    return Optional.of(RunnerStep.write(restarted, "engine restarted"));
+  }
+
+  private static Optional<RunnerStep> adoption(Scene scene) {
+    for (String name : scene.report().versions().stream().filter(RunnerSteps::isOurs).toList()) {
+      VersionId version = VersionId.parse(name);
+      Optional<LedgerEntry> entry = scene.ledger().entry(version);
+      if (entry.isEmpty() || entry.get().state() == LedgerState.RETIRED) {
+        long unexplained = Math.max(0, scene.report().usedMegabytes() - heldMegabytes(scene));
+        RunnerLedger adopted = LedgerRules.adopt(scene.ledger(), version, unexplained);
+        return Optional.of(RunnerStep.write(adopted, version + " is held without an entry"));
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static boolean isOurs(String engineName) {
+    int at = engineName.lastIndexOf(VERSION_SEPARATOR);
+    return at > 0 && at < engineName.length() - 1;
+  }
+
+  private static long heldMegabytes(Scene scene) {
+    List<String> adapters = scene.report().adapters();
+    long held = 0;
+    for (LedgerEntry entry : scene.ledger().entries()) {
+      if (entry.state() != LedgerState.RETIRED && scene.holds(entry.version())) {
+        held += entry.memoryMegabytes();
+        held +=
+            entry.adapters().stream()
+                .filter(each -> adapters.contains(each.name()))
+                .mapToLong(AdapterReservation::memoryMegabytes)
+                .sum();
+      }
+    }
+    return held;
+  }
+
+  private static Optional<RunnerStep> recordLoaded(Scene scene, LedgerEntry entry) {
+    if (entry.state() != LedgerState.LOADING || !scene.holds(entry.version())) {
+      return Optional.empty();
+    }
+    RunnerLedger loaded = LedgerRules.loaded(scene.ledger(), entry.version());
+    return Optional.of(RunnerStep.write(loaded, entry.version() + " is loaded"));
+  }
+
+  private Optional<RunnerStep> finishUnloading(Scene scene, LedgerEntry entry) {
+    if (entry.state() != LedgerState.UNLOADING || scene.holds(entry.version())) {
+      return Optional.empty();
+    }
+    if (isProvedGone(scene, entry)) {
+      RunnerLedger released = LedgerRules.release(scene.ledger(), entry.version());
+      return Optional.of(RunnerStep.release(released, entry.version() + " is gone"));
+    }
+    if (!scene.checksFencingTokens()) {
+      return Optional.empty();
+    }
+    PlannedOrder raise =
+        new PlannedOrder(PlannedOrder.Action.RAISE_TOKEN, entry.version(), 0, entry.orderToken());
+    return Optional.of(
+        RunnerStep.order(scene.ledger(), raise, entry.version() + " may still be loaded"));
+  }
+
+  private boolean isProvedGone(Scene scene, LedgerEntry entry) {
+    if (scene.checksFencingTokens()) {
+      return scene.report().highestFencingToken() >= entry.orderToken();
+    }
+    long firstSeen =
+        scene.ages().firstSeenNanoseconds(scene.ledger().upstream(), entry, scene.nowNanoseconds());
+    return scene.observation().askedAtNanoseconds() - firstSeen >= quarantineNanoseconds;
+  }
+
+  private static Optional<RunnerStep> replaceLost(Scene scene, LedgerEntry entry) {
+    if (!entry.isLoaded() || scene.holds(entry.version())) {
+      return Optional.empty();
+    }
+    if (entry.state() == LedgerState.DRAINING) {
+      RunnerLedger unloading = LedgerRules.unload(scene.ledger(), entry.version());
+      return Optional.of(RunnerStep.write(unloading, entry.version() + " was lost while drained"));
+    }
+    RunnerLedger again = LedgerRules.loadAgain(scene.ledger(), entry.version());
+    return Optional.of(RunnerStep.write(again, entry.version() + " was lost"));
+  }
+
+  private static Optional<RunnerStep> unload(Scene scene, LedgerEntry entry) {
+    if (entry.state() != LedgerState.UNLOADING || !scene.holds(entry.version())) {
+      return Optional.empty();
+    }
+    RunnerLedger ledger = scene.ledger();
+    if (scene.refuses(entry.orderToken())) {
+      ledger = LedgerRules.unload(ledger, entry.version());
+    }
+    PlannedOrder order = order(PlannedOrder.Action.UNLOAD, ledger, entry.version());
+    return Optional.of(RunnerStep.order(ledger, order, entry.version() + " is to go"));
+  }
+
+  private static Optional<RunnerStep> load(Scene scene, LedgerEntry entry) {
+    if (entry.state() != LedgerState.LOADING || scene.ledger().freeMegabytes() < 0) {
+      return Optional.empty();
+    }
+    RunnerLedger ledger = scene.ledger();
+    if (scene.refuses(entry.orderToken())) {
+      ledger = LedgerRules.loadAgain(ledger, entry.version());
+    }
+    PlannedOrder order = order(PlannedOrder.Action.LOAD, ledger, entry.version());
+    return Optional.of(RunnerStep.order(ledger, order, entry.version() + " is to be loaded"));
+  }
+
+  private static PlannedOrder order(
+      PlannedOrder.Action action, RunnerLedger ledger, VersionId version) {
+    LedgerEntry entry = ledger.entry(version).orElseThrow();
+    return new PlannedOrder(action, version, entry.memoryMegabytes(), entry.orderToken());
+  }
+
+  private Optional<RunnerStep> forget(Scene scene, LedgerEntry entry) {
+    long age =
+        scene.ages().ageNanoseconds(scene.ledger().upstream(), entry, scene.nowNanoseconds());
+    if (entry.state() != LedgerState.RETIRED || age < quarantineNanoseconds) {
+      return Optional.empty();
+    }
+    RunnerLedger forgotten = LedgerRules.forget(scene.ledger(), entry.version());
+    return Optional.of(RunnerStep.write(forgotten, entry.version() + " is forgotten"));
+  }
+}
