--- a/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
+++ b/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
@@ -118,6 +118,27 @@
     return waitingBytes;
   }
 
+  /** Returns one waiting request of each target that requests wait for. */
+  public List<QueuedRequest> oneOfEachTarget() {
+    List<QueuedRequest> found = new ArrayList<>(byTarget.size());
+    for (Map<Priority, CallerBacklogs> backlogs : byTarget.values()) {
+      backlogs.values().stream()
+          .flatMap(each -> each.first().stream())
+          .findFirst()
+          .ifPresent(found::add);
+    }
+    return found;
+  }
+
+  /** Returns the expected time until all that wait for {@code target} have left the queue. */
+  public long expectedDrainNanoseconds(String target) {
+    int count = 0;
+    for (CallerBacklogs backlogs : backlogsOf(target).values()) {
+      count += backlogs.size();
+    }
+    return meter(target).expectedDrainNanoseconds(count);
+  }
+
   /** Returns the number of requests for {@code target} that are at upstreams. */
   public int running(String target) {
     return meter(target).running();
--- a/admission/src/main/java/org/agatefield/admission/CallerBacklogs.java
+++ b/admission/src/main/java/org/agatefield/admission/CallerBacklogs.java
@@ -50,6 +50,11 @@
     return backlog == null ? 0 : backlog.size();
   }
 
+  /** Returns some request. */
+  Optional<QueuedRequest> first() {
+    return byCaller.values().stream().findFirst().map(TreeSet::first);
+  }
+
   /** Returns the request with the earliest deadline of each caller. */
   List<QueuedRequest> heads() {
     List<QueuedRequest> heads = new ArrayList<>(byCaller.size());
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/DispatchCore.java
@@ -0,0 +1,259 @@
+package org.agatefield.daemon.dispatch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.agatefield.admission.AdmissionQueue;
+import org.agatefield.admission.Offer;
+import org.agatefield.admission.QueuedRequest;
+import org.agatefield.admission.Refusal;
+import org.agatefield.admission.Selection;
+import org.agatefield.daemon.core.DispatchOutcome;
+import org.agatefield.daemon.core.InvariantMonitor;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.RunState;
+import org.agatefield.model.Upstream;
+import org.agatefield.routing.Candidate;
+import org.agatefield.routing.Choice;
+import org.agatefield.routing.CrossingRule;
+import org.agatefield.routing.UpstreamChooser;
+
+/**
+ * Moves requests from the queue to upstreams.
+ *
+ * <p>Invariants: each pending request is in the queue, at one upstream, or over; nothing goes to a
+ * leaving upstream; attempt numbers rise. Confined to the dispatcher's lock: what completes futures
+ * is gathered and run by the dispatcher after it gave the lock back.
+ */
+final class DispatchCore {
+  private static final Duration NO_UPSTREAM_RETRY_AFTER = Duration.ofSeconds(1);
+
+  private final TargetIndex index;
+  private final UpstreamTable upstreams;
+  private final UpstreamChooser chooser;
+  private final CrossingRule crossing;
+  private final AdmissionQueue queue;
+  private final DemandMeter demand;
+  private final DecisionLog decisions;
+  private final DispatchMetrics metrics;
+  private final InvariantMonitor monitor;
+  private final RoutedDispatch.Owner owner;
+  private final Map<Long, PendingRequest> waiting = new HashMap<>();
+  private List<Runnable> completions = new ArrayList<>();
+  private Set<String> leaving = Set.of();
+  private long lastAttemptNumber;
+
+  DispatchCore(
+      TargetIndex index,
+      UpstreamTable upstreams,
+      UpstreamChooser chooser,
+      CrossingRule crossing,
+      AdmissionQueue queue,
+      DemandMeter demand,
+      DecisionLog decisions,
+      DispatchMetrics metrics,
+      InvariantMonitor monitor,
+      RoutedDispatch.Owner owner) {
+    this.index = index;
+    this.upstreams = upstreams;
+    this.chooser = chooser;
+    this.crossing = crossing;
+    this.queue = queue;
+    this.demand = demand;
+    this.decisions = decisions;
+    this.metrics = metrics;
+    this.monitor = monitor;
+    this.owner = owner;
+  }
+
+  /** Takes in what changed outside since the last call. */
+  void refresh(Set<String> leavingUpstreams) {
+    leaving = leavingUpstreams;
+    index.refresh(leavingUpstreams);
+  }
+
+  /** Returns what is to be run after the lock was given back, and forgets it. */
+  List<Runnable> takeCompletions() {
+    List<Runnable> taken = completions;
+    completions = new ArrayList<>();
+    return taken;
+  }
+
+  /** Lets a request wait, and sends it if an upstream has a place. */
+  void admit(PendingRequest pending, long now) {
+    if (index.holders(pending.target).isEmpty()) {
+      refuse(pending, ErrorKind.NO_UPSTREAM, "no upstream holds it", NO_UPSTREAM_RETRY_AFTER, now);
+      return;
+    }
+    waiting.put(pending.queued.id(), pending);
+    Offer offer = queue.offer(pending.queued, now);
+    offer.refused().forEach(refusal -> refuse(refusal, now));
+    if (offer.queued()) {
+      placeable(pending, now).forEach(candidate -> fill(candidate.upstream(), now));
+    }
+  }
+
+  /** Returns whether every upstream that holds what a request needs has failed it. */
+  boolean allHoldersFailed(PendingRequest pending) {
+    return index.holders(pending.target).stream()
+        .allMatch(holder -> pending.failedUpstreams.contains(holder.upstream().name()));
+  }
+
+  /** Forgets a request whose caller has gone. */
+  void cancel(PendingRequest pending) {
+    if (queue.cancel(pending.queued.id())) {
+      waiting.remove(pending.queued.id());
+    }
+  }
+
+  /** Refuses what has become too late and sends what has a place by now. */
+  void tick(long now) {
+    queue.expire(now).forEach(refusal -> refuse(refusal, now));
+    for (PendingRequest pending : List.copyOf(oneOfEachTarget().values())) {
+      placeable(pending, now).forEach(candidate -> fill(candidate.upstream(), now));
+    }
+  }
+
+  void firstAnswerPart(RoutedDispatch dispatch, long now) {
+    long nanoseconds = now - dispatch.sentNanoseconds();
+    upstreams.firstPart(dispatch.upstream().name(), nanoseconds, now);
+  }
+
+  /** Gives the place of an attempt back and sends what waits for it. */
+  void finished(RoutedDispatch dispatch, DispatchOutcome outcome, long now) {
+    PendingRequest pending = dispatch.pending();
+    String upstream = dispatch.upstream().name();
+    long nanoseconds = now - dispatch.sentNanoseconds();
+    queue.finished(pending.target.name());
+    if (outcome == DispatchOutcome.SUCCEEDED) {
+      queue.measured(pending.target.name(), pending.queued.cost(), nanoseconds);
+    }
+    if (upstreams.finished(dispatch, outcome, now)) {
+      metrics.ejections.inc();
+      decisions.ejected(upstream, outcome);
+    }
+    double runnerSeconds = nanoseconds / 1e9 / upstreams.state(upstream).limit();
+    demand.busy(pending.target.deployment(), runnerSeconds, now);
+    fill(upstream, now);
+  }
+
+  /** Fails a request before anything of this attempt was sent. */
+  void refuse(
+      PendingRequest pending, ErrorKind kind, String reason, Duration retryAfter, long now) {
+    waiting.remove(pending.queued.id());
+    metrics.refused(kind);
+    demand.refused(pending.target.deployment(), now);
+    decisions.refused(
+        pending.requestId, pending.target.name(), "refused=" + kind.code() + " why=" + reason);
+    AgatefieldException failure =
+        pending.mayHaveRun
+            ? new AgatefieldException(
+                ErrorKind.UPSTREAM_FAILED,
+                RunState.UNKNOWN,
+                "an attempt failed and there is no other: " + reason,
+                retryAfter,
+                null)
+            : new AgatefieldException(kind, reason, retryAfter);
+    var future = pending.future;
+    completions.add(() -> future.completeExceptionally(failure));
+  }
+
+  private void refuse(Refusal refusal, long now) {
+    PendingRequest pending = waiting.get(refusal.request().id());
+    if (pending != null) {
+      refuse(pending, refusal.kind(), refusal.reason(), refusal.retryAfter(), now);
+    }
+  }
+
+  /** Sends waiting requests to an upstream until it has no place or nothing waits for it. */
+  private void fill(String upstream, long now) {
+    boolean sent = true;
+    while (sent && upstreams.state(upstream).hasPlace(now)) {
+      sent = sendNext(upstream, now);
+    }
+  }
+
+  private boolean sendNext(String upstream, long now) {
+    Map<String, List<Candidate>> servable = new LinkedHashMap<>();
+    for (Map.Entry<String, PendingRequest> entry : oneOfEachTarget().entrySet()) {
+      List<Candidate> candidates = placeable(entry.getValue(), now);
+      if (candidates.stream().anyMatch(each -> each.upstream().equals(upstream))) {
+        servable.put(entry.getKey(), candidates);
+      }
+    }
+    if (servable.isEmpty()) {
+      return false;
+    }
+    Selection selection = queue.next(upstream, servable.keySet(), now);
+    selection.refused().forEach(refusal -> refuse(refusal, now));
+    if (selection.chosen().isEmpty()) {
+      return false;
+    }
+    PendingRequest pending = waiting.remove(selection.chosen().get().id());
+    send(pending, servable.get(pending.target.name()), now);
+    return true;
+  }
+
+  private void send(PendingRequest pending, List<Candidate> servable, long now) {
+    List<Candidate> untried =
+        servable.stream()
+            .filter(each -> !pending.failedUpstreams.contains(each.upstream()))
+            .toList();
+    List<Candidate> candidates = untried.isEmpty() ? servable : untried;
+    Choice choice = chooser.choose(pending.routing, candidates, now).orElseThrow();
+    String name = choice.candidate().upstream();
+    final Upstream upstream = index.upstream(name).orElseThrow();
+    monitor.check(
+        InvariantMonitor.Promise.LEAVING_UPSTREAM,
+        !leaving.contains(name),
+        () -> "request " + pending.requestId + " was routed to leaving upstream " + name);
+    lastAttemptNumber++;
+    upstreams.state(name).sent();
+    queue.started(pending.target.name());
+    chooser.sent(pending.routing, name);
+    metrics.dispatched.inc();
+    decisions.chosen(
+        pending.requestId, lastAttemptNumber, pending.target.name(), choice, candidates);
+    hand(pending, new RoutedDispatch(owner, pending, lastAttemptNumber, upstream, now));
+  }
+
+  /** A caller that went away in the meantime does not take the attempt: its place is given back. */
+  private void hand(PendingRequest pending, RoutedDispatch dispatch) {
+    var future = pending.future;
+    completions.add(
+        () -> {
+          if (!future.complete(dispatch)) {
+            dispatch.finished(DispatchOutcome.CANCELLED);
+          }
+        });
+  }
+
+  /** Returns the upstreams with a place that a request may go to now. */
+  private List<Candidate> placeable(PendingRequest pending, long now) {
+    List<Candidate> eligible =
+        upstreams.eligible(
+            pending.target, index.holders(pending.target), pending.failedUpstreams, now);
+    List<Candidate> withPlace = eligible.stream().filter(Candidate::hasPlace).toList();
+    String region = pending.routing.region();
+    boolean heldHere = eligible.stream().anyMatch(each -> each.region().equals(region));
+    if (!heldHere || crossing.isWorth(queue.expectedDrainNanoseconds(pending.target.name()))) {
+      return withPlace;
+    }
+    return withPlace.stream().filter(each -> each.region().equals(region)).toList();
+  }
+
+  private Map<String, PendingRequest> oneOfEachTarget() {
+    Map<String, PendingRequest> targets = new LinkedHashMap<>();
+    for (QueuedRequest each : queue.oneOfEachTarget()) {
+      Optional.ofNullable(waiting.get(each.id()))
+          .ifPresent(pending -> targets.put(each.target(), pending));
+    }
+    return targets;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/PendingRequest.java
@@ -0,0 +1,29 @@
+package org.agatefield.daemon.dispatch;
+
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.agatefield.admission.QueuedRequest;
+import org.agatefield.daemon.core.Dispatch;
+import org.agatefield.routing.RoutingRequest;
+
+/**
+ * A request from its arrival to its last attempt. Confined to the dispatcher's lock, apart from the
+ * future, which is completed outside it.
+ */
+final class PendingRequest {
+  final String requestId;
+  final Target target;
+  final RoutingRequest routing;
+  final QueuedRequest queued;
+  final Set<String> failedUpstreams = new HashSet<>();
+  CompletableFuture<Dispatch> future = new CompletableFuture<>();
+  boolean mayHaveRun;
+
+  PendingRequest(String requestId, Target target, RoutingRequest routing, QueuedRequest queued) {
+    this.requestId = requestId;
+    this.target = target;
+    this.routing = routing;
+    this.queued = queued;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/RoutedDispatch.java
@@ -0,0 +1,90 @@
+package org.agatefield.daemon.dispatch;
+
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.agatefield.daemon.core.Dispatch;
+import org.agatefield.daemon.core.DispatchOutcome;
+import org.agatefield.model.Upstream;
+import org.agatefield.model.VersionId;
+
+/**
+ * An attempt that the dispatcher handed out.
+ *
+ * <p>Invariant: tells its owner of the first part and of the end at most once each. Safe for use by
+ * any thread.
+ */
+final class RoutedDispatch implements Dispatch {
+  private final Owner owner;
+  private final PendingRequest pending;
+  private final long attemptNumber;
+  private final Upstream upstream;
+  private final long sentNanoseconds;
+  private final AtomicBoolean answering = new AtomicBoolean();
+  private final AtomicBoolean over = new AtomicBoolean();
+
+  /** Hears what becomes of attempts. */
+  interface Owner {
+    void firstAnswerPart(RoutedDispatch dispatch);
+
+    void finished(RoutedDispatch dispatch, DispatchOutcome outcome);
+  }
+
+  RoutedDispatch(
+      Owner owner,
+      PendingRequest pending,
+      long attemptNumber,
+      Upstream upstream,
+      long sentNanoseconds) {
+    this.owner = owner;
+    this.pending = pending;
+    this.attemptNumber = attemptNumber;
+    this.upstream = upstream;
+    this.sentNanoseconds = sentNanoseconds;
+  }
+
+  PendingRequest pending() {
+    return pending;
+  }
+
+  long sentNanoseconds() {
+    return sentNanoseconds;
+  }
+
+  boolean isAnswering() {
+    return answering.get();
+  }
+
+  @Override
+  public long attemptNumber() {
+    return attemptNumber;
+  }
+
+  @Override
+  public Upstream upstream() {
+    return upstream;
+  }
+
+  @Override
+  public Optional<VersionId> version() {
+    return pending.target.version();
+  }
+
+  @Override
+  public Optional<String> adapter() {
+    return pending.target.adapter();
+  }
+
+  @Override
+  public void firstAnswerPart() {
+    if (answering.compareAndSet(false, true)) {
+      owner.firstAnswerPart(this);
+    }
+  }
+
+  @Override
+  public void finished(DispatchOutcome outcome) {
+    if (over.compareAndSet(false, true)) {
+      owner.finished(this, outcome);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/RoutingDispatcher.java
@@ -0,0 +1,269 @@
+package org.agatefield.daemon.dispatch;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.agatefield.admission.AdmissionQueue;
+import org.agatefield.admission.DeadlineShedding;
+import org.agatefield.admission.QueueBounds;
+import org.agatefield.admission.RetryBudget;
+import org.agatefield.admission.RetryPolicy;
+import org.agatefield.admission.WeightedFairOrder;
+import org.agatefield.daemon.core.ConfigurationSource;
+import org.agatefield.daemon.core.DemandSource;
+import org.agatefield.daemon.core.Dispatch;
+import org.agatefield.daemon.core.DispatchOutcome;
+import org.agatefield.daemon.core.Dispatcher;
+import org.agatefield.daemon.core.InstanceDirectory;
+import org.agatefield.daemon.core.InvariantMonitor;
+import org.agatefield.daemon.core.ModelRequest;
+import org.agatefield.daemon.core.ReplicaDirectory;
+import org.agatefield.daemon.core.ServiceRequest;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.DemandSample;
+import org.agatefield.model.Deployment;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.routing.CostModel;
+import org.agatefield.routing.CrossingRule;
+import org.agatefield.routing.ExpectedTimeChooser;
+import org.agatefield.routing.PrefixTable;
+import org.agatefield.settings.DaemonSettings;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Admits requests into one queue and sends each to the holder of its version with the least
+ * expected time.
+ *
+ * <p>Invariants: each attempt is dispatched, refused or cancelled, exactly one of these; nothing
+ * goes to a leaving upstream; attempt numbers rise. Safe for use by any thread. Lock order: {@code
+ * lock}, then the locks inside the directories and the decision log; futures are completed after
+ * {@code lock} was given back.
+ */
+public final class RoutingDispatcher
+    implements Dispatcher, DemandSource, RoutedDispatch.Owner, AutoCloseable {
+  private static final long TICK_MILLISECONDS = 20;
+  private static final int PREFIXES_PER_RUNNER = 8_192;
+  private static final double RETRY_SHARE = 0.2;
+  private static final double RETRY_RESERVE = 20;
+  private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+  private static final long CROSSING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(60);
+  private static final CostModel COSTS =
+      new CostModel(
+          TimeUnit.MICROSECONDS.toNanos(100),
+          TimeUnit.MILLISECONDS.toNanos(13),
+          CROSSING_NANOSECONDS,
+          400);
+
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Vertx vertx;
+  private final InstanceDirectory instances;
+  private final LongSupplier clock;
+  private final TargetIndex index;
+  private final DispatchCore core;
+  private final AdmissionQueue queue;
+  private final RetryPolicy retries = new RetryBudget(RETRY_SHARE, RETRY_RESERVE);
+  private final DemandMeter demand = new DemandMeter();
+  private final DecisionLog decisions = new DecisionLog();
+  private final DispatchMetrics metrics;
+  private final RequestFactory requests;
+  private final String region;
+  private final long timer;
+  private long lastRequestNumber;
+
+  /** Creates a dispatcher and starts its timer. */
+  public RoutingDispatcher(
+      Vertx vertx,
+      ConfigurationSource configuration,
+      ReplicaDirectory replicas,
+      InstanceDirectory instances,
+      DaemonSettings.Limits limits,
+      MetricRegistry registry,
+      InvariantMonitor monitor,
+      UniformRandomProvider random) {
+    this.vertx = vertx;
+    this.instances = instances;
+    this.clock = System::nanoTime;
+    final PrefixTable prefixes = new PrefixTable(PREFIXES_PER_RUNNER);
+    index = new TargetIndex(configuration, replicas);
+    queue =
+        new AdmissionQueue(
+            new QueueBounds(limits.queuedRequests(), limits.queuedBytes()),
+            new DeadlineShedding(random),
+            new WeightedFairOrder());
+    metrics = new DispatchMetrics(registry);
+    metrics.gauge("queued-requests", () -> locked(queue::size));
+    metrics.gauge("queued-bytes", () -> locked(queue::bytes));
+    region = instances.self().failureDomain().region();
+    requests = new RequestFactory(region);
+    core =
+        new DispatchCore(
+            index,
+            new UpstreamTable(replicas, prefixes),
+            new ExpectedTimeChooser(COSTS, prefixes, random),
+            new CrossingRule(CROSSING_NANOSECONDS),
+            queue,
+            demand,
+            decisions,
+            metrics,
+            monitor,
+            this);
+    timer = vertx.setPeriodic(TICK_MILLISECONDS, ignored -> run(now -> core.tick(now)));
+  }
+
+  @Override
+  public CompletableFuture<Dispatch> acquire(ModelRequest request) {
+    return supply(
+        now -> {
+          Optional<Deployment> deployment = index.deploymentOf(request.model());
+          if (deployment.isEmpty()) {
+            return failed(ErrorKind.NOT_FOUND, "no model is named '" + request.model() + "'");
+          }
+          demand.arrived(deployment.get().name(), now);
+          String hash = RequestFactory.versionHash(request);
+          Target target = index.target(request.model(), deployment.get(), hash);
+          int weight = index.weightOf(request.caller());
+          return admit(requests.model(request, target, ++lastRequestNumber, weight, now), now);
+        });
+  }
+
+  @Override
+  public CompletableFuture<Dispatch> acquire(ServiceRequest request) {
+    return supply(
+        now -> {
+          if (!index.hasService(request.service())) {
+            return failed(ErrorKind.NOT_FOUND, "no service is named '" + request.service() + "'");
+          }
+          Target target = Target.ofService(request.service());
+          int weight = index.weightOf(request.caller());
+          return admit(requests.service(request, target, ++lastRequestNumber, weight, now), now);
+        });
+  }
+
+  @Override
+  public CompletableFuture<Dispatch> reacquire(Dispatch failed, DispatchOutcome outcome) {
+    RoutedDispatch dispatch = (RoutedDispatch) failed;
+    failed.finished(outcome);
+    return supply(now -> retry(dispatch, outcome, now));
+  }
+
+  @Override
+  public List<DemandSample> localDemand() {
+    return locked(() -> demand.samples(region, clock.getAsLong()));
+  }
+
+  /** Returns the last decision about a request, if it is among the last that are kept. */
+  public Optional<RoutingExplanation> explain(String requestId) {
+    return decisions.explain(requestId);
+  }
+
+  @Override
+  public void firstAnswerPart(RoutedDispatch dispatch) {
+    run(now -> core.firstAnswerPart(dispatch, now));
+  }
+
+  @Override
+  public void finished(RoutedDispatch dispatch, DispatchOutcome outcome) {
+    run(now -> core.finished(dispatch, outcome, now));
+  }
+
+  @Override
+  public void close() {
+    vertx.cancelTimer(timer);
+  }
+
+  private CompletableFuture<Dispatch> admit(PendingRequest pending, long now) {
+    retries.firstAttempt();
+    return enqueue(pending, now);
+  }
+
+  private CompletableFuture<Dispatch> retry(
+      RoutedDispatch failed, DispatchOutcome outcome, long now) {
+    PendingRequest pending = failed.pending();
+    pending.future = new CompletableFuture<>();
+    pending.failedUpstreams.add(failed.upstream().name());
+    pending.mayHaveRun |= mayHaveRun(outcome);
+    CompletableFuture<Dispatch> future = pending.future;
+    if (outcome == DispatchOutcome.UNREACHABLE && core.allHoldersFailed(pending)) {
+      core.refuse(pending, ErrorKind.NO_UPSTREAM, "no upstream answers", RETRY_AFTER, now);
+      return future;
+    }
+    if (outcome != DispatchOutcome.UNREACHABLE && !retries.mayRetry()) {
+      metrics.retriesOverBudget.inc();
+      core.refuse(pending, ErrorKind.OVERLOADED, "the retry budget is spent", RETRY_AFTER, now);
+      return future;
+    }
+    metrics.retried.inc();
+    return enqueue(pending, now);
+  }
+
+  private CompletableFuture<Dispatch> enqueue(PendingRequest pending, long now) {
+    CompletableFuture<Dispatch> future = pending.future;
+    future.whenComplete(
+        (dispatch, failure) -> {
+          if (future.isCancelled()) {
+            run(later -> core.cancel(pending));
+          }
+        });
+    core.admit(pending, now);
+    return future;
+  }
+
+  private static boolean mayHaveRun(DispatchOutcome outcome) {
+    return outcome != DispatchOutcome.UNREACHABLE && outcome != DispatchOutcome.REJECTED;
+  }
+
+  private static CompletableFuture<Dispatch> failed(ErrorKind kind, String message) {
+    return CompletableFuture.failedFuture(new AgatefieldException(kind, message));
+  }
+
+  /** A step under the lock. */
+  @FunctionalInterface
+  private interface Step<T> {
+    T at(long nowNanoseconds);
+  }
+
+  /** A step under the lock without a result. */
+  @FunctionalInterface
+  private interface Action {
+    void at(long nowNanoseconds);
+  }
+
+  private void run(Action action) {
+    supply(
+        now -> {
+          action.at(now);
+          return true;
+        });
+  }
+
+  private <T> T supply(Step<T> step) {
+    T result;
+    List<Runnable> completions;
+    lock.lock();
+    try {
+      core.refresh(instances.leavingUpstreams());
+      result = step.at(clock.getAsLong());
+      completions = core.takeCompletions();
+    } finally {
+      lock.unlock();
+    }
+    completions.forEach(Runnable::run);
+    return result;
+  }
+
+  private <T> T locked(Supplier<T> supplier) {
+    lock.lock();
+    try {
+      return supplier.get();
+    } finally {
+      lock.unlock();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/RunnerState.java
@@ -0,0 +1,73 @@
+package org.agatefield.daemon.dispatch;
+
+import java.util.Set;
+import org.agatefield.admission.ConcurrencyLimit;
+import org.agatefield.admission.LearntLimit;
+import org.agatefield.model.LoadReport;
+import org.agatefield.model.Upstream;
+import org.agatefield.routing.Candidate;
+import org.agatefield.routing.RunnerLoad;
+
+/** What this instance knows of one upstream's load. Confined to the dispatcher's lock. */
+final class RunnerState {
+  private static final int MINIMUM_LIMIT = 1;
+  private static final int INITIAL_LIMIT = 32;
+  private static final int MAXIMUM_LIMIT = 1_024;
+
+  private final RunnerLoad load = new RunnerLoad();
+  private final ConcurrencyLimit limit =
+      new LearntLimit(MINIMUM_LIMIT, INITIAL_LIMIT, MAXIMUM_LIMIT);
+  private LoadReport lastReport;
+  private Set<String> loadedAdapters = Set.of();
+
+  /** Takes in a load report; returns whether the engine was started again since the last one. */
+  boolean reported(LoadReport report, long nowNanoseconds) {
+    if (report == lastReport) {
+      return false;
+    }
+    final boolean restarted =
+        lastReport != null && !lastReport.bootIdentifier().equals(report.bootIdentifier());
+    lastReport = report;
+    loadedAdapters = Set.copyOf(report.adapters());
+    load.reported(report.runningRequests(), report.waitingRequests(), nowNanoseconds);
+    limit.reported(report.runningRequests(), report.waitingRequests());
+    return restarted;
+  }
+
+  void sent() {
+    load.sent();
+  }
+
+  void finished() {
+    load.finished();
+  }
+
+  void succeeded(long nanoseconds, long nowNanoseconds) {
+    limit.succeeded(load.outstanding(nowNanoseconds));
+    load.measured(nanoseconds);
+  }
+
+  void rejected() {
+    limit.rejected();
+  }
+
+  int limit() {
+    return limit.limit();
+  }
+
+  boolean hasPlace(long nowNanoseconds) {
+    return load.outstanding(nowNanoseconds) < limit.limit();
+  }
+
+  Candidate candidate(Upstream upstream, boolean draining, Target target, long nowNanoseconds) {
+    boolean adapterLoaded = target.adapter().map(loadedAdapters::contains).orElse(true);
+    return new Candidate(
+        upstream.name(),
+        upstream.failureDomain().region(),
+        load.outstanding(nowNanoseconds),
+        limit.limit(),
+        draining,
+        adapterLoaded,
+        load.nanosecondsPerRequest());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/TargetIndex.java
@@ -0,0 +1,146 @@
+package org.agatefield.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import org.agatefield.daemon.core.ConfigurationSource;
+import org.agatefield.daemon.core.ReplicaDirectory;
+import org.agatefield.model.Adapter;
+import org.agatefield.model.Caller;
+import org.agatefield.model.ConfigurationDocument;
+import org.agatefield.model.Deployment;
+import org.agatefield.model.DeploymentVersion;
+import org.agatefield.model.Replica;
+import org.agatefield.model.Upstream;
+import org.agatefield.model.UpstreamKind;
+import org.agatefield.model.VersionId;
+import org.agatefield.routing.VersionSplit;
+
+/**
+ * Finds what holds a target, without a search through the whole configuration for each request.
+ *
+ * <p>Rebuilt when the configuration or the list of replicas is another object than before. Confined
+ * to the dispatcher's lock.
+ */
+final class TargetIndex {
+  private final ConfigurationSource configurationSource;
+  private final ReplicaDirectory replicaDirectory;
+  private ConfigurationDocument document;
+  private List<Replica> replicas = List.of();
+  private Map<String, Deployment> deployments = Map.of();
+  private Set<String> leaving = Set.of();
+  private Map<String, Caller> callers = Map.of();
+  private Map<String, Adapter> adapters = Map.of();
+  private Map<String, Upstream> upstreams = Map.of();
+  private Map<String, List<Upstream>> serviceRunners = Map.of();
+  private Map<VersionId, List<Replica>> holders = Map.of();
+
+  TargetIndex(ConfigurationSource configurationSource, ReplicaDirectory replicaDirectory) {
+    this.configurationSource = configurationSource;
+    this.replicaDirectory = replicaDirectory;
+  }
+
+  /** Takes in what changed since the last call; leaving upstreams hold nothing from now on. */
+  void refresh(Set<String> leavingUpstreams) {
+    leaving = leavingUpstreams;
+    refreshConfiguration();
+    List<Replica> currentReplicas = replicaDirectory.replicas();
+    if (currentReplicas != replicas) {
+      replicas = currentReplicas;
+      holders = replicas.stream().collect(Collectors.groupingBy(Replica::version));
+    }
+  }
+
+  private void refreshConfiguration() {
+    ConfigurationDocument current = configurationSource.current();
+    if (current != document) {
+      document = current;
+      deployments = byName(current.deployments(), Deployment::name);
+      adapters = byName(current.adapters(), Adapter::name);
+      upstreams = byName(current.upstreams(), Upstream::name);
+      serviceRunners =
+          current.upstreams().stream()
+              .filter(each -> each.kind() == UpstreamKind.SERVICE_RUNNER)
+              .filter(each -> each.service().isPresent())
+              .collect(Collectors.groupingBy(each -> each.service().get()));
+      callers = byName(current.callers(), Caller::name);
+    }
+  }
+
+  int weightOf(String caller) {
+    Caller known = callers.get(caller);
+    return known == null ? 1 : known.weight();
+  }
+
+  boolean hasService(String service) {
+    return document.service(service).isPresent();
+  }
+
+  Optional<Upstream> upstream(String name) {
+    return Optional.ofNullable(upstreams.get(name));
+  }
+
+  /** Returns the upstreams that hold a target, which a leaving one does not count as. */
+  List<Holder> holders(Target target) {
+    if (target.version().isEmpty()) {
+      return serviceRunners.getOrDefault(target.deployment(), List.of()).stream()
+          .filter(runner -> !leaving.contains(runner.name()))
+          .map(runner -> new Holder(runner, false))
+          .toList();
+    }
+    List<Holder> found = new ArrayList<>();
+    for (Replica replica : holders.getOrDefault(target.version().get(), List.of())) {
+      Upstream upstream = upstreams.get(replica.upstream());
+      if (upstream != null && !leaving.contains(upstream.name()) && serves(replica, target)) {
+        found.add(new Holder(upstream, replica.draining()));
+      }
+    }
+    return found;
+  }
+
+  /** An upstream that holds a target. */
+  record Holder(Upstream upstream, boolean draining) {}
+
+  /** Returns the deployment that a model name means, also where it names an adapter. */
+  Optional<Deployment> deploymentOf(String model) {
+    Deployment deployment = deployments.get(model);
+    if (deployment != null) {
+      return Optional.of(deployment);
+    }
+    return Optional.ofNullable(adapters.get(model))
+        .map(adapter -> deployments.get(adapter.deployment()));
+  }
+
+  /**
+   * Returns the target of a request, the version by weight; another version stands in where that
+   * one is held nowhere.
+   */
+  Target target(String model, Deployment deployment, String requestHash) {
+    Optional<String> adapter =
+        deployments.containsKey(model) ? Optional.empty() : Optional.of(model);
+    List<Target> targets = new ArrayList<>();
+    for (DeploymentVersion version : VersionSplit.ordered(deployment, requestHash)) {
+      targets.add(Target.of(new VersionId(deployment.name(), version.name()), adapter));
+    }
+    return targets.stream()
+        .filter(target -> !holders(target).isEmpty())
+        .findFirst()
+        .orElse(targets.get(0));
+  }
+
+  /** Returns whether the replica has the version and memory for the adapter. */
+  private static boolean serves(Replica replica, Target target) {
+    return target.adapter().isEmpty() || replica.adapters().contains(target.adapter().get());
+  }
+
+  private static <T> Map<String, T> byName(List<T> values, Function<T, String> name) {
+    Map<String, T> index = new HashMap<>();
+    values.forEach(value -> index.put(name.apply(value), value));
+    return index;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/UpstreamTable.java
@@ -0,0 +1,81 @@
+package org.agatefield.daemon.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.agatefield.daemon.core.DispatchOutcome;
+import org.agatefield.daemon.core.ReplicaDirectory;
+import org.agatefield.routing.Candidate;
+import org.agatefield.routing.EligibleUpstreams;
+import org.agatefield.routing.OutlierDetector;
+import org.agatefield.routing.PrefixTable;
+
+/** The load and health of each upstream. Confined to the dispatcher's lock. */
+final class UpstreamTable {
+  private static final long BASE_EJECTION_NANOSECONDS = TimeUnit.SECONDS.toNanos(2);
+
+  private final ReplicaDirectory directory;
+  private final PrefixTable prefixes;
+  private final OutlierDetector outliers = new OutlierDetector(BASE_EJECTION_NANOSECONDS);
+  private final EligibleUpstreams eligible = new EligibleUpstreams(outliers);
+  private final Map<String, RunnerState> states = new HashMap<>();
+
+  UpstreamTable(ReplicaDirectory directory, PrefixTable prefixes) {
+    this.directory = directory;
+    this.prefixes = prefixes;
+  }
+
+  /** Returns the holders that should get requests for the target, with and without a place. */
+  List<Candidate> eligible(
+      Target target, List<TargetIndex.Holder> holders, Set<String> failed, long now) {
+    List<Candidate> candidates = new ArrayList<>(holders.size());
+    for (TargetIndex.Holder holder : holders) {
+      RunnerState state = refreshed(holder.upstream().name(), now);
+      candidates.add(state.candidate(holder.upstream(), holder.draining(), target, now));
+    }
+    return eligible.of(candidates, failed, now);
+  }
+
+  RunnerState state(String upstream) {
+    return states.computeIfAbsent(upstream, ignored -> new RunnerState());
+  }
+
+  void firstPart(String upstream, long nanoseconds, long now) {
+    outliers.firstPart(upstream, nanoseconds, now);
+  }
+
+  /** Records how an attempt ended; returns whether the upstream is now ejected because of it. */
+  boolean finished(RoutedDispatch dispatch, DispatchOutcome outcome, long now) {
+    String upstream = dispatch.upstream().name();
+    RunnerState state = state(upstream);
+    state.finished();
+    switch (outcome) {
+      case SUCCEEDED:
+        state.succeeded(now - dispatch.sentNanoseconds(), now);
+        outliers.succeeded(upstream);
+        return false;
+      case REJECTED:
+        state.rejected();
+        return false;
+      case UNREACHABLE:
+      case FAILED:
+        return outliers.failed(upstream, now);
+      case TIMED_OUT:
+        return !dispatch.isAnswering() && outliers.failed(upstream, now);
+      default:
+        return false;
+    }
+  }
+
+  private RunnerState refreshed(String upstream, long now) {
+    RunnerState state = state(upstream);
+    directory
+        .loadReport(upstream)
+        .filter(report -> state.reported(report, now))
+        .ifPresent(report -> prefixes.forget(upstream));
+    return state;
+  }
+}
