--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/http/BodyReader.java
@@ -0,0 +1,142 @@
+package org.agatefield.daemon.http;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import java.util.concurrent.atomic.AtomicLong;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+
+/**
+ * Reads request bodies within a limit for each and a limit for all that are held at once.
+ *
+ * <p>Invariant: the bytes counted as held are those of bodies that were read or are being read and
+ * not yet released. Safe for use by any thread.
+ */
+final class BodyReader {
+  private static final long INITIAL_CAPACITY_BYTES = 64 * 1024;
+
+  private final long maximumBodyBytes;
+  private final long maximumHeldBytes;
+  private final AtomicLong heldBytes = new AtomicLong();
+
+  BodyReader(long maximumBodyBytes, long maximumHeldBytes) {
+    this.maximumBodyBytes = maximumBodyBytes;
+    this.maximumHeldBytes = maximumHeldBytes;
+  }
+
+  /** Returns the bytes of all bodies that are held. */
+  long heldBytes() {
+    return heldBytes.get();
+  }
+
+  /**
+   * Reads the body; on success the reader of it calls {@link #release} when it is done with it.
+   *
+   * <p>Fails with BODY_TOO_LARGE, OVERLOADED, or INVALID_REQUEST if the body ends too early.
+   */
+  Future<Buffer> read(HttpServerRequest request) {
+    long announced = announcedBytes(request);
+    if (announced > maximumBodyBytes) {
+      return refuse(request, tooLarge());
+    }
+    if (heldBytes.get() + Math.max(0, announced) > maximumHeldBytes) {
+      return refuse(request, overloaded());
+    }
+    if ("100-continue".equalsIgnoreCase(request.getHeader("Expect"))) {
+      request.response().writeContinue();
+    }
+    return new Reading(request, Math.max(0, announced)).begin();
+  }
+
+  /** Gives back the room of a body. */
+  void release(long bytes) {
+    heldBytes.addAndGet(-bytes);
+  }
+
+  private static long announcedBytes(HttpServerRequest request) {
+    String header = request.getHeader("Content-Length");
+    if (header == null) {
+      return -1;
+    }
+    try {
+      return Long.parseLong(header);
+    } catch (NumberFormatException exception) {
+      return Long.MAX_VALUE;
+    }
+  }
+
+  /** Refuses without reading; the connection ends since the body was not taken off it. */
+  private static Future<Buffer> refuse(HttpServerRequest request, AgatefieldException failure) {
+    request.response().putHeader("Connection", "close");
+    return Future.failedFuture(failure);
+  }
+
+  private AgatefieldException tooLarge() {
+    return new AgatefieldException(
+        ErrorKind.BODY_TOO_LARGE, "the body exceeds " + maximumBodyBytes + " bytes");
+  }
+
+  private AgatefieldException overloaded() {
+    return new AgatefieldException(
+        ErrorKind.OVERLOADED, "the bodies held exceed " + maximumHeldBytes + " bytes");
+  }
+
+  /** One body that is being read. Confined to the context of its request. */
+  private final class Reading {
+    private final HttpServerRequest request;
+    private final Promise<Buffer> promise = Promise.promise();
+    private final Buffer body;
+    private long counted;
+    private boolean over;
+
+    private Reading(HttpServerRequest request, long announced) {
+      this.request = request;
+      this.body = Buffer.buffer((int) Math.min(announced, INITIAL_CAPACITY_BYTES));
+    }
+
+    private Future<Buffer> begin() {
+      request.handler(this::take);
+      request.endHandler(ignored -> finish());
+      request.exceptionHandler(ignored -> fail(cutShort()));
+      return promise.future();
+    }
+
+    private void take(Buffer bytes) {
+      if (over) {
+        return;
+      }
+      counted += bytes.length();
+      long held = heldBytes.addAndGet(bytes.length());
+      if (body.length() + (long) bytes.length() > maximumBodyBytes) {
+        fail(tooLarge());
+      } else if (held > maximumHeldBytes) {
+        fail(overloaded());
+      } else {
+        body.appendBuffer(bytes);
+      }
+    }
+
+    private void finish() {
+      if (!over) {
+        over = true;
+        promise.complete(body);
+      }
+    }
+
+    private void fail(AgatefieldException failure) {
+      if (!over) {
+        over = true;
+        release(counted);
+        request.response().putHeader("Connection", "close");
+        promise.fail(failure);
+      }
+    }
+
+    private AgatefieldException cutShort() {
+      return new AgatefieldException(
+          ErrorKind.INVALID_REQUEST, "the body ended before its announced length");
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/http/InvalidRequestHandler.java
@@ -0,0 +1,28 @@
+package org.agatefield.daemon.http;
+
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.vertx.core.Handler;
+import io.vertx.core.http.HttpServerRequest;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+
+/**
+ * Answers requests that the HTTP server could not read: headers that are too large, or malformed.
+ *
+ * <p>Stateless.
+ */
+public final class InvalidRequestHandler implements Handler<HttpServerRequest> {
+  /** Answers with the kind of the fault and ends the connection. */
+  @Override
+  public void handle(HttpServerRequest request) {
+    Throwable cause = request.decoderResult().cause();
+    boolean tooLarge =
+        cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+    ErrorKind kind = tooLarge ? ErrorKind.HEADERS_TOO_LARGE : ErrorKind.INVALID_REQUEST;
+    String message = tooLarge ? "the request headers are too large" : "not a valid HTTP request";
+    request.response().putHeader("Connection", "close");
+    ErrorAnswer.send(request.response(), new AgatefieldException(kind, message, cause));
+    request.connection().close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/http/RepeatableCall.java
@@ -0,0 +1,144 @@
+package org.agatefield.daemon.http;
+
+import java.util.concurrent.CompletableFuture;
+import org.agatefield.daemon.core.Dispatch;
+import org.agatefield.daemon.core.DispatchOutcome;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.daemon.core.ServiceRequest;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+
+/**
+ * A call of a plain service that may be run again on another runner when one fails.
+ *
+ * <p>Invariants: one attempt at a time; the result completes once, and cancelling it ends the
+ * running attempt. Safe for use by any thread; the one lock is {@code this}, futures are completed
+ * outside it.
+ */
+final class RepeatableCall {
+  private static final int MAXIMUM_ATTEMPTS = 4;
+  private static final int STATUS_UNAVAILABLE = 503;
+
+  private final CallerApiParts parts;
+  private final UpstreamServiceClient client;
+  private final ServiceRequest request;
+  private final ServiceMessage message;
+  private final RunHistory history = new RunHistory();
+  private final CompletableFuture<ServiceExchange> result = new CompletableFuture<>();
+  private CompletableFuture<?> running;
+  private int attempts;
+
+  RepeatableCall(
+      CallerApiParts parts,
+      UpstreamServiceClient client,
+      ServiceRequest request,
+      ServiceMessage message) {
+    this.parts = parts;
+    this.client = client;
+    this.request = request;
+    this.message = message;
+  }
+
+  CompletableFuture<ServiceExchange> begin() {
+    result.whenComplete((exchange, failure) -> cancelRunning());
+    acquire(parts.dispatcher().acquire(request));
+    return result;
+  }
+
+  private void acquire(CompletableFuture<Dispatch> acquisition) {
+    runs(acquisition);
+    acquisition.whenComplete(
+        (dispatch, failure) -> {
+          if (failure != null) {
+            fail(AgatefieldException.from(failure));
+          } else if (result.isDone()) {
+            dispatch.finished(DispatchOutcome.CANCELLED);
+          } else {
+            send(dispatch);
+          }
+        });
+  }
+
+  private void send(Dispatch dispatch) {
+    synchronized (this) {
+      attempts++;
+      history.sent(dispatch.version());
+    }
+    CompletableFuture<ServiceExchange> exchange =
+        client.send(dispatch.upstream().address(), message);
+    runs(exchange);
+    exchange.whenComplete(
+        (answer, failure) -> {
+          if (failure != null) {
+            attemptFailed(dispatch, AgatefieldException.from(failure));
+          } else {
+            answered(dispatch, answer);
+          }
+        });
+  }
+
+  private void answered(Dispatch dispatch, ServiceExchange answer) {
+    if (answer.status() == STATUS_UNAVAILABLE && mayTryAgain()) {
+      parts
+          .dispatcher()
+          .reacquire(dispatch, DispatchOutcome.REJECTED)
+          .whenComplete(
+              (next, failure) -> {
+                if (failure != null) {
+                  result.complete(answer);
+                } else {
+                  send(next);
+                }
+              });
+      return;
+    }
+    dispatch.firstAnswerPart();
+    boolean rejected = answer.status() == STATUS_UNAVAILABLE;
+    dispatch.finished(rejected ? DispatchOutcome.REJECTED : DispatchOutcome.SUCCEEDED);
+    result.complete(answer);
+  }
+
+  private void attemptFailed(Dispatch dispatch, AgatefieldException failure) {
+    synchronized (this) {
+      history.failed(failure);
+    }
+    if (result.isDone()) {
+      dispatch.finished(DispatchOutcome.CANCELLED);
+      return;
+    }
+    boolean unreachable = failure.kind() == ErrorKind.NO_UPSTREAM;
+    DispatchOutcome outcome = unreachable ? DispatchOutcome.UNREACHABLE : DispatchOutcome.FAILED;
+    if (mayTryAgain()) {
+      acquire(parts.dispatcher().reacquire(dispatch, outcome));
+    } else {
+      dispatch.finished(outcome);
+      fail(failure);
+    }
+  }
+
+  private synchronized boolean mayTryAgain() {
+    return attempts < MAXIMUM_ATTEMPTS;
+  }
+
+  private void fail(AgatefieldException failure) {
+    AgatefieldException told;
+    synchronized (this) {
+      told = history.finalFailure(failure);
+    }
+    result.completeExceptionally(told);
+  }
+
+  private synchronized void runs(CompletableFuture<?> future) {
+    running = future;
+  }
+
+  private void cancelRunning() {
+    CompletableFuture<?> last;
+    synchronized (this) {
+      last = running;
+    }
+    if (last != null) {
+      last.cancel(true);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/http/RequestTerms.java
@@ -0,0 +1,77 @@
+package org.agatefield.daemon.http;
+
+import io.vertx.core.http.HttpServerRequest;
+import java.time.Duration;
+import java.util.Locale;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.Caller;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.Priority;
+
+/**
+ * On what terms a request is served. Immutable.
+ *
+ * @param requestId unique to this arrival
+ * @param caller who sent it
+ * @param priority the priority asked for, limited by what the caller may have
+ * @param deadlineNanoseconds when the caller stops waiting, by the monotonic clock
+ */
+record RequestTerms(String requestId, Caller caller, Priority priority, long deadlineNanoseconds) {
+  private static final String DEADLINE_HEADER = "X-Request-Deadline-Ms";
+  private static final String PRIORITY_HEADER = "X-Request-Priority";
+  private static final long MAXIMUM_DEADLINE_MILLISECONDS = 24L * 60 * 60 * 1000;
+
+  /**
+   * Reads the terms from the headers of a request.
+   *
+   * @throws AgatefieldException of kind INVALID_REQUEST if a header is malformed
+   */
+  static RequestTerms read(
+      HttpServerRequest request, String requestId, Caller caller, Duration defaultDeadline) {
+    long remaining = deadline(request.getHeader(DEADLINE_HEADER), defaultDeadline.toMillis());
+    Priority priority = priority(request.getHeader(PRIORITY_HEADER));
+    long deadline = System.nanoTime() + Duration.ofMillis(remaining).toNanos();
+    return new RequestTerms(requestId, caller, lower(priority, caller.priority()), deadline);
+  }
+
+  /** Returns the lower of two priorities. */
+  static Priority lower(Priority one, Priority other) {
+    return one.compareTo(other) <= 0 ? one : other;
+  }
+
+  /** Returns the time until the deadline, from now; zero if it has passed. */
+  Duration remaining() {
+    return Duration.ofNanos(Math.max(0, deadlineNanoseconds - System.nanoTime()));
+  }
+
+  private static long deadline(String header, long defaultMilliseconds) {
+    if (header == null) {
+      return defaultMilliseconds;
+    }
+    try {
+      long milliseconds = Long.parseLong(header.trim());
+      if (milliseconds >= 0) {
+        return Math.min(milliseconds, MAXIMUM_DEADLINE_MILLISECONDS);
+      }
+    } catch (NumberFormatException exception) {
+      // Answered below, like a negative number.
+    }
+    throw new AgatefieldException(
+        ErrorKind.INVALID_REQUEST,
+        DEADLINE_HEADER + ": '" + header + "' is not a number of milliseconds, 0 or more");
+  }
+
+  private static Priority priority(String header) {
+    if (header == null) {
+      return Priority.STANDARD;
+    }
+    try {
+      return Priority.valueOf(header.trim().toUpperCase(Locale.ROOT));
+    } catch (IllegalArgumentException exception) {
+      throw new AgatefieldException(
+          ErrorKind.INVALID_REQUEST,
+          PRIORITY_HEADER + ": '" + header + "' is not one of batch, standard, interactive",
+          exception);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ServiceHandler.java
@@ -0,0 +1,181 @@
+package org.agatefield.daemon.http;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import io.vertx.ext.web.RoutingContext;
+import java.security.MessageDigest;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.agatefield.daemon.core.NonRepeatableCall;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.daemon.core.ServiceRequest;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.PlainService;
+import org.apache.commons.codec.binary.Hex;
+import org.apache.commons.codec.digest.DigestUtils;
+
+/**
+ * Serves calls of plain services: those that may repeat with a retry on another runner, the others
+ * at most once under their idempotency key.
+ *
+ * <p>Safe for use by any thread; each call is confined to the context of its request.
+ */
+final class ServiceHandler {
+  private static final String KEY_HEADER = "Idempotency-Key";
+  private static final int MAXIMUM_KEY_LENGTH = 255;
+  private static final String[] PASSED_ON_HEADERS = {
+    "Content-Type", "Accept", "Accept-Language", "If-Match", "If-None-Match", "User-Agent"
+  };
+
+  private final CallerApiParts parts;
+  private final UpstreamServiceClient client;
+
+  ServiceHandler(CallerApiParts parts) {
+    this.parts = parts;
+    this.client = new UpstreamServiceClient(parts.vertx());
+  }
+
+  /** Serves a call whose body was read. */
+  void handle(RoutingContext context, RequestTerms terms, Buffer body, Runnable afterwards) {
+    HttpServerRequest request = context.request();
+    PlainService service = service(context.pathParam("name"));
+    String target = request.uri().substring("/services/".length() + service.name().length());
+    String path = target.startsWith("/") ? target : "/" + target;
+    CompletableFuture<ServiceExchange> answer;
+    if (service.isRepeatable(request.method().name(), pathOnly(path))) {
+      answer = repeatable(request, service, path, terms, body);
+    } else {
+      answer = nonRepeatable(request, service, path, terms, body);
+    }
+    new ServiceAnswer(parts, context, terms, answer, afterwards).begin();
+  }
+
+  private PlainService service(String name) {
+    return parts
+        .configuration()
+        .current()
+        .service(name)
+        .orElseThrow(
+            () ->
+                new AgatefieldException(
+                    ErrorKind.NOT_FOUND, "no service of the name '" + name + "' is configured"));
+  }
+
+  private static String pathOnly(String path) {
+    int query = path.indexOf('?');
+    return query < 0 ? path : path.substring(0, query);
+  }
+
+  private CompletableFuture<ServiceExchange> repeatable(
+      HttpServerRequest request,
+      PlainService service,
+      String path,
+      RequestTerms terms,
+      Buffer body) {
+    ServiceMessage message = message(request, service, path, terms, body);
+    ServiceRequest serviceRequest = serviceRequest(service, terms, body);
+    return new RepeatableCall(parts, client, serviceRequest, message).begin();
+  }
+
+  /** The result is a copy: giving it up does not disturb the call. */
+  private CompletableFuture<ServiceExchange> nonRepeatable(
+      HttpServerRequest request,
+      PlainService service,
+      String path,
+      RequestTerms terms,
+      Buffer body) {
+    String key = key(request);
+    ServiceMessage message = message(request, service, path, terms, body);
+    NonRepeatableCall call =
+        new NonRepeatableCall(
+            terms.requestId(),
+            terms.caller().name(),
+            service,
+            request.method().name(),
+            path,
+            key,
+            digest(request.method().name(), path, body),
+            terms.remaining());
+    return parts
+        .nonRepeatableCalls()
+        .execute(
+            call,
+            serviceRequest(service, terms, body),
+            parts.dispatcher(),
+            runner -> client.sendOnce(runner, message))
+        .copy();
+  }
+
+  private static String key(HttpServerRequest request) {
+    String key = request.getHeader(KEY_HEADER);
+    if (key == null || key.isBlank()) {
+      throw new AgatefieldException(
+          ErrorKind.MISSING_IDEMPOTENCY_KEY,
+          "the call must not repeat, so it needs the header '" + KEY_HEADER + "'");
+    }
+    boolean printable = key.chars().allMatch(character -> character > ' ' && character < 127);
+    if (key.length() > MAXIMUM_KEY_LENGTH || !printable) {
+      throw new AgatefieldException(
+          ErrorKind.INVALID_REQUEST,
+          KEY_HEADER + ": must be 1 to " + MAXIMUM_KEY_LENGTH + " printable ASCII characters");
+    }
+    if (request.headers().getAll(KEY_HEADER).size() > 1) {
+      throw new AgatefieldException(
+          ErrorKind.INVALID_REQUEST, KEY_HEADER + ": must be given once only");
+    }
+    return key;
+  }
+
+  private static String digest(String method, String path, Buffer body) {
+    MessageDigest digest = DigestUtils.getSha256Digest();
+    DigestUtils.updateDigest(digest, method + "\n" + path + "\n");
+    DigestUtils.updateDigest(digest, body.getBytes());
+    return Hex.encodeHexString(digest.digest());
+  }
+
+  private static ServiceRequest serviceRequest(
+      PlainService service, RequestTerms terms, Buffer body) {
+    return new ServiceRequest(
+        terms.requestId(),
+        terms.caller().name(),
+        service.name(),
+        terms.priority(),
+        terms.remaining(),
+        body.length());
+  }
+
+  private static ServiceMessage message(
+      HttpServerRequest request,
+      PlainService service,
+      String path,
+      RequestTerms terms,
+      Buffer body) {
+    Map<String, String> headers = new HashMap<>();
+    for (String name : PASSED_ON_HEADERS) {
+      String value = request.getHeader(name);
+      if (value != null) {
+        headers.put(name, value);
+      }
+    }
+    headers.put("X-Request-Id", terms.requestId());
+    String key = request.getHeader(KEY_HEADER);
+    if (key != null) {
+      headers.put(KEY_HEADER, key);
+    }
+    Duration timeout = Duration.ofMillis(service.timeoutMilliseconds());
+    return new ServiceMessage(request.method(), path, headers, body, timeout);
+  }
+
+  /** Writes a whole answer. */
+  static void write(HttpServerResponse response, ServiceExchange exchange) {
+    response.setStatusCode(exchange.status());
+    for (ServiceExchange.Header header : exchange.headers()) {
+      response.headers().add(header.name(), header.value());
+    }
+    response.end(exchange.body());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/http/StreamedAnswer.java
@@ -0,0 +1,102 @@
+package org.agatefield.daemon.http;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+import java.util.ArrayList;
+import java.util.List;
+import org.agatefield.engine.EngineAnswerPart;
+import org.agatefield.model.AgatefieldException;
+
+/**
+ * An answer that is written as server-sent events, each as soon as it comes.
+ *
+ * <p>Invariants: no token is written twice, also when a later attempt repeats some; the part with
+ * the finish reason and what follows it is held back until the attempt is known to be whole.
+ */
+final class StreamedAnswer implements CallerAnswer {
+  private static final Buffer DATA_FIELD = Buffer.buffer("data: ");
+  private static final Buffer EVENT_END = Buffer.buffer("\n\n");
+  private static final Buffer END_MARKER = Buffer.buffer("data: [DONE]\n\n");
+  private static final Buffer ERROR_EVENT = Buffer.buffer("event: error\ndata: ");
+
+  private final HttpServerRequest request;
+  private final HttpServerResponse response;
+  private final AnswerNames names;
+  private final List<EngineAnswerPart> heldBack = new ArrayList<>();
+  private boolean resumed;
+  private int tokens;
+
+  StreamedAnswer(HttpServerRequest request, AnswerNames names) {
+    this.request = request;
+    this.response = request.response();
+    this.names = names;
+  }
+
+  @Override
+  public void part(EngineAnswerPart part) {
+    if (part.finished() || !heldBack.isEmpty()) {
+      heldBack.add(part);
+      return;
+    }
+    if (resumed && part.tokens() <= tokens) {
+      return;
+    }
+    tokens = part.tokens();
+    write(part);
+  }
+
+  @Override
+  public void attemptFailed() {
+    heldBack.clear();
+    resumed = response.headWritten();
+  }
+
+  @Override
+  public int writtenTokens() {
+    return tokens;
+  }
+
+  @Override
+  public boolean isFull() {
+    return response.writeQueueFull();
+  }
+
+  @Override
+  public void onDrained(Runnable action) {
+    response.drainHandler(ignored -> action.run());
+  }
+
+  @Override
+  public void succeed() {
+    heldBack.forEach(this::write);
+    begin();
+    response.end(END_MARKER);
+  }
+
+  @Override
+  public void fail(AgatefieldException failure) {
+    if (!response.headWritten()) {
+      ErrorAnswer.send(response, failure);
+      return;
+    }
+    Buffer event =
+        ERROR_EVENT.copy().appendBuffer(ErrorAnswer.body(failure)).appendBuffer(EVENT_END);
+    response.write(event).onComplete(ignored -> request.connection().close());
+  }
+
+  private void write(EngineAnswerPart part) {
+    begin();
+    Buffer data = part.renamed(names.id(), names.model());
+    Buffer event = Buffer.buffer(DATA_FIELD.length() + data.length() + EVENT_END.length());
+    response.write(event.appendBuffer(DATA_FIELD).appendBuffer(data).appendBuffer(EVENT_END));
+  }
+
+  private void begin() {
+    if (!response.headWritten()) {
+      response.setChunked(true);
+      response.putHeader("content-type", "text/event-stream");
+      response.putHeader("cache-control", "no-cache");
+    }
+  }
+}
