--- /dev/null
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/CallsBench.java
@@ -0,0 +1,274 @@
+package org.agatefield.fleet.calls;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
+import org.agatefield.daemon.calls.CallLimits;
+import org.agatefield.daemon.calls.OutcomeQuery;
+import org.agatefield.daemon.calls.StoreBackedCalls;
+import org.agatefield.daemon.core.Dispatch;
+import org.agatefield.daemon.core.DispatchOutcome;
+import org.agatefield.daemon.core.Dispatcher;
+import org.agatefield.daemon.core.InstanceDirectory;
+import org.agatefield.daemon.core.InvariantMonitor;
+import org.agatefield.daemon.core.ModelRequest;
+import org.agatefield.daemon.core.NonRepeatableCall;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.daemon.core.ServiceRequest;
+import org.agatefield.daemon.core.StepHook;
+import org.agatefield.model.Address;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.Closer;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.FailureDomain;
+import org.agatefield.model.Instance;
+import org.agatefield.model.InstanceState;
+import org.agatefield.model.PlainService;
+import org.agatefield.model.Priority;
+import org.agatefield.model.Upstream;
+import org.agatefield.model.UpstreamKind;
+import org.agatefield.model.VersionId;
+import org.agatefield.platform.HttpObjectStore;
+import org.agatefield.standin.store.ObjectTable;
+import org.agatefield.standin.store.StoreServer;
+
+/**
+ * Several instances' calls that must not repeat, over one stand-in store, in one process.
+ *
+ * <p>The service is a function that counts executions by key. Safe for use by any thread.
+ */
+final class CallsBench implements AutoCloseable {
+  static final Duration STORE_TIMEOUT = Duration.ofMillis(500);
+
+  final Vertx vertx = Vertx.vertx();
+  final Map<String, Integer> executions = new ConcurrentHashMap<>();
+  final List<String> violations = new CopyOnWriteArrayList<>();
+  final Set<String> aliveInstances = ConcurrentHashMap.newKeySet();
+  final Closer closer = new Closer();
+  private final Address storeAddress;
+
+  CallsBench() {
+    closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
+    HttpServer server =
+        new StoreServer(vertx, new ObjectTable())
+            .listen(0)
+            .toCompletionStage()
+            .toCompletableFuture()
+            .join();
+    storeAddress = new Address("127.0.0.1", server.actualPort());
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+
+  /** Sets the store's faults, as JSON. */
+  void storeFaults(String faults) {
+    http("POST", "/faults", faults);
+  }
+
+  /** Returns the store's counts, as JSON. */
+  String storeCounts() {
+    return http("GET", "/counts", "");
+  }
+
+  HttpObjectStore newStore() {
+    return closer.register(new HttpObjectStore(vertx, storeAddress, STORE_TIMEOUT));
+  }
+
+  StoreBackedCalls newInstance(String id, StepHook hook, OutcomeQuery outcomes) {
+    aliveInstances.add(id);
+    CallLimits limits =
+        new CallLimits(
+            Duration.ofHours(1),
+            Duration.ofMinutes(1),
+            Duration.ofSeconds(1),
+            Duration.ofMillis(300),
+            Duration.ofMinutes(1));
+    return closer.register(
+        new StoreBackedCalls(
+            vertx,
+            newStore(),
+            new Directory(id),
+            outcomes,
+            limits,
+            hook,
+            new Monitor(),
+            new MetricRegistry()));
+  }
+
+  /** Returns a sender that executes the call and answers when {@code answer} says so. */
+  NonRepeatableCall.Sender sender(
+      String key, Function<Integer, CompletableFuture<ServiceExchange>> answer) {
+    return upstream -> answer.apply(executions.merge(key, 1, Integer::sum));
+  }
+
+  static ServiceExchange exchange(String body) {
+    return new ServiceExchange(
+        201,
+        List.of(new ServiceExchange.Header("Content-Type", "application/json")),
+        Buffer.buffer(body));
+  }
+
+  CompletableFuture<ServiceExchange> call(
+      StoreBackedCalls instance,
+      String key,
+      String body,
+      Duration remaining,
+      NonRepeatableCall.Sender sender) {
+    PlainService service = new PlainService("booking", List.of(), Optional.empty(), 2_000);
+    return call(instance, service, key, body, remaining, new FreeDispatcher(), sender);
+  }
+
+  CompletableFuture<ServiceExchange> call(
+      StoreBackedCalls instance,
+      PlainService service,
+      String key,
+      String body,
+      Duration remaining,
+      Dispatcher dispatcher,
+      NonRepeatableCall.Sender sender) {
+    NonRepeatableCall call =
+        new NonRepeatableCall(
+            "request", "caller", service, "POST", "/bookings", key, body, remaining);
+    ServiceRequest request =
+        new ServiceRequest("request", "caller", "booking", Priority.values()[0], remaining, 10);
+    return instance.execute(call, request, dispatcher, sender);
+  }
+
+  private String http(String method, String path, String body) {
+    java.net.http.HttpRequest request =
+        java.net.http.HttpRequest.newBuilder(java.net.URI.create("http://" + storeAddress + path))
+            .method(method, java.net.http.HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    try {
+      return java.net.http.HttpClient.newHttpClient()
+          .send(request, java.net.http.HttpResponse.BodyHandlers.ofString())
+          .body();
+    } catch (Exception exception) {
+      throw new IllegalStateException(exception);
+    }
+  }
+
+  private final class Directory implements InstanceDirectory {
+    private final String id;
+
+    Directory(String id) {
+      this.id = id;
+    }
+
+    @Override
+    public Instance self() {
+      return instance(id);
+    }
+
+    @Override
+    public Collection<Instance> alive() {
+      return new ArrayList<>(aliveInstances).stream().map(CallsBench::instance).toList();
+    }
+
+    @Override
+    public Set<String> leavingUpstreams() {
+      return Set.of();
+    }
+  }
+
+  private static Instance instance(String id) {
+    Address address = new Address("127.0.0.1", 1);
+    return new Instance(id, address, address, new FailureDomain("r", "f"), InstanceState.LIVE);
+  }
+
+  private final class Monitor implements InvariantMonitor {
+    @Override
+    public void check(
+        Promise promise, boolean holds, java.util.function.Supplier<String> evidence) {
+      if (!holds) {
+        violations.add(promise + ": " + evidence.get());
+      }
+    }
+
+    @Override
+    public long violations() {
+      return violations.size();
+    }
+  }
+
+  /** Admits everything; gives no second upstream unless there are some left. */
+  static final class FreeDispatcher implements Dispatcher {
+    private final AtomicLong attempts = new AtomicLong();
+    private final int upstreams;
+
+    FreeDispatcher() {
+      this(1);
+    }
+
+    FreeDispatcher(int upstreams) {
+      this.upstreams = upstreams;
+    }
+
+    @Override
+    public CompletableFuture<Dispatch> acquire(ModelRequest request) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Dispatch> acquire(ServiceRequest request) {
+      long number = attempts.incrementAndGet();
+      if (number > upstreams) {
+        return CompletableFuture.failedFuture(
+            new AgatefieldException(ErrorKind.NO_UPSTREAM, "no upstream left"));
+      }
+      return CompletableFuture.completedFuture(new FreeDispatch(number));
+    }
+
+    @Override
+    public CompletableFuture<Dispatch> reacquire(Dispatch failed, DispatchOutcome outcome) {
+      return acquire((ServiceRequest) null);
+    }
+  }
+
+  private record FreeDispatch(long attemptNumber) implements Dispatch {
+    @Override
+    public Upstream upstream() {
+      return new Upstream(
+          "runner",
+          UpstreamKind.values()[0],
+          new Address("127.0.0.1", 1),
+          new FailureDomain("r", "f"),
+          0,
+          0,
+          false,
+          Optional.of("booking"));
+    }
+
+    @Override
+    public Optional<VersionId> version() {
+      return Optional.empty();
+    }
+
+    @Override
+    public Optional<String> adapter() {
+      return Optional.empty();
+    }
+
+    @Override
+    public void firstAnswerPart() {}
+
+    @Override
+    public void finished(DispatchOutcome outcome) {}
+  }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/StoreBackedCallsTest.java
@@ -0,0 +1,345 @@
+package org.agatefield.fleet.calls;
+
+import static org.agatefield.fleet.calls.CallsBench.exchange;
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.vertx.core.buffer.Buffer;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.agatefield.daemon.calls.OutcomeQuery;
+import org.agatefield.daemon.calls.StoreBackedCalls;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.daemon.core.Step;
+import org.agatefield.daemon.core.StepHook;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.PlainService;
+import org.agatefield.model.RunState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Requirements REQ-AT-MOST-ONCE and REQ-TRUE-REFUSAL over the HTTP stand-in store. */
+class StoreBackedCallsTest {
+  private static final Duration LONG = Duration.ofSeconds(60);
+  private static final Duration GENEROUS = Duration.ofSeconds(60);
+
+  private final CallsBench bench = new CallsBench();
+
+  @AfterEach
+  void close() {
+    bench.close();
+    assertEquals(List.of(), bench.violations);
+  }
+
+  private StoreBackedCalls instance(String id) {
+    return bench.newInstance(id, StepHook.NONE, OutcomeQuery.NONE);
+  }
+
+  private CompletableFuture<ServiceExchange> book(StoreBackedCalls instance, String key) {
+    return bench.call(instance, key, "body", LONG, bench.sender(key, this::answerAtOnce));
+  }
+
+  private CompletableFuture<ServiceExchange> answerAtOnce(int execution) {
+    return CompletableFuture.completedFuture(exchange("execution " + execution));
+  }
+
+  private static AgatefieldException failureOf(CompletableFuture<?> future) {
+    return AgatefieldException.from(assertThrows(CompletionException.class, future::join));
+  }
+
+  @Test
+  void retryAtAnotherInstanceGetsTheSameAnswer() {
+    ServiceExchange first = book(instance("a"), "key").join();
+    ServiceExchange second = book(instance("b"), "key").join();
+    assertEquals(exchange("execution 1"), first);
+    assertEquals(first, second);
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void retriesToAllInstancesAtOnceRunOnce() {
+    List<CompletableFuture<ServiceExchange>> answers = new ArrayList<>();
+    for (int index = 0; index < 8; index++) {
+      StoreBackedCalls instance = instance("instance-" + index);
+      for (int retry = 0; retry < 5; retry++) {
+        answers.add(book(instance, "key"));
+      }
+    }
+    for (CompletableFuture<ServiceExchange> answer : answers) {
+      assertEquals(exchange("execution 1"), answer.join());
+    }
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void sameKeyWithAnotherBodyIsRefused() {
+    book(instance("a"), "key").join();
+    AgatefieldException failure =
+        failureOf(
+            bench.call(
+                instance("b"), "key", "other", LONG, bench.sender("key", this::answerAtOnce)));
+    assertEquals(ErrorKind.KEY_REUSED, failure.kind());
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void answerOfSeveralMegabytesIsKeptWhole() {
+    String large = "x".repeat(3_000_000) + "end";
+    StoreBackedCalls first = instance("a");
+    bench
+        .call(
+            first,
+            "key",
+            "body",
+            LONG,
+            bench.sender("key", count -> CompletableFuture.completedFuture(exchange(large))))
+        .join();
+    ServiceExchange again = book(instance("b"), "key").join();
+    assertEquals(Buffer.buffer(large), again.body());
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void lostAnswerToTheClaimIsReadBackAndTheCallRuns() {
+    bench.storeFaults("{\"loseAnswersAfterEffect\":1,\"kind\":\"claims\",\"verb\":\"create\"}");
+    assertEquals(exchange("execution 1"), book(instance("a"), "key").join());
+    assertEquals(exchange("execution 1"), book(instance("b"), "key").join());
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void lostAnswerToTheOutcomeIsReadBack() {
+    bench.storeFaults("{\"loseAnswersAfterEffect\":1,\"kind\":\"claims\",\"verb\":\"update\"}");
+    StoreBackedCalls first = instance("a");
+    assertEquals(exchange("execution 1"), book(first, "key").join());
+    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
+    assertEquals(exchange("execution 1"), book(instance("b"), "key").join());
+  }
+
+  @Test
+  void claimThatTakesEffectLateIsNotSentForAndIsRemoved() {
+    bench.storeFaults(
+        "{\"delayEffectMilliseconds\":1500,\"delayEffectCount\":1,"
+            + "\"kind\":\"claims\",\"verb\":\"create\"}");
+    StoreBackedCalls first = instance("a");
+    AgatefieldException failure = failureOf(book(first, "key"));
+    assertEquals(ErrorKind.STORE_UNAVAILABLE, failure.kind());
+    assertEquals(RunState.NO, failure.runState());
+    assertEquals(Map.of(), bench.executions);
+    await().atMost(GENEROUS).until(() -> bench.storeCounts().contains("\"delete\":{\"claims\":1}"));
+    assertEquals(exchange("execution 1"), book(instance("b"), "key").join());
+  }
+
+  @Test
+  void storeDownBeforeTheClaimIsRefusedWithATimeToComeBack() {
+    bench.storeFaults("{\"down\":true}");
+    StoreBackedCalls first = instance("a");
+    AgatefieldException failure = failureOf(book(first, "key"));
+    assertEquals(ErrorKind.STORE_UNAVAILABLE, failure.kind());
+    assertEquals(RunState.UNKNOWN, failure.runState());
+    assertEquals(true, failure.retryAfter().isPresent());
+    bench.storeFaults("{}");
+    assertEquals(exchange("execution 1"), book(first, "key").join());
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void outcomeIsServedAndKeptWhileTheStoreIsDown() {
+    StoreBackedCalls first = instance("a");
+    CompletableFuture<ServiceExchange> answer = new CompletableFuture<>();
+    CompletableFuture<ServiceExchange> caller =
+        bench.call(first, "key", "body", LONG, bench.sender("key", count -> answer));
+    await().atMost(GENEROUS).until(() -> bench.executions.containsKey("key"));
+    bench.storeFaults("{\"down\":true}");
+    answer.complete(exchange("late"));
+    assertEquals(exchange("late"), caller.join());
+    assertEquals(exchange("late"), book(first, "key").join());
+    assertEquals(1, first.runningCalls());
+    bench.storeFaults("{}");
+    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
+    assertEquals(exchange("late"), book(instance("b"), "key").join());
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void answerThatComesAfterTheCallerHasGoneIsKept() {
+    StoreBackedCalls first = instance("a");
+    CompletableFuture<ServiceExchange> answer = new CompletableFuture<>();
+    CompletableFuture<ServiceExchange> caller =
+        bench.call(
+            first, "key", "body", Duration.ofSeconds(1), bench.sender("key", count -> answer));
+    AgatefieldException failure = failureOf(caller);
+    assertEquals(ErrorKind.DEADLINE_EXCEEDED, failure.kind());
+    answer.complete(exchange("late"));
+    assertEquals(exchange("late"), book(instance("b"), "key").join());
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void callOfDeadInstanceIsNeverRunAgain() {
+    StoreBackedCalls first = instance("dead");
+    bench.call(first, "key", "body", LONG, bench.sender("key", count -> new CompletableFuture<>()));
+    await().atMost(GENEROUS).until(() -> bench.executions.containsKey("key"));
+    bench.aliveInstances.remove("dead");
+    AgatefieldException failure = failureOf(book(instance("b"), "key"));
+    assertEquals(ErrorKind.OUTCOME_UNKNOWN, failure.kind());
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void serviceIsAskedForTheOutcomeOfDeadInstance() {
+    StoreBackedCalls first = instance("dead");
+    bench.call(first, "key", "body", LONG, bench.sender("key", count -> new CompletableFuture<>()));
+    await().atMost(GENEROUS).until(() -> bench.executions.containsKey("key"));
+    bench.aliveInstances.remove("dead");
+    OutcomeQuery query = call -> CompletableFuture.completedFuture(Optional.of(exchange("asked")));
+    StoreBackedCalls asking = bench.newInstance("b", StepHook.NONE, query);
+    PlainService service =
+        new PlainService("booking", List.of(), Optional.of("/outcomes/{key}"), 2_000);
+    ServiceExchange learnt =
+        bench
+            .call(
+                asking,
+                service,
+                "key",
+                "body",
+                LONG,
+                new CallsBench.FreeDispatcher(),
+                bench.sender("key", this::answerAtOnce))
+            .join();
+    assertEquals(exchange("asked"), learnt);
+    StoreBackedCalls third = instance("c");
+    await()
+        .atMost(GENEROUS)
+        .untilAsserted(() -> assertEquals(exchange("asked"), book(third, "key").join()));
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void callThatRunsElsewhereIsInProgressAfterTheJoinLimit() {
+    CompletableFuture<ServiceExchange> answer = new CompletableFuture<>();
+    bench.call(instance("a"), "key", "body", LONG, bench.sender("key", count -> answer));
+    await().atMost(GENEROUS).until(() -> bench.executions.containsKey("key"));
+    StoreBackedCalls second = instance("b");
+    AgatefieldException failure = failureOf(book(second, "key"));
+    assertEquals(ErrorKind.KEY_IN_PROGRESS, failure.kind());
+    answer.complete(exchange("done"));
+    await()
+        .atMost(GENEROUS)
+        .untilAsserted(() -> assertEquals(exchange("done"), book(second, "key").join()));
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void refusedConnectionReleasesTheClaimAndRetryRuns() {
+    StoreBackedCalls first = instance("a");
+    AgatefieldException refused =
+        new AgatefieldException(ErrorKind.NO_UPSTREAM, "connection refused");
+    AgatefieldException failure =
+        failureOf(
+            bench.call(
+                first, "key", "body", LONG, upstream -> CompletableFuture.failedFuture(refused)));
+    assertEquals(RunState.NO, failure.runState());
+    assertEquals(exchange("execution 1"), book(first, "key").join());
+  }
+
+  @Test
+  void secondUpstreamIsTriedOnProofThatNothingWasSent() {
+    AgatefieldException refused =
+        new AgatefieldException(ErrorKind.NO_UPSTREAM, "connection refused");
+    List<String> tries = new ArrayList<>();
+    ServiceExchange answer =
+        bench
+            .call(
+                instance("a"),
+                new PlainService("booking", List.of(), Optional.empty(), 2_000),
+                "key",
+                "body",
+                LONG,
+                new CallsBench.FreeDispatcher(2),
+                upstream -> {
+                  tries.add("try");
+                  return tries.size() == 1
+                      ? CompletableFuture.failedFuture(refused)
+                      : CompletableFuture.completedFuture(exchange("second"));
+                })
+            .join();
+    assertEquals(exchange("second"), answer);
+    assertEquals(2, tries.size());
+  }
+
+  @Test
+  void brokenConnectionAfterSendingIsNeverRunAgain() {
+    AgatefieldException reset = new AgatefieldException(ErrorKind.UPSTREAM_FAILED, "reset");
+    StoreBackedCalls first = instance("a");
+    AgatefieldException failure =
+        failureOf(
+            bench.call(
+                first,
+                "key",
+                "body",
+                LONG,
+                bench.sender("key", count -> CompletableFuture.failedFuture(reset))));
+    assertEquals(ErrorKind.UPSTREAM_FAILED, failure.kind());
+    assertEquals(RunState.UNKNOWN, failure.runState());
+    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
+    assertEquals(ErrorKind.OUTCOME_UNKNOWN, failureOf(book(first, "key")).kind());
+    assertEquals(ErrorKind.OUTCOME_UNKNOWN, failureOf(book(instance("b"), "key")).kind());
+    assertEquals(Map.of("key", 1), bench.executions);
+  }
+
+  @Test
+  void pauseBetweenClaimAndSendPastTheDeadlineSendsNothing() {
+    CompletableFuture<Void> paused = new CompletableFuture<>();
+    CompletableFuture<Void> wake = new CompletableFuture<>();
+    StepHook hook =
+        (step, subject) -> {
+          if (step == Step.AFTER_CLAIM && paused.complete(null)) {
+            wake.join();
+          }
+        };
+    StoreBackedCalls sleeper = bench.newInstance("sleeper", hook, OutcomeQuery.NONE);
+    CompletableFuture<ServiceExchange> caller =
+        bench.call(
+            sleeper,
+            "key",
+            "body",
+            Duration.ofMillis(200),
+            bench.sender("key", this::answerAtOnce));
+    paused.join();
+    CompletableFuture.delayedExecutor(400, java.util.concurrent.TimeUnit.MILLISECONDS)
+        .execute(() -> wake.complete(null));
+    failureOf(caller);
+    await().atMost(GENEROUS).until(() -> bench.storeCounts().contains("\"delete\""));
+    assertEquals(Map.of(), bench.executions);
+    assertEquals(exchange("execution 1"), book(instance("b"), "key").join());
+  }
+
+  @Test
+  void expiredKeyIsRefused() {
+    String old = "018bcfe5-6800-7000-8000-000000000000";
+    AgatefieldException failure = failureOf(book(instance("a"), old));
+    assertEquals(ErrorKind.KEY_EXPIRED, failure.kind());
+    assertEquals(Map.of(), bench.executions);
+  }
+
+  @Test
+  void bookingTakesTwoWritesAndOneRead() {
+    StoreBackedCalls first = instance("a");
+    for (int index = 0; index < 100; index++) {
+      book(first, "key-" + index).join();
+    }
+    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
+    assertEquals(
+        "{\"calls\":{\"create\":{\"claims\":100},\"get\":{\"claims\":100},"
+            + "\"update\":{\"claims\":100}},\"total\":300,\"waitingWatches\":0}",
+        bench.storeCounts().trim());
+  }
+}
--- a/placement/src/main/java/org/agatefield/placement/LedgerEntry.java
+++ b/placement/src/main/java/org/agatefield/placement/LedgerEntry.java
@@ -32,8 +32,7 @@
 
   /** Returns the memory of the version and all its adapters, whatever the state. */
   public long replicaMegabytes() {
-    return memoryMegabytes
-        + adapters.stream().mapToLong(AdapterReservation::memoryMegabytes).sum();
+    return memoryMegabytes + adapters.stream().mapToLong(AdapterReservation::memoryMegabytes).sum();
   }
 
   /** Returns whether the engine was proved to hold the version and no unload was ordered. */
--- a/placement/src/main/java/org/agatefield/placement/LedgerRules.java
+++ b/placement/src/main/java/org/agatefield/placement/LedgerRules.java
@@ -201,7 +201,10 @@
 
   private static RunnerLedger withHighestToken(RunnerLedger ledger, long token) {
     return new RunnerLedger(
-        ledger.upstream(), ledger.memoryMegabytes(), ledger.plannerToken(), token,
+        ledger.upstream(),
+        ledger.memoryMegabytes(),
+        ledger.plannerToken(),
+        token,
         ledger.entries());
   }
 
--- a/standin/src/main/java/org/agatefield/standin/store/StoreStandinMain.java
+++ b/standin/src/main/java/org/agatefield/standin/store/StoreStandinMain.java
@@ -1,31 +1,30 @@
 package org.agatefield.standin.store;
 
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Vertx;
-import java.util.List;
 
 /**
- * Runs the stand-in store as a process: {@code --port N}, 0 for a free one.
+ * Runs the stand-in store until the process ends. Used from one thread.
  *
  * <p>Prints {@code listening on 127.0.0.1:PORT} once it accepts calls. {@code POST /faults} takes
  * {@link StoreFaults} as JSON, {@code GET /counts} answers the calls by verb and kind.
  */
+@Command(name = "store-standin", description = "runs a stand-in object store")
 public final class StoreStandinMain {
-  private static final int USAGE_EXIT_CODE = 2;
+  @Option(name = "--port", description = "port on loopback; 0 for any free one")
+  private int port;
 
-  private StoreStandinMain() {}
-
-  /** Starts the process. */
+  /** Starts the store and prints its address. */
   public static void main(String[] arguments) {
-    List<String> words = List.of(arguments);
-    if (words.size() != 2 || !words.get(0).equals("--port")) {
-      System.err.println("usage: StoreStandinMain --port N");
-      System.exit(USAGE_EXIT_CODE);
-    }
-    Vertx vertx = Vertx.vertx();
-    vertx
-        .deployVerticle(
-            () -> new StoreVerticle(Integer.parseInt(words.get(1))), new DeploymentOptions())
+    SingleCommand.singleCommand(StoreStandinMain.class).parse(arguments).run();
+  }
+
+  private void run() {
+    Vertx.vertx()
+        .deployVerticle(() -> new StoreVerticle(port), new DeploymentOptions())
         .onFailure(
             failure -> {
               System.err.println("cannot listen: " + failure.getMessage());
