Take an engine's answer to an unload order as evidence, not its report alone

Cause: the stand-in engine's report names only what is wholly loaded, so a load in progress takes memory that the report of versions does not show. Change: memory is released only after the engine answered the last unload order as done to this planner (for engines that ignore tokens, an order sent after the quarantine); loads wait while the engine reports too little free memory; retired entries block a new load on engines that ignore tokens.

--- a/placement/src/main/java/org/agatefield/placement/LedgerRules.java
+++ b/placement/src/main/java/org/agatefield/placement/LedgerRules.java
@@ -161,13 +161,10 @@
   public static RunnerLedger release(RunnerLedger ledger, VersionId version) {
     LedgerEntry entry = existing(ledger, version);
     require(entry.state() == LedgerState.UNLOADING, ledger, version + " is not being unloaded");
-    if (entry.adapters().isEmpty()) {
-      return remove(ledger, version);
-    }
     return replace(ledger, entry.withState(LedgerState.RETIRED));
   }
 
-  /** Forgets a retired version, after no adapter load for it can arrive any more. */
+  /** Forgets a retired version, after no order about it can arrive any more. */
   public static RunnerLedger forget(RunnerLedger ledger, VersionId version) {
     LedgerEntry entry = existing(ledger, version);
     require(entry.state() == LedgerState.RETIRED, ledger, version + " is not retired");
--- a/placement/src/main/java/org/agatefield/placement/LedgerState.java
+++ b/placement/src/main/java/org/agatefield/placement/LedgerState.java
@@ -12,8 +12,9 @@
   UNLOADING,
   /**
    * The engine proved that it no longer holds the version. Takes no memory; kept as long as an
-   * adapter load that was ordered for the earlier replica may still arrive, so that a new replica
-   * of the version on this runner reserves the memory of those adapters too.
+   * unfenced order for the earlier replica may still arrive: a new replica of the version on this
+   * runner reserves the memory of the earlier adapters too, and waits if the engine ignores fencing
+   * tokens.
    */
   RETIRED
 }
--- a/placement/src/main/java/org/agatefield/placement/PlacementDraft.java
+++ b/placement/src/main/java/org/agatefield/placement/PlacementDraft.java
@@ -91,7 +91,10 @@
 
   /** Returns whether the version may be loaded on a runner that has no entry for it. */
   boolean fits(RunnerView view, VersionId version, ReplicaSize size) {
-    return entry(view, version).isEmpty()
+    boolean lateUnloadMayArrive =
+        !view.upstream().checksFencingTokens() && ledger(view).entry(version).isPresent();
+    return !lateUnloadMayArrive
+        && entry(view, version).isEmpty()
         && LedgerRules.reservationMegabytes(
                 ledger(view), version, size.memoryMegabytes(), size.adapters())
             <= freeMegabytes(view);
--- a/placement/src/main/java/org/agatefield/placement/RunnerSteps.java
+++ b/placement/src/main/java/org/agatefield/placement/RunnerSteps.java
@@ -2,20 +2,23 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.agatefield.model.LoadReport;
 import org.agatefield.model.VersionId;
 
 /**
  * Brings a runner to what its ledger says, one step at a time, and releases memory on evidence.
  *
- * <p>Evidence that an engine no longer holds a version and never will by an earlier order:
+ * <p>Evidence that an engine no longer holds a version and never will by an earlier order, where
+ * "unloaded" means that the engine answered to this planner that it carried out the last order to
+ * unload the version (a report does not name what is still being loaded):
  *
  * <ul>
- *   <li>an engine that checks fencing tokens reports the version not held and a highest token that
- *       is at least the token of the order to unload it, which is above those of all orders to load
- *       it;
- *   <li>an engine that ignores tokens reports the version not held, in a report that was asked for
- *       after the planner had seen the order to unload it for the whole quarantine.
+ *   <li>an engine that checks fencing tokens has unloaded the version and then reports it not held
+ *       and a highest token that is at least that of the order, which is above those of all orders
+ *       to load it;
+ *   <li>an engine that ignores tokens has unloaded the version by an order sent after the planner
+ *       had seen that order in the ledger for the whole quarantine, and then reports it not held.
  * </ul>
  *
  * <p>The report must have been asked for after the last order to the runner had ended. Immutable;
@@ -59,7 +62,7 @@
         .or(() -> firstOf(scene, RunnerSteps::recordLoaded))
         .or(() -> firstOf(scene, this::finishUnloading))
         .or(() -> firstOf(scene, RunnerSteps::replaceLost))
-        .or(() -> firstOf(scene, RunnerSteps::unload))
+        .or(() -> firstOf(scene, this::unload))
         .or(() -> firstOf(scene, RunnerSteps::load))
         .or(() -> firstOf(scene, this::forget));
   }
@@ -135,29 +138,30 @@
   }
 
   private Optional<RunnerStep> finishUnloading(Scene scene, LedgerEntry entry) {
-    if (entry.state() != LedgerState.UNLOADING || scene.holds(entry.version())) {
+    if (entry.state() != LedgerState.UNLOADING || !isProvedGone(scene, entry)) {
       return Optional.empty();
     }
-    if (isProvedGone(scene, entry)) {
-      RunnerLedger released = LedgerRules.release(scene.ledger(), entry.version());
-      return Optional.of(RunnerStep.release(released, entry.version() + " is gone"));
-    }
-    if (!scene.checksFencingTokens()) {
-      return Optional.empty();
-    }
-    PlannedOrder raise =
-        new PlannedOrder(PlannedOrder.Action.RAISE_TOKEN, entry.version(), 0, entry.orderToken());
-    return Optional.of(
-        RunnerStep.order(scene.ledger(), raise, entry.version() + " may still be loaded"));
+    RunnerLedger released = LedgerRules.release(scene.ledger(), entry.version());
+    return Optional.of(RunnerStep.release(released, entry.version() + " is gone"));
   }
 
   private boolean isProvedGone(Scene scene, LedgerEntry entry) {
+    String upstream = scene.ledger().upstream();
+    OptionalLong sentAt = scene.ages().unloadSentNanoseconds(upstream, entry);
+    if (scene.holds(entry.version()) || sentAt.isEmpty()) {
+      return false;
+    }
     if (scene.checksFencingTokens()) {
       return scene.report().highestFencingToken() >= entry.orderToken();
     }
-    long firstSeen =
-        scene.ages().firstSeenNanoseconds(scene.ledger().upstream(), entry, scene.nowNanoseconds());
-    return scene.observation().askedAtNanoseconds() - firstSeen >= quarantineNanoseconds;
+    return sentAt.getAsLong() >= quarantineEndNanoseconds(scene, entry);
+  }
+
+  private long quarantineEndNanoseconds(Scene scene, LedgerEntry entry) {
+    return scene
+            .ages()
+            .firstSeenNanoseconds(scene.ledger().upstream(), entry, scene.nowNanoseconds())
+        + quarantineNanoseconds;
   }
 
   private static Optional<RunnerStep> replaceLost(Scene scene, LedgerEntry entry) {
@@ -172,8 +176,8 @@
     return Optional.of(RunnerStep.write(again, entry.version() + " was lost"));
   }
 
-  private static Optional<RunnerStep> unload(Scene scene, LedgerEntry entry) {
-    if (entry.state() != LedgerState.UNLOADING || !scene.holds(entry.version())) {
+  private Optional<RunnerStep> unload(Scene scene, LedgerEntry entry) {
+    if (entry.state() != LedgerState.UNLOADING || isWaiting(scene, entry)) {
       return Optional.empty();
     }
     RunnerLedger ledger = scene.ledger();
@@ -184,8 +188,21 @@
     return Optional.of(RunnerStep.order(ledger, order, entry.version() + " is to go"));
   }
 
+  /** Returns whether the version was unloaded once and only the quarantine is waited for. */
+  private boolean isWaiting(Scene scene, LedgerEntry entry) {
+    OptionalLong sentAt = scene.ages().unloadSentNanoseconds(scene.ledger().upstream(), entry);
+    return !scene.checksFencingTokens()
+        && sentAt.isPresent()
+        && !scene.holds(entry.version())
+        && scene.nowNanoseconds() < quarantineEndNanoseconds(scene, entry);
+  }
+
   private static Optional<RunnerStep> load(Scene scene, LedgerEntry entry) {
-    if (entry.state() != LedgerState.LOADING || scene.ledger().freeMegabytes() < 0) {
+    LoadReport report = scene.report();
+    boolean fits =
+        report.usedMegabytes() + entry.memoryMegabytes() <= report.memoryMegabytes()
+            && scene.ledger().freeMegabytes() >= 0;
+    if (entry.state() != LedgerState.LOADING || !fits) {
       return Optional.empty();
     }
     RunnerLedger ledger = scene.ledger();
