--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationApplication.java
@@ -0,0 +1,143 @@
+package org.agatefield.daemon.configuration;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.agatefield.configuration.ChangeRules;
+import org.agatefield.configuration.ConfigurationDifference;
+import org.agatefield.configuration.ConfigurationFault;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ConfigurationDocument;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.RunState;
+import org.agatefield.platform.ObjectKey;
+import org.agatefield.platform.ObjectKind;
+import org.agatefield.platform.ObjectStore;
+import org.agatefield.platform.StoreException;
+import org.agatefield.platform.StoreFailure;
+import org.agatefield.platform.StoredObject;
+
+/**
+ * One operator's attempt to have a document accepted.
+ *
+ * <p>Invariant: the document is accepted at most once, and only in place of the generation that it
+ * names. Every try carries the same write identifier, so that a try whose answer was lost is
+ * recognised by reading back. Used once.
+ */
+final class ConfigurationApplication {
+  static final ObjectKey CURRENT = new ObjectKey(ObjectKind.CONFIGURATION, "current");
+  private static final int MAXIMUM_TRIES = 8;
+  private static final long RETRY_DELAY_MILLISECONDS = 250;
+
+  private final ObjectStore store;
+  private final ConfigurationHistory history;
+  private final ConfigurationDocument document;
+  private final String writeIdentifier = UUID.randomUUID().toString();
+  private volatile boolean mayHaveTakenEffect;
+
+  ConfigurationApplication(
+      ObjectStore store, ConfigurationHistory history, ConfigurationDocument document) {
+    this.store = store;
+    this.history = history;
+    this.document = document;
+  }
+
+  /** Returns the accepted document; fails with an {@link AgatefieldException}. */
+  CompletableFuture<ConfigurationDocument> run() {
+    return attempt(1);
+  }
+
+  private CompletableFuture<ConfigurationDocument> attempt(int number) {
+    return readCurrent()
+        .thenCompose(this::decide)
+        .exceptionallyCompose(failure -> afterFailure(number, failure));
+  }
+
+  private CompletableFuture<Optional<StoredObject>> readCurrent() {
+    return store
+        .get(CURRENT)
+        .thenApply(Optional::of)
+        .exceptionallyCompose(
+            failure ->
+                isFailure(failure, StoreFailure.NOT_FOUND)
+                    ? CompletableFuture.completedFuture(Optional.empty())
+                    : CompletableFuture.failedFuture(failure));
+  }
+
+  private CompletableFuture<ConfigurationDocument> decide(Optional<StoredObject> found) {
+    if (found.filter(each -> each.writeIdentifiers().contains(writeIdentifier)).isPresent()) {
+      return CompletableFuture.completedFuture(accepted());
+    }
+    ConfigurationDocument base =
+        found.map(ConfigurationCodec::decode).orElse(ConfigurationDocument.empty());
+    if (base.generation() != document.generation()) {
+      return CompletableFuture.failedFuture(
+          new ConfigurationConflictException(ConfigurationDifference.between(base, document)));
+    }
+    List<ConfigurationFault> faults = ChangeRules.check(base, document);
+    if (!faults.isEmpty()) {
+      return CompletableFuture.failedFuture(new ConfigurationRefusedException(faults));
+    }
+    return history.keep(base).thenCompose(kept -> write(found));
+  }
+
+  private CompletableFuture<ConfigurationDocument> write(Optional<StoredObject> found) {
+    var content = ConfigurationCodec.encode(accepted());
+    CompletableFuture<StoredObject> written =
+        found
+            .map(previous -> store.update(previous, writeIdentifier, content))
+            .orElseGet(() -> store.create(CURRENT, writeIdentifier, content));
+    return written
+        .whenComplete((object, failure) -> noteUnknown(failure))
+        .thenApply(object -> accepted());
+  }
+
+  private void noteUnknown(Throwable failure) {
+    if (failure != null && isFailure(failure, StoreFailure.UNKNOWN_RESULT)) {
+      mayHaveTakenEffect = true;
+    }
+  }
+
+  private ConfigurationDocument accepted() {
+    return document.withGeneration(document.generation() + 1);
+  }
+
+  private CompletableFuture<ConfigurationDocument> afterFailure(int number, Throwable failure) {
+    Optional<StoreFailure> storeFailure = StoreException.failureOf(failure);
+    if (storeFailure.isEmpty()) {
+      return CompletableFuture.failedFuture(AgatefieldException.from(failure));
+    }
+    if (storeFailure.get() == StoreFailure.TOO_LARGE) {
+      return CompletableFuture.failedFuture(tooLarge());
+    }
+    boolean pointless = storeFailure.get() == StoreFailure.UNAVAILABLE && !mayHaveTakenEffect;
+    if (pointless || number >= MAXIMUM_TRIES) {
+      return CompletableFuture.failedFuture(storeDown(failure));
+    }
+    Executor later =
+        CompletableFuture.delayedExecutor(RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+    return CompletableFuture.completedFuture(number + 1).thenComposeAsync(this::attempt, later);
+  }
+
+  private ConfigurationRefusedException tooLarge() {
+    return new ConfigurationRefusedException(
+        List.of(
+            new ConfigurationFault("$", "a document too large", "the store holds one megabyte")));
+  }
+
+  private AgatefieldException storeDown(Throwable failure) {
+    RunState state = mayHaveTakenEffect ? RunState.UNKNOWN : RunState.NO;
+    String message =
+        mayHaveTakenEffect
+            ? "the store's answer was lost: the document may be accepted yet; read it back"
+            : "the store cannot be reached; the document was not accepted";
+    return new AgatefieldException(ErrorKind.STORE_UNAVAILABLE, state, message, null, failure);
+  }
+
+  private static boolean isFailure(Throwable failure, StoreFailure kind) {
+    return StoreException.failureOf(failure).filter(kind::equals).isPresent();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationHistory.java
@@ -0,0 +1,89 @@
+package org.agatefield.daemon.configuration;
+
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.agatefield.model.ConfigurationDocument;
+import org.agatefield.platform.ObjectKey;
+import org.agatefield.platform.ObjectKind;
+import org.agatefield.platform.ObjectStore;
+import org.agatefield.platform.StoreException;
+import org.agatefield.platform.StoreFailure;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * The accepted documents before the current one, one object each.
+ *
+ * <p>Invariant: a document is in the history before it is replaced, so that the latest ones are
+ * never missing. Safe for use by any thread.
+ */
+final class ConfigurationHistory {
+  private static final Logger LOGGER = LogManager.getLogger(ConfigurationHistory.class);
+  private static final int RETAINED_GENERATIONS = 200;
+  private static final String NAME_PREFIX = "generation-";
+
+  private final ObjectStore store;
+
+  ConfigurationHistory(ObjectStore store) {
+    this.store = store;
+  }
+
+  /** Keeps a document; completes once it is in the history, whoever wrote it. */
+  CompletableFuture<Void> keep(ConfigurationDocument document) {
+    if (document.generation() == 0) {
+      return CompletableFuture.completedFuture(null);
+    }
+    return store
+        .create(
+            key(document.generation()),
+            UUID.randomUUID().toString(),
+            ConfigurationCodec.encode(document))
+        .<Void>thenApply(created -> null)
+        .exceptionallyCompose(ConfigurationHistory::acceptExisting);
+  }
+
+  private static CompletableFuture<Void> acceptExisting(Throwable failure) {
+    boolean exists =
+        StoreException.failureOf(failure).filter(StoreFailure.ALREADY_EXISTS::equals).isPresent();
+    return exists
+        ? CompletableFuture.completedFuture(null)
+        : CompletableFuture.failedFuture(failure);
+  }
+
+  /** Deletes the document that is older than the history reaches back; failures are logged. */
+  void trim(long acceptedGeneration) {
+    long old = acceptedGeneration - RETAINED_GENERATIONS;
+    if (old < 1) {
+      return;
+    }
+    store
+        .get(key(old))
+        .thenCompose(store::delete)
+        .exceptionally(
+            failure -> {
+              LOGGER.debug("history not trimmed generation={} cause={}", old, failure.toString());
+              return null;
+            });
+  }
+
+  CompletableFuture<ConfigurationDocument> get(long generation) {
+    return store.get(key(generation)).thenApply(ConfigurationCodec::decode);
+  }
+
+  CompletableFuture<List<Long>> generations() {
+    return store
+        .list(ObjectKind.CONFIGURATION_HISTORY)
+        .thenApply(
+            list ->
+                list.objects().stream()
+                    .map(each -> each.key().name().substring(NAME_PREFIX.length()))
+                    .map(Long::valueOf)
+                    .sorted()
+                    .toList());
+  }
+
+  private static ObjectKey key(long generation) {
+    return new ObjectKey(ObjectKind.CONFIGURATION_HISTORY, NAME_PREFIX + generation);
+  }
+}
