--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/operate/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' API: configuration, status, explanations and drain. */
+package org.agatefield.daemon.operate;
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/LedgerDirectory.java
@@ -0,0 +1,187 @@
+package org.agatefield.daemon.placing;
+
+import io.vertx.core.Vertx;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+import org.agatefield.daemon.core.ConfigurationSource;
+import org.agatefield.daemon.core.ReplicaDirectory;
+import org.agatefield.engine.EngineClient;
+import org.agatefield.model.Adapter;
+import org.agatefield.model.Address;
+import org.agatefield.model.Closer;
+import org.agatefield.model.ConfigurationDocument;
+import org.agatefield.model.LoadReport;
+import org.agatefield.model.Replica;
+import org.agatefield.model.Upstream;
+import org.agatefield.placement.AdapterReservation;
+import org.agatefield.placement.LedgerEntry;
+import org.agatefield.placement.LedgerState;
+import org.agatefield.placement.RunnerLedger;
+import org.agatefield.platform.InformerListener;
+import org.agatefield.platform.ObjectInformer;
+import org.agatefield.platform.ObjectKind;
+import org.agatefield.platform.ObjectStore;
+import org.agatefield.platform.StoredObject;
+
+/**
+ * The replicas that the ledgers name, and load reports of the runners that somebody asks about.
+ *
+ * <p>A report is polled only while it is asked for, so that an instance polls the runners that it
+ * sends to and no others. A replica is left out while its engine reports another start than the
+ * ledger speaks of. Safe for use by any thread; {@code replicas} is replaced whole under the
+ * object's lock.
+ */
+public final class LedgerDirectory implements ReplicaDirectory, AutoCloseable {
+  private static final long POLL_MILLISECONDS = 500;
+  private static final long INTEREST_NANOSECONDS = Duration.ofSeconds(30).toNanos();
+
+  private final Vertx vertx;
+  private final ConfigurationSource configuration;
+  private final EngineClient engines;
+  private final Closer closer = new Closer();
+  private final ObjectInformer informer;
+  private final Map<String, LoadReport> reports = new ConcurrentHashMap<>();
+  private final Map<String, Long> askedAtNanoseconds = new ConcurrentHashMap<>();
+  private final Set<String> polled = ConcurrentHashMap.newKeySet();
+  private Map<String, RunnerLedger> ledgers = Map.of();
+  private volatile List<Replica> replicas = List.of();
+
+  /** Creates a directory; {@link #start()} starts it. */
+  public LedgerDirectory(
+      Vertx vertx,
+      ObjectStore store,
+      Duration pollInterval,
+      ConfigurationSource configuration,
+      EngineClient engines) {
+    this.vertx = vertx;
+    this.configuration = configuration;
+    this.engines = engines;
+    this.informer = new ObjectInformer(vertx, store, ObjectKind.LEDGER, pollInterval);
+  }
+
+  /** Starts to learn the ledgers and to poll reports. */
+  public LedgerDirectory start() {
+    informer.listen(
+        new InformerListener() {
+          @Override
+          public void updated(Map<String, StoredObject> objects) {
+            learn(objects);
+          }
+        });
+    configuration.subscribe(document -> rebuild());
+    closer.register(informer.start());
+    long timer = vertx.setPeriodic(POLL_MILLISECONDS, fired -> pollReports());
+    closer.register(() -> vertx.cancelTimer(timer));
+    return this;
+  }
+
+  @Override
+  public List<Replica> replicas() {
+    return replicas;
+  }
+
+  @Override
+  public Optional<LoadReport> loadReport(String upstream) {
+    askedAtNanoseconds.put(upstream, System.nanoTime());
+    return Optional.ofNullable(reports.get(upstream));
+  }
+
+  /** Returns the ledgers as this instance knows them, by runner. */
+  public synchronized Map<String, RunnerLedger> ledgers() {
+    return ledgers;
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+
+  private synchronized void learn(Map<String, StoredObject> objects) {
+    Map<String, RunnerLedger> learnt = new TreeMap<>();
+    objects.forEach((name, object) -> learnt.put(name, LedgerCodec.decode(object)));
+    ledgers = learnt;
+    rebuild();
+  }
+
+  private synchronized void rebuild() {
+    ConfigurationDocument document = configuration.current();
+    Map<String, Long> adapterSizes =
+        document.adapters().stream()
+            .collect(Collectors.toMap(Adapter::name, Adapter::memoryMegabytes));
+    List<Replica> rebuilt = new ArrayList<>();
+    for (RunnerLedger ledger : ledgers.values()) {
+      if (document.upstream(ledger.upstream()).isEmpty() || isRestarted(ledger)) {
+        continue;
+      }
+      for (LedgerEntry entry : ledger.entries()) {
+        if (entry.isLoaded()) {
+          rebuilt.add(replica(ledger, entry, adapterSizes));
+        }
+      }
+    }
+    replicas = List.copyOf(rebuilt);
+  }
+
+  private static Replica replica(
+      RunnerLedger ledger, LedgerEntry entry, Map<String, Long> adapterSizes) {
+    Set<String> adapters =
+        entry.adapters().stream()
+            .filter(
+                each ->
+                    each.memoryMegabytes()
+                        >= adapterSizes.getOrDefault(each.name(), Long.MAX_VALUE))
+            .map(AdapterReservation::name)
+            .collect(Collectors.toSet());
+    boolean draining = entry.state() == LedgerState.DRAINING;
+    return new Replica(entry.version(), ledger.upstream(), draining, adapters);
+  }
+
+  private boolean isRestarted(RunnerLedger ledger) {
+    LoadReport report = reports.get(ledger.upstream());
+    return report != null && !report.bootIdentifier().equals(ledger.bootIdentifier());
+  }
+
+  private void pollReports() {
+    long now = System.nanoTime();
+    askedAtNanoseconds.values().removeIf(askedAt -> now - askedAt > INTEREST_NANOSECONDS);
+    reports.keySet().retainAll(askedAtNanoseconds.keySet());
+    for (String upstream : askedAtNanoseconds.keySet()) {
+      configuration
+          .current()
+          .upstream(upstream)
+          .map(Upstream::address)
+          .ifPresent(address -> poll(upstream, address));
+    }
+  }
+
+  private void poll(String upstream, Address address) {
+    if (!polled.add(upstream)) {
+      return;
+    }
+    engines
+        .loadReport(address)
+        .whenComplete(
+            (report, failure) -> {
+              polled.remove(upstream);
+              if (failure == null) {
+                learnReport(upstream, report);
+              }
+            });
+  }
+
+  private void learnReport(String upstream, LoadReport report) {
+    LoadReport earlier = reports.put(upstream, report);
+    boolean restarted =
+        earlier == null || !earlier.bootIdentifier().equals(report.bootIdentifier());
+    if (restarted) {
+      rebuild();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/LedgerTable.java
@@ -0,0 +1,114 @@
+package org.agatefield.daemon.placing;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.agatefield.placement.RunnerLedger;
+import org.agatefield.platform.ObjectKey;
+import org.agatefield.platform.ObjectKind;
+import org.agatefield.platform.ObjectStore;
+import org.agatefield.platform.StoreException;
+import org.agatefield.platform.StoreFailure;
+import org.agatefield.platform.StoredObject;
+
+/**
+ * The ledgers as the planner last read or wrote them, each with its version in the store.
+ *
+ * <p>Invariant: a ledger is only replaced by a conditional update of the version that it was
+ * decided on. Safe for use by any thread; the map is guarded by the object's lock.
+ */
+final class LedgerTable {
+  private final ObjectStore store;
+  private final Map<String, StoredObject> objects = new HashMap<>();
+  private final Set<String> doubtful = new HashSet<>();
+
+  LedgerTable(ObjectStore store) {
+    this.store = store;
+  }
+
+  synchronized Optional<RunnerLedger> get(String upstream) {
+    return Optional.ofNullable(objects.get(upstream)).map(LedgerCodec::decode);
+  }
+
+  /** Returns whether the ledger is known and no failed write has put it in doubt. */
+  synchronized boolean isCertain(String upstream) {
+    return objects.containsKey(upstream) && !doubtful.contains(upstream);
+  }
+
+  synchronized void clear() {
+    objects.clear();
+    doubtful.clear();
+  }
+
+  /** Reads all ledgers anew. */
+  CompletableFuture<Void> readAll() {
+    return store
+        .list(ObjectKind.LEDGER)
+        .thenAccept(
+            list -> {
+              synchronized (this) {
+                clear();
+                list.objects().forEach(each -> objects.put(each.key().name(), each));
+              }
+            });
+  }
+
+  /** Reads one ledger anew; forgets it if there is none. */
+  CompletableFuture<Void> read(String upstream) {
+    return store
+        .get(key(upstream))
+        .handle(
+            (object, failure) -> {
+              if (failure == null) {
+                put(object);
+                return null;
+              }
+              if (StoreException.failureOf(failure)
+                  .filter(StoreFailure.NOT_FOUND::equals)
+                  .isPresent()) {
+                forget(upstream);
+                return null;
+              }
+              throw new IllegalStateException("ledger of " + upstream + " not read", failure);
+            });
+  }
+
+  /**
+   * Writes a ledger in place of the one that the table holds.
+   *
+   * <p>The future fails if the ledger was changed by somebody else or if it is not known whether
+   * the write took effect; the ledger is in doubt then until it is read again.
+   */
+  CompletableFuture<Void> write(RunnerLedger ledger) {
+    String identifier = UUID.randomUUID().toString();
+    Optional<StoredObject> previous = beginWrite(ledger.upstream());
+    return previous
+        .map(found -> store.update(found, identifier, LedgerCodec.encode(ledger)))
+        .orElseGet(
+            () -> store.create(key(ledger.upstream()), identifier, LedgerCodec.encode(ledger)))
+        .thenAccept(this::put);
+  }
+
+  private synchronized Optional<StoredObject> beginWrite(String upstream) {
+    doubtful.add(upstream);
+    return Optional.ofNullable(objects.get(upstream));
+  }
+
+  private synchronized void put(StoredObject object) {
+    objects.put(object.key().name(), object);
+    doubtful.remove(object.key().name());
+  }
+
+  private synchronized void forget(String upstream) {
+    objects.remove(upstream);
+    doubtful.remove(upstream);
+  }
+
+  private static ObjectKey key(String upstream) {
+    return new ObjectKey(ObjectKind.LEDGER, upstream);
+  }
+}
