--- a/standin/src/main/java/org/agatefield/standin/relay/RelayDirection.java
+++ b/standin/src/main/java/org/agatefield/standin/relay/RelayDirection.java
@@ -55,10 +55,10 @@
     long waitNanoseconds = freeAtNanoseconds - now;
     if (waitNanoseconds > NANOSECONDS_PER_MILLISECOND) {
       source.pause();
-      vertx.setTimer(
-          waitNanoseconds / NANOSECONDS_PER_MILLISECOND, ignored -> source.resume());
+      vertx.setTimer(waitNanoseconds / NANOSECONDS_PER_MILLISECOND, ignored -> source.resume());
     }
-    ordered.write(data, current.delayMilliseconds() + waitNanoseconds / NANOSECONDS_PER_MILLISECOND);
+    ordered.write(
+        data, current.delayMilliseconds() + waitNanoseconds / NANOSECONDS_PER_MILLISECOND);
   }
 
   private void waitWhileHalfOpen(NetSocket source, Buffer data, Ordered ordered) {
--- a/standin/src/main/java/org/agatefield/standin/service/ServiceStandin.java
+++ b/standin/src/main/java/org/agatefield/standin/service/ServiceStandin.java
@@ -54,8 +54,7 @@
     router.get("/outcomes/:key").handler(this::readOutcome);
     router
         .get("/executions")
-        .handler(
-            context -> answer(context, 200, new ExecutionCounts(executions, executionsByKey)));
+        .handler(context -> answer(context, 200, new ExecutionCounts(executions, executionsByKey)));
     router.post("/faults").handler(this::setFaults);
     return vertx
         .createHttpServer()
--- a/standin/src/main/java/org/agatefield/standin/weights/WeightStoreStandinMain.java
+++ b/standin/src/main/java/org/agatefield/standin/weights/WeightStoreStandinMain.java
@@ -26,8 +26,7 @@
   }
 
   private void run() {
-    new WeightStoreStandin(
-            Vertx.vertx(), port, loadsPerSecond, concurrentLoads, loadMilliseconds)
+    new WeightStoreStandin(Vertx.vertx(), port, loadsPerSecond, concurrentLoads, loadMilliseconds)
         .start()
         .onSuccess(
             actualPort -> System.out.println("weight store listens on 127.0.0.1:" + actualPort))
