--- a/placement/src/main/java/org/agatefield/placement/LedgerRules.java
+++ b/placement/src/main/java/org/agatefield/placement/LedgerRules.java
@@ -22,7 +22,30 @@
   public static RunnerLedger takeOver(RunnerLedger ledger, long memoryMegabytes, long leaseToken) {
     require(leaseToken >= ledger.plannerToken(), ledger, "a later planner has taken over");
     return new RunnerLedger(
-        ledger.upstream(), memoryMegabytes, leaseToken, ledger.highestToken(), ledger.entries());
+        ledger.upstream(),
+        memoryMegabytes,
+        leaseToken,
+        ledger.highestToken(),
+        ledger.bootIdentifier(),
+        ledger.entries());
+  }
+
+  /**
+   * Records a new start of the engine, which holds nothing that was loaded before; what served is
+   * to be loaded again.
+   */
+  public static RunnerLedger restarted(RunnerLedger ledger, String bootIdentifier) {
+    List<LedgerEntry> entries = new ArrayList<>();
+    for (LedgerEntry entry : ledger.entries()) {
+      entries.add(entry.isLoaded() ? entry.withState(LedgerState.LOADING) : entry);
+    }
+    return new RunnerLedger(
+        ledger.upstream(),
+        ledger.memoryMegabytes(),
+        ledger.plannerToken(),
+        ledger.highestToken(),
+        bootIdentifier,
+        entries);
   }
 
   /**
@@ -138,13 +161,10 @@
   public static RunnerLedger release(RunnerLedger ledger, VersionId version) {
     LedgerEntry entry = existing(ledger, version);
     require(entry.state() == LedgerState.UNLOADING, ledger, version + " is not being unloaded");
-    if (entry.adapters().isEmpty()) {
-      return remove(ledger, version);
-    }
     return replace(ledger, entry.withState(LedgerState.RETIRED));
   }
 
-  /** Forgets a retired version, after no adapter load for it can arrive any more. */
+  /** Forgets a retired version, after no order about it can arrive any more. */
   public static RunnerLedger forget(RunnerLedger ledger, VersionId version) {
     LedgerEntry entry = existing(ledger, version);
     require(entry.state() == LedgerState.RETIRED, ledger, version + " is not retired");
@@ -196,12 +216,17 @@
         ledger.memoryMegabytes(),
         ledger.plannerToken(),
         ledger.highestToken(),
+        ledger.bootIdentifier(),
         entries);
   }
 
   private static RunnerLedger withHighestToken(RunnerLedger ledger, long token) {
     return new RunnerLedger(
-        ledger.upstream(), ledger.memoryMegabytes(), ledger.plannerToken(), token,
+        ledger.upstream(),
+        ledger.memoryMegabytes(),
+        ledger.plannerToken(),
+        token,
+        ledger.bootIdentifier(),
         ledger.entries());
   }
 
