--- /dev/null
+++ b/engine/src/test/java/org/agatefield/engine/HttpEngineClientTest.java
@@ -0,0 +1,258 @@
+package org.agatefield.engine;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import org.agatefield.model.Address;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.LoadReport;
+import org.agatefield.model.RunState;
+import org.agatefield.standin.engine.EngineStandin;
+import org.agatefield.standin.engine.EngineStandinOptions;
+import org.agatefield.standin.engine.TokenSequence;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Requirement REQ-WHOLE-ANSWER: the client over HTTP against the stand-in engine. */
+class HttpEngineClientTest {
+  private static final Duration LIMIT = Duration.ofSeconds(30);
+  private static final EngineClientOptions OPTIONS =
+      new EngineClientOptions(
+          Duration.ofSeconds(2),
+          Duration.ofSeconds(5),
+          Duration.ofSeconds(5),
+          Duration.ofSeconds(1),
+          16 * 1024 * 1024,
+          1024 * 1024,
+          64);
+
+  private final Vertx vertx = Vertx.vertx();
+  private final HttpEngineClient client = new HttpEngineClient(vertx, OPTIONS);
+  private Address engine;
+
+  @BeforeEach
+  void startEngine() {
+    EngineStandinOptions options =
+        new EngineStandinOptions(0, "engine", 10_000, true, Optional.empty(), 1, 64, 1, 0);
+    engine = new Address("127.0.0.1", join(new EngineStandin(vertx, options).start()));
+    assertEquals(OrderResult.DONE, order(OrderAction.LOAD_VERSION, "quotes@v1", "", 1_000, 5));
+  }
+
+  @AfterEach
+  void close() {
+    join(vertx.close());
+  }
+
+  @Test
+  void reportsWhatOrdersChanged() {
+    assertEquals(
+        OrderResult.REFUSED_OLD_TOKEN, order(OrderAction.UNLOAD_VERSION, "quotes@v1", "", 0, 4));
+    assertEquals(
+        OrderResult.REFUSED_NO_MEMORY, order(OrderAction.LOAD_VERSION, "big@v1", "", 9_001, 6));
+    assertEquals(
+        OrderResult.REFUSED_INVALID, order(OrderAction.LOAD_ADAPTER, "big@v1", "kochi", 10, 0));
+    assertEquals(OrderResult.DONE, order(OrderAction.LOAD_ADAPTER, "quotes@v1", "kochi", 10, 0));
+    LoadReport report = client.loadReport(engine).join();
+    LoadReport expected =
+        new LoadReport(
+            report.bootIdentifier(),
+            10_000,
+            1_010,
+            0,
+            0,
+            List.of("quotes@v1"),
+            List.of("kochi"),
+            6);
+    assertEquals(expected, report);
+    assertTrue(record().getJsonArray("overcommits").getString(0).startsWith("LOAD_VERSION big"));
+  }
+
+  @Test
+  void deliversStreamsAndWholeAnswers() {
+    RecordingListener streamed = generate(client, "a1", 30, true);
+    assertEquals("whole", streamed.outcome());
+    assertEquals(30, streamed.tokens());
+    assertEquals(sequence("a1", 30).text(), text(streamed));
+    RecordingListener whole = generate(client, "a2", 30, false);
+    assertEquals("whole", whole.outcome());
+    assertEquals(sequence("a2", 30).text(), text(whole));
+  }
+
+  @Test
+  void saysNotRunOnlyWhereTheEngineRanNothing() {
+    assertEquals("NO_UPSTREAM NO", generateModel("other@v1").outcome());
+    assertEquals("NO_UPSTREAM NO", generateModel("quotes@v1:kochi").outcome());
+    faults("{\"refuse\":true}");
+    assertEquals("OVERLOADED NO", generate(client, "a1", 5, true).outcome());
+    assertEquals(0, record().getInteger("generationStarts"));
+    engine = new Address("127.0.0.1", 1);
+    assertEquals("NO_UPSTREAM NO", generate(client, "a2", 5, true).outcome());
+  }
+
+  @Test
+  void failsWhatIsCutAndWhatStalls() {
+    faults("{\"resetAfterTokens\":3}");
+    assertEquals("UPSTREAM_ANSWER_CUT YES", generate(client, "a1", 9, true).outcome());
+    faults("{\"endWithoutDoneAfterTokens\":3}");
+    assertEquals("UPSTREAM_ANSWER_CUT YES", generate(client, "a2", 9, true).outcome());
+    faults("{\"stallAfterTokens\":3}");
+    assertEquals("UPSTREAM_ANSWER_CUT YES", generate(client, "a3", 9, true).outcome());
+    faults("{\"resetAfterTokens\":3}");
+    assertEquals("UPSTREAM_FAILED UNKNOWN", generate(client, "a4", 9, false).outcome());
+  }
+
+  @Test
+  void deliversNoCrossedAnswerAndCountsThem() {
+    int withoutIdentifiers = crossedDelivered(EnumSet.of(AnswerRule.END_MARKER));
+    int withIdentifiers = crossedDelivered(EnumSet.allOf(AnswerRule.class));
+    assertTrue(withoutIdentifiers > 0, "the fault crossed no answer");
+    assertEquals(0, withIdentifiers);
+  }
+
+  @Test
+  void stopsTheEngineWhenGenerationsAreCancelled() {
+    RecordingListener listener = new RecordingListener();
+    EngineCall call = client.generate(engine, request("a1", 100_000, true), listener);
+    await().atMost(LIMIT).until(() -> listener.partCount() > 3);
+    call.cancel();
+    await().atMost(LIMIT).until(() -> record().getInteger("cancelledGenerations") == 1);
+    assertEquals(0, client.loadReport(engine).join().runningRequests());
+    assertFalse(listener.end.isDone());
+  }
+
+  @Test
+  void holdsTheEngineBackWhileTheReaderIsSlow() {
+    RecordingListener listener = new RecordingListener();
+    EngineCall call = client.generate(engine, request("a1", 60_000, true), listener);
+    call.pause();
+    RecordingListener other = generate(client, "a2", 3_000, true);
+    assertEquals("whole", other.outcome());
+    int whilePaused = listener.partCount();
+    call.resume();
+    await().atMost(LIMIT).until(() -> listener.partCount() > whilePaused + 100);
+    call.cancel();
+    assertTrue(whilePaused < 100, () -> "parts while paused: " + whilePaused);
+  }
+
+  @Test
+  void givesUpOrdersWhoseAnswerIsLostAsUnknown() {
+    faults("{\"loseOrderAnswers\":true}");
+    AgatefieldException failure =
+        failure(() -> order(OrderAction.LOAD_VERSION, "lost@v1", "", 10, 6));
+    assertEquals(RunState.UNKNOWN, failure.runState());
+    assertTrue(client.loadReport(engine).join().versions().contains("lost@v1"));
+    engine = new Address("127.0.0.1", 1);
+    assertEquals(
+        RunState.NO,
+        failure(() -> order(OrderAction.LOAD_VERSION, "lost@v1", "", 10, 6)).runState());
+  }
+
+  private int crossedDelivered(Set<AnswerRule> rules) {
+    HttpEngineClient tested = new HttpEngineClient(vertx, OPTIONS, rules);
+    faults("{\"crossAnswers\":true}");
+    List<RecordingListener> listeners = new ArrayList<>();
+    for (int number = 0; number < 40; number++) {
+      listeners.add(generate(tested, "prompt-" + number, 20, number % 2 == 0));
+    }
+    int crossed = 0;
+    for (int number = 0; number < listeners.size(); number++) {
+      boolean whole = listeners.get(number).outcome().equals("whole");
+      String expected = sequence("prompt-" + number, 20).text();
+      if (whole && !text(listeners.get(number)).equals(expected)) {
+        crossed++;
+      }
+    }
+    if (rules.contains(AnswerRule.ATTEMPT_IDENTIFIER)) {
+      assertTrue(tested.crossedAnswers() > 0);
+    }
+    return crossed;
+  }
+
+  private OrderResult order(
+      OrderAction action, String version, String adapter, long megabytes, long token) {
+    return client.order(engine, new EngineOrder(action, version, adapter, megabytes, token)).join();
+  }
+
+  /** Asks for an answer to a prompt that is the attempt's identifier. */
+  private RecordingListener generate(
+      HttpEngineClient with, String attempt, int tokens, boolean stream) {
+    RecordingListener listener = new RecordingListener();
+    with.generate(engine, request(attempt, tokens, stream), listener);
+    return listener;
+  }
+
+  private RecordingListener generateModel(String model) {
+    RecordingListener listener = new RecordingListener();
+    Buffer body = Buffer.buffer("{\"model\":\"" + model + "\",\"prompt\":\"x\"}");
+    client.generate(engine, new EngineRequest("/v1/completions", body, "m"), listener);
+    return listener;
+  }
+
+  private static EngineRequest request(String attempt, int tokens, boolean stream) {
+    JsonObject body =
+        new JsonObject()
+            .put("model", "quotes@v1")
+            .put("prompt", attempt)
+            .put("max_tokens", tokens)
+            .put("stream", stream);
+    return new EngineRequest("/v1/completions", body.toBuffer(), attempt);
+  }
+
+  private static TokenSequence sequence(String prompt, int tokens) {
+    return TokenSequence.of("quotes@v1", prompt, tokens);
+  }
+
+  private static String text(RecordingListener listener) {
+    StringBuilder text = new StringBuilder();
+    for (Buffer part : listener.parts()) {
+      JsonObject choice = new JsonObject(part).getJsonArray("choices").getJsonObject(0);
+      text.append(choice.getString("text"));
+    }
+    return text.toString();
+  }
+
+  private void faults(String json) {
+    exchange(HttpMethod.POST, "/faults", Buffer.buffer(json));
+  }
+
+  private JsonObject record() {
+    return new JsonObject(exchange(HttpMethod.GET, "/violations", Buffer.buffer()));
+  }
+
+  private Buffer exchange(HttpMethod method, String path, Buffer body) {
+    return join(
+        vertx
+            .createHttpClient()
+            .request(method, engine.port(), engine.host(), path)
+            .compose(request -> request.send(body))
+            .compose(response -> response.body()));
+  }
+
+  private static AgatefieldException failure(Runnable action) {
+    try {
+      action.run();
+    } catch (CompletionException exception) {
+      return AgatefieldException.from(exception);
+    }
+    throw new AssertionError("nothing failed");
+  }
+
+  private static <T> T join(Future<T> future) {
+    return future.toCompletionStage().toCompletableFuture().join();
+  }
+}
