--- a/daemon/src/main/java/org/agatefield/daemon/calls/CallLimits.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/CallLimits.java
@@ -1,6 +1,7 @@
 package org.agatefield.daemon.calls;
 
 import java.time.Duration;
+import org.agatefield.idempotency.RetentionPolicy;
 
 /**
  * Bounds of calls that must not repeat. Immutable.
@@ -27,4 +28,9 @@
         Duration.ofSeconds(5),
         Duration.ofMinutes(10));
   }
+
+  /** Returns the rules for how long claims are kept. */
+  RetentionPolicy retentionPolicy() {
+    return new RetentionPolicy(retention.toMillis(), clockSkew.toMillis());
+  }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.agatefield.daemon.core.Dispatch;
 import org.agatefield.daemon.core.DispatchOutcome;
 import org.agatefield.daemon.core.Dispatcher;
@@ -51,7 +52,7 @@
   private final String name;
   private final Arrival arrival;
   private final Claim<ServiceExchange> claim;
-  private final Runnable over;
+  private final Consumer<ClaimExecution> over;
   private final ClaimProtocol<ServiceExchange> protocol = new ClaimProtocol<>();
   private final CompletableFuture<ServiceExchange> reply = new CompletableFuture<>();
   private final Backoff polls = new Backoff(FIRST_POLL_DELAY, LONGEST_POLL_DELAY);
@@ -71,7 +72,7 @@
       String name,
       Arrival arrival,
       Claim<ServiceExchange> claim,
-      Runnable over) {
+      Consumer<ClaimExecution> over) {
     this.parts = parts;
     this.call = call;
     this.request = request;
@@ -121,19 +122,35 @@
     }
   }
 
+  /**
+   * Carries a step out. An arrival that is over is forgotten before its caller is answered, so that
+   * a retry that follows the answer does not join it.
+   */
   private void carryOut(ClaimStep<ServiceExchange> step) {
-    step.actions().forEach(this::perform);
-    if (step.state().phase() == ClaimState.Phase.DONE) {
-      over.run();
+    boolean ends = step.state().phase() == ClaimState.Phase.DONE;
+    for (ClaimAction<ServiceExchange> action : step.actions()) {
+      if (ends && isAnswer(action)) {
+        over.accept(this);
+      }
+      perform(action);
+    }
+    if (ends) {
+      over.accept(this);
     }
   }
 
+  private static boolean isAnswer(ClaimAction<ServiceExchange> action) {
+    return action instanceof ClaimAction.Reply
+        || action instanceof ClaimAction.Refuse
+        || action instanceof ClaimAction.RefuseWith;
+  }
+
   /** Gives the arrival up after a fault; a claim stays, so that the call is never run again. */
   private void fail(RuntimeException fault) {
     LOGGER.error("fault in a call that must not repeat request={}", call.requestId(), fault);
     finishDispatch(DispatchOutcome.FAILED);
     reply.completeExceptionally(AgatefieldException.from(fault));
-    over.run();
+    over.accept(this);
   }
 
   private void perform(ClaimAction<ServiceExchange> action) {
--- a/daemon/src/main/java/org/agatefield/daemon/calls/StoreBackedCalls.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/StoreBackedCalls.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
+import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
 import java.util.UUID;
@@ -23,6 +24,7 @@
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.ErrorKind;
 import org.agatefield.model.RunState;
+import org.agatefield.platform.CircuitBreakingStore;
 import org.agatefield.platform.ObjectStore;
 
 /**
@@ -33,6 +35,8 @@
  * served meanwhile. Safe for use by any thread.
  */
 public final class StoreBackedCalls implements NonRepeatableCalls, AutoCloseable {
+  private static final Duration LONGEST_STORE_PAUSE = Duration.ofMillis(500);
+
   private final Map<String, ClaimExecution> executions = new ConcurrentHashMap<>();
   private final CallParts parts;
   private final InstanceDirectory instances;
@@ -50,14 +54,13 @@
       StepHook hook,
       InvariantMonitor monitor,
       MetricRegistry metrics) {
-    ClaimStore claims = new ClaimStore(store);
+    ClaimStore claims = new ClaimStore(new CircuitBreakingStore(store, LONGEST_STORE_PAUSE));
     ClaimRemover remover = new ClaimRemover(vertx, claims, limits.lateEffectWindow());
     HolderJudge holders = new HolderJudge(instances, remover, limits.holderGrace());
     this.parts = new CallParts(vertx, claims, remover, holders, outcomes, hook, monitor);
     this.instances = instances;
     this.limits = limits;
-    this.retention =
-        new RetentionPolicy(limits.retention().toMillis(), limits.clockSkew().toMillis());
+    this.retention = limits.retentionPolicy();
     this.metrics = metrics;
     metrics.register("agatefield.calls.running", (Gauge<Integer>) this::runningCalls);
     metrics.register("agatefield.calls.claimsToRemove", (Gauge<Integer>) remover::size);
@@ -125,7 +128,7 @@
         name,
         arrival,
         claimOf(call, arrival),
-        () -> executions.remove(name));
+        over -> executions.remove(name, over));
   }
 
   private Claim<ServiceExchange> claimOf(NonRepeatableCall call, Arrival arrival) {
@@ -136,7 +139,7 @@
         call.bodySha256(),
         now,
         call.service().timeoutMilliseconds(),
-        retention.keepUntil(call.key(), now),
+        retention.keepUntil(call.key(), now) + call.service().timeoutMilliseconds(),
         Optional.empty());
   }
 
--- a/idempotency/src/main/java/org/agatefield/idempotency/ClaimProtocol.java
+++ b/idempotency/src/main/java/org/agatefield/idempotency/ClaimProtocol.java
@@ -163,8 +163,8 @@
     if (event instanceof ClaimEvent.OutcomeLearnt<A> learnt) {
       return step(
           Phase.DONE,
-          new ClaimAction.Reply<>(learnt.answer()),
-          new ClaimAction.RecordFor<>(found, learnt.answer()));
+          new ClaimAction.RecordFor<>(found, learnt.answer()),
+          new ClaimAction.Reply<>(learnt.answer()));
     }
     return refuseUnknown();
   }
--- a/standin/src/main/java/org/agatefield/standin/store/StoreFaults.java
+++ b/standin/src/main/java/org/agatefield/standin/store/StoreFaults.java
@@ -15,6 +15,7 @@
  * @param delayEffectMilliseconds writes get no answer and take effect after this time
  * @param delayEffectCount how many writes that holds for, or 0 for all
  * @param cutWatches end all watches once
+ * @param muteWatches watches stay open and report nothing
  * @param forgetChanges forget past changes, so that watches must list again
  * @param lagMilliseconds reads, lists and watches of {@code lagKind} show the state this long ago
  * @param lagKind the plural kind that lags; {@code instances} if none is named
@@ -32,6 +33,7 @@
     long delayEffectMilliseconds,
     int delayEffectCount,
     boolean cutWatches,
+    boolean muteWatches,
     boolean forgetChanges,
     long lagMilliseconds,
     Optional<String> lagKind,
@@ -47,7 +49,8 @@
 
   /** Returns the faults of a store that works. */
   public static StoreFaults none() {
-    return new StoreFaults(false, false, 0, 0, 0, 0, 0, 0, false, false, 0, null, null, null);
+    return new StoreFaults(
+        false, false, 0, 0, 0, 0, 0, 0, false, false, false, 0, null, null, null);
   }
 
   /** Returns whether faults of writes hold for a write. */
