Add the peer duty of the daemon: membership, configuration, leaving upstreams, demand

Cause: a daemon needs the other instances, and must learn the configuration while the store is down. Failed first: PeerDutyTest, all 6 tests, because the connection was written to before its channel was set (a connect promise completes before channelActive); 6 of 6 pass after the channel is taken in handlerAdded.

--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/LeavingUpstreams.java
@@ -0,0 +1,121 @@
+package org.agatefield.daemon.peers;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.agatefield.peer.PeerMessage;
+import org.agatefield.platform.InstanceList;
+
+/**
+ * The upstreams that are leaving: those of the platform's own list, and those that other instances
+ * told of.
+ *
+ * <p>Invariants: a notice that is passed on never holds longer than the one it was taken from; only
+ * an instance whose own list says so renews it, so that a notice dies out once all lists agree that
+ * the upstream is back. Not safe for use by several threads; times are monotonic milliseconds.
+ */
+final class LeavingUpstreams {
+  static final long NOTICE_MILLISECONDS = 60_000;
+  static final int NOTICES_PER_MESSAGE = 8;
+  private static final int MAXIMUM_NOTICES = 4_096;
+
+  private final Map<String, Notice> notices = new HashMap<>();
+  private final Set<String> known = new HashSet<>();
+  private Set<String> listed = Set.of();
+
+  private static final class Notice {
+    private long deadline;
+    private int transmissionsLeft;
+  }
+
+  /** Takes the platform's list in place of the earlier one. */
+  void listChanged(InstanceList.Snapshot snapshot, long now, int transmissions) {
+    listed = new TreeSet<>(snapshot.leavingUpstreams());
+    listed.addAll(gone(snapshot));
+    for (String name : snapshot.leavingUpstreams()) {
+      Notice notice = notices.get(name);
+      if (notice == null || notice.deadline - now < NOTICE_MILLISECONDS / 2) {
+        put(name, now + NOTICE_MILLISECONDS, transmissions);
+      }
+    }
+  }
+
+  /**
+   * Returns the upstreams that were on the list and are not any more; none while the list names no
+   * live upstream, since it is then more likely to be incomplete.
+   */
+  private Set<String> gone(InstanceList.Snapshot snapshot) {
+    known.addAll(snapshot.liveUpstreams());
+    known.addAll(snapshot.leavingUpstreams());
+    if (snapshot.liveUpstreams().isEmpty()) {
+      return Set.of();
+    }
+    Set<String> gone = new HashSet<>(known);
+    gone.removeAll(snapshot.liveUpstreams());
+    gone.removeAll(snapshot.leavingUpstreams());
+    return gone;
+  }
+
+  /** Takes what another instance told of; returns whether anything was new. */
+  boolean heard(List<PeerMessage.LeavingUpstream> told, long now, int transmissions) {
+    boolean changed = false;
+    for (PeerMessage.LeavingUpstream upstream : told) {
+      long remaining = Math.min(upstream.remainingMilliseconds(), NOTICE_MILLISECONDS);
+      Notice notice = notices.get(upstream.name());
+      boolean later = notice == null || notice.deadline + NOTICE_MILLISECONDS / 4 < now + remaining;
+      if (remaining > 0 && later && notices.size() < MAXIMUM_NOTICES) {
+        put(upstream.name(), now + remaining, transmissions);
+        changed = true;
+      }
+    }
+    return changed;
+  }
+
+  private void put(String name, long deadline, int transmissions) {
+    Notice notice = notices.computeIfAbsent(name, absent -> new Notice());
+    notice.deadline = deadline;
+    notice.transmissionsLeft = transmissions;
+  }
+
+  /** Returns the notices for the next message, those to be sent most often first. */
+  List<PeerMessage.LeavingUpstream> take(long now) {
+    notices.values().removeIf(notice -> notice.deadline <= now);
+    List<Map.Entry<String, Notice>> pending = new ArrayList<>();
+    for (Map.Entry<String, Notice> entry : notices.entrySet()) {
+      if (entry.getValue().transmissionsLeft > 0) {
+        pending.add(entry);
+      }
+    }
+    pending.sort(Comparator.comparingInt(entry -> -entry.getValue().transmissionsLeft));
+    List<PeerMessage.LeavingUpstream> taken = new ArrayList<>();
+    for (Map.Entry<String, Notice> entry :
+        pending.subList(0, Math.min(NOTICES_PER_MESSAGE, pending.size()))) {
+      Notice notice = entry.getValue();
+      notice.transmissionsLeft--;
+      taken.add(new PeerMessage.LeavingUpstream(entry.getKey(), notice.deadline - now));
+    }
+    return taken;
+  }
+
+  /** Returns whether a notice still waits to be sent. */
+  boolean hasNews() {
+    return notices.values().stream().anyMatch(notice -> notice.transmissionsLeft > 0);
+  }
+
+  /** Returns the names of the upstreams that get no new work. */
+  Set<String> names(long now) {
+    Set<String> names = new TreeSet<>(listed);
+    notices.forEach(
+        (name, notice) -> {
+          if (notice.deadline > now) {
+            names.add(name);
+          }
+        });
+    return names;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/PeerDuty.java
@@ -0,0 +1,278 @@
+package org.agatefield.daemon.peers;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.agatefield.daemon.core.ConfigurationSink;
+import org.agatefield.daemon.core.ConfigurationSource;
+import org.agatefield.daemon.core.DemandDirectory;
+import org.agatefield.daemon.core.DemandSource;
+import org.agatefield.daemon.core.InstanceDirectory;
+import org.agatefield.membership.MemberUpdate;
+import org.agatefield.membership.Membership;
+import org.agatefield.membership.MembershipAction;
+import org.agatefield.membership.MembershipEvent;
+import org.agatefield.membership.MembershipSettings;
+import org.agatefield.model.Address;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.Closer;
+import org.agatefield.model.DemandSample;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.Instance;
+import org.agatefield.peer.NettyPeerTransport;
+import org.agatefield.peer.PeerHandler;
+import org.agatefield.peer.PeerMessage;
+import org.agatefield.peer.PeerTls;
+import org.agatefield.peer.PeerTransportSettings;
+import org.agatefield.platform.InstanceList;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Keeps this instance in touch with the others: membership, configuration, leaving upstreams and
+ * demand.
+ *
+ * <p>Invariants: all state is confined to one event loop of its own; what other threads read are
+ * immutable snapshots. An instance that has left never becomes live again. Safe for use by any
+ * thread.
+ */
+public final class PeerDuty implements InstanceDirectory, DemandDirectory, AutoCloseable {
+  private static final long LIST_INTERVAL_MILLISECONDS = 1_000;
+  private static final long SHUTDOWN_MILLISECONDS = 2_000;
+  private static final Logger LOGGER = LogManager.getLogger(PeerDuty.class);
+
+  private final Closer closer = new Closer();
+  private final EventLoop loop;
+  private final NettyPeerTransport transport;
+  private final Membership membership;
+  private final LeavingUpstreams leavingUpstreams = new LeavingUpstreams();
+  private final ConfigurationSpread configuration;
+  private final DemandTree demand;
+  private final InstanceList instanceList;
+  private final List<Address> settingsSeeds;
+  private final MembershipSettings settings;
+  private volatile Instance self;
+  private volatile List<Instance> alive;
+  private volatile Set<String> leavingNames = Set.of();
+
+  /**
+   * Starts to listen for peers and to look for them.
+   *
+   * @param self this instance; its identifier was never used before
+   * @param seeds addresses from the settings
+   * @param instanceList the platform's lagging list
+   * @throws AgatefieldException if the peer address cannot be listened on
+   */
+  public PeerDuty(
+      Instance self,
+      List<Address> seeds,
+      Optional<PeerTls> tls,
+      InstanceList instanceList,
+      ConfigurationSource source,
+      ConfigurationSink sink,
+      DemandSource demandSource,
+      MetricRegistry metrics,
+      UniformRandomProvider random) {
+    this.self = self;
+    this.alive = List.of(self);
+    this.instanceList = instanceList;
+    this.settingsSeeds = List.copyOf(seeds);
+    this.settings = MembershipSettings.defaults();
+    MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(
+            1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
+    closer.register(
+        () -> group.shutdownGracefully(0, SHUTDOWN_MILLISECONDS, TimeUnit.MILLISECONDS));
+    this.loop = (EventLoop) group.next();
+    this.transport = openTransport(group, self, tls);
+    Supplier<List<Instance>> instances = () -> alive;
+    this.membership = new Membership(self, settings, random, now());
+    this.configuration =
+        new ConfigurationSpread(self, loop, transport, source, sink, random, instances);
+    this.demand =
+        new DemandTree(self, loop, transport, demandSource, instances, random, PeerDuty::now);
+    registerMetrics(metrics);
+    transport.listen(new Handler());
+    loop.execute(this::start);
+    instanceList.subscribe(snapshot -> loop.execute(this::readList));
+    source.subscribe(
+        document ->
+            loop.execute(
+                () -> handle(new MembershipEvent.GenerationRaised(document.generation()))));
+  }
+
+  private NettyPeerTransport openTransport(
+      MultiThreadIoEventLoopGroup group, Instance instance, Optional<PeerTls> tls) {
+    try {
+      return closer.register(
+          new NettyPeerTransport(
+              group, instance.peerAddress(), PeerTransportSettings.defaults(), tls));
+    } catch (AgatefieldException exception) {
+      closer.close();
+      throw exception;
+    }
+  }
+
+  private void start() {
+    readList();
+    demand.start();
+    long tick = settings.tickMilliseconds();
+    loop.scheduleAtFixedRate(this::tick, tick, tick, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        this::readList,
+        LIST_INTERVAL_MILLISECONDS,
+        LIST_INTERVAL_MILLISECONDS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public Instance self() {
+    return self;
+  }
+
+  @Override
+  public Collection<Instance> alive() {
+    return alive;
+  }
+
+  @Override
+  public Set<String> leavingUpstreams() {
+    return leavingNames;
+  }
+
+  @Override
+  public List<DemandSample> totalDemand() {
+    return demand.total();
+  }
+
+  /** Marks this instance as leaving, for good, and tells the others. */
+  public void leave() {
+    loop.execute(() -> handle(new MembershipEvent.LeaveRequested()));
+  }
+
+  @Override
+  public void close() {
+    closer.close();
+  }
+
+  private void tick() {
+    handle(new MembershipEvent.Tick());
+    leavingNames = leavingUpstreams.names(now());
+  }
+
+  private void handle(MembershipEvent event) {
+    try {
+      for (MembershipAction action : membership.handle(event, now())) {
+        perform(action);
+      }
+    } catch (RuntimeException exception) {
+      LOGGER.error("membership failed on event={}", event, exception);
+    }
+  }
+
+  private void perform(MembershipAction action) {
+    if (action instanceof MembershipAction.Send send) {
+      transport.send(
+          send.address(),
+          MembershipTranslator.toPeer(send.message(), leavingUpstreams.take(now())));
+    } else if (action instanceof MembershipAction.MemberChanged changed) {
+      memberChanged(changed.update());
+    } else if (action instanceof MembershipAction.GenerationHeard heard) {
+      configuration.heard(heard.holder(), heard.generation());
+    }
+  }
+
+  private void memberChanged(MemberUpdate update) {
+    LOGGER.info(
+        "member={} liveness={} state={} incarnation={}",
+        update.id(),
+        update.liveness(),
+        update.instance().state(),
+        update.incarnation());
+    self = membership.self().instance();
+    List<Instance> instances = new ArrayList<>();
+    instances.add(self);
+    membership.present().forEach(member -> instances.add(member.instance()));
+    alive = List.copyOf(instances);
+  }
+
+  private void readList() {
+    InstanceList.Snapshot snapshot = instanceList.current();
+    List<Address> seeds = new ArrayList<>(settingsSeeds);
+    snapshot.entries().forEach(entry -> seeds.add(entry.peerAddress()));
+    handle(new MembershipEvent.SeedsChanged(seeds));
+    leavingUpstreams.listChanged(snapshot, now(), transmissions());
+    upstreamsChanged();
+  }
+
+  private void upstreamsChanged() {
+    leavingNames = leavingUpstreams.names(now());
+    if (leavingUpstreams.hasNews()) {
+      handle(new MembershipEvent.GossipRequested());
+    }
+  }
+
+  private int transmissions() {
+    return settings.transmissions(alive.size());
+  }
+
+  private static long now() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  private void registerMetrics(MetricRegistry metrics) {
+    gauge(metrics, "members", () -> alive.size());
+    gauge(metrics, "leaving-upstreams", () -> leavingNames.size());
+    gauge(metrics, "messages-sent", transport.traffic()::messagesSent);
+    gauge(metrics, "messages-received", transport.traffic()::messagesReceived);
+    gauge(metrics, "bytes-sent", transport.traffic()::bytesSent);
+    gauge(metrics, "bytes-received", transport.traffic()::bytesReceived);
+    gauge(metrics, "messages-dropped", transport.traffic()::messagesDropped);
+    gauge(metrics, "connections-opened", transport.traffic()::connectionsOpened);
+    gauge(metrics, "connections-open", transport::openConnections);
+    gauge(metrics, "configuration-requests", configuration::requests);
+  }
+
+  private static <T> void gauge(MetricRegistry metrics, String name, Gauge<T> value) {
+    metrics.registerGauge("agatefield.peers." + name, value);
+  }
+
+  /** Takes what peers send; called on the event loop. */
+  private final class Handler implements PeerHandler {
+    @Override
+    public void received(PeerMessage message) {
+      if (message instanceof PeerMessage.Membership step) {
+        if (leavingUpstreams.heard(step.leavingUpstreams(), now(), transmissions())) {
+          upstreamsChanged();
+        }
+        handle(new MembershipEvent.Received(MembershipTranslator.fromPeer(step)));
+      } else if (message instanceof PeerMessage.DemandReport report) {
+        demand.received(report);
+      }
+    }
+
+    @Override
+    public CompletableFuture<PeerMessage> requested(PeerMessage request) {
+      if (request instanceof PeerMessage.ConfigurationRequest asked) {
+        return configuration.answer(asked);
+      }
+      if (request instanceof PeerMessage.DemandRequest asked) {
+        return demand.answer(asked);
+      }
+      return CompletableFuture.failedFuture(
+          new AgatefieldException(ErrorKind.INTERNAL, "the request has no answer"));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/RendezvousHash.java
@@ -0,0 +1,31 @@
+package org.agatefield.daemon.peers;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import org.agatefield.model.Instance;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/**
+ * Chooses the same instances everywhere for a purpose, moving as few as possible when some come or
+ * go. Without state.
+ */
+final class RendezvousHash {
+  private RendezvousHash() {}
+
+  /** Returns the {@code count} first instances for {@code purpose}, best first. */
+  static List<Instance> first(Collection<Instance> instances, String purpose, int count) {
+    return instances.stream()
+        .sorted(
+            Comparator.<Instance>comparingLong(instance -> score(instance, purpose))
+                .thenComparing(Instance::id))
+        .limit(count)
+        .toList();
+  }
+
+  private static long score(Instance instance, String purpose) {
+    byte[] bytes = (purpose + "/" + instance.id()).getBytes(StandardCharsets.UTF_8);
+    return MurmurHash3.hash128x64(bytes)[0];
+  }
+}
--- a/membership/src/main/java/org/agatefield/membership/Membership.java
+++ b/membership/src/main/java/org/agatefield/membership/Membership.java
@@ -61,6 +61,8 @@
       seeds = changed.addresses();
     } else if (event instanceof MembershipEvent.GenerationRaised raised) {
       raiseGeneration(raised.generation());
+    } else if (event instanceof MembershipEvent.GossipRequested) {
+      announce();
     } else if (event instanceof MembershipEvent.LeaveRequested) {
       leave(outbox);
     }
@@ -212,6 +214,10 @@
       return;
     }
     generation = raised;
+    announce();
+  }
+
+  private void announce() {
     announcementsLeft = settings.transmissions(table.presentCount() + 1);
   }
 
--- a/membership/src/main/java/org/agatefield/membership/MembershipEvent.java
+++ b/membership/src/main/java/org/agatefield/membership/MembershipEvent.java
@@ -34,6 +34,9 @@
    */
   record GenerationRaised(long generation) implements MembershipEvent {}
 
+  /** The application has news that travels with the messages of the next gossip rounds. */
+  record GossipRequested() implements MembershipEvent {}
+
   /** This member takes no more new work. */
   record LeaveRequested() implements MembershipEvent {}
 }
--- a/membership/src/main/java/org/agatefield/membership/MembershipSettings.java
+++ b/membership/src/main/java/org/agatefield/membership/MembershipSettings.java
@@ -74,7 +74,7 @@
   }
 
   /** Returns how often one piece of news is sent among {@code members}. */
-  int transmissions(int members) {
+  public int transmissions(int members) {
     int bits = Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, members));
     return transmitMultiplier * bits;
   }
--- a/peer/src/main/java/org/agatefield/peer/PeerConnection.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerConnection.java
@@ -41,7 +41,7 @@
   }
 
   @Override
-  public void channelActive(ChannelHandlerContext context) {
+  public void handlerAdded(ChannelHandlerContext context) {
     channel = context.channel();
   }
 
