Wire the daemon's parts; run the whole path as separate processes

Cause: the parts stood alone; a request could not be served from end to end. Change: Daemon builds store, configuration, ledgers, peers, dispatcher, calls, planner, callers' and operators' interfaces, and shuts them down in the reverse order; TLS contexts from the settings; the route that explains a request; the query that asks a service for the outcome of a key. Ruled out: a container for the parts, since constructors show the order.

--- a/command/src/main/java/org/agatefield/command/ConfigurationApplyCommand.java
+++ b/command/src/main/java/org/agatefield/command/ConfigurationApplyCommand.java
@@ -1,5 +1,7 @@
 package org.agatefield.command;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.restrictions.Required;
@@ -19,12 +21,26 @@
   public CommandExitCode call() {
     String document = DocumentFile.read(file);
     try (DaemonClient client = openClient()) {
-      return print(
+      HttpAnswer answer =
           client.send(
               HttpMethod.PUT,
               "/operator/configuration",
               document,
-              Map.of("Content-Type", "application/json")));
+              Map.of("Content-Type", "application/json"));
+      if (answer.status() >= 300) {
+        return print(answer);
+      }
+      System.out.println("accepted as generation " + generationOf(answer));
+      return CommandExitCode.SUCCESS;
+    }
+  }
+
+  private static long generationOf(HttpAnswer answer) {
+    try {
+      return new ObjectMapper().readTree(answer.body()).path("generation").asLong();
+    } catch (JsonProcessingException exception) {
+      throw new CommandException(
+          CommandExitCode.FAILURE, "the daemon answered no document: " + answer.body());
     }
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/Daemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/Daemon.java
@@ -2,14 +2,52 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicReference;
+import org.agatefield.daemon.calls.CallLimits;
+import org.agatefield.daemon.calls.StoreBackedCalls;
+import org.agatefield.daemon.configuration.ConfigurationKeeper;
+import org.agatefield.daemon.core.DemandSource;
 import org.agatefield.daemon.core.InvariantMonitor;
 import org.agatefield.daemon.core.StepHook;
+import org.agatefield.daemon.dispatch.BoundedAdapterLoader;
+import org.agatefield.daemon.dispatch.HomeEntryDirectory;
+import org.agatefield.daemon.dispatch.RoutingDispatcher;
+import org.agatefield.daemon.http.CallerApi;
+import org.agatefield.daemon.http.CallerApiParts;
+import org.agatefield.daemon.http.HttpOutcomeQuery;
+import org.agatefield.daemon.http.ShutdownCoordinator;
+import org.agatefield.daemon.leases.LeaseDuty;
+import org.agatefield.daemon.operate.OperatorApi;
+import org.agatefield.daemon.operate.OperatorParts;
+import org.agatefield.daemon.peers.PeerDuty;
+import org.agatefield.daemon.placing.LedgerDirectory;
+import org.agatefield.daemon.placing.PlacementDuty;
+import org.agatefield.daemon.placing.PlacementParts;
+import org.agatefield.daemon.placing.PlacementTerms;
+import org.agatefield.engine.EngineClient;
+import org.agatefield.engine.EngineClientOptions;
+import org.agatefield.engine.HttpEngineClient;
 import org.agatefield.model.Address;
 import org.agatefield.model.Closer;
+import org.agatefield.model.DemandSample;
+import org.agatefield.model.Instance;
+import org.agatefield.model.InstanceState;
+import org.agatefield.placement.GainPlacement;
+import org.agatefield.placement.GainSettings;
+import org.agatefield.platform.HttpObjectStore;
+import org.agatefield.platform.ObjectStore;
+import org.agatefield.platform.StoreInstanceList;
+import org.agatefield.routing.HomeInstances;
 import org.agatefield.settings.DaemonSettings;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -21,30 +59,187 @@
  */
 final class Daemon {
   private static final Logger LOGGER = LogManager.getLogger(Daemon.class);
+  private static final String PLANNER_LEASE = "planner";
+  private static final Duration LEASE_DURATION = Duration.ofSeconds(6);
+  private static final Duration SPREAD_ALLOWANCE = Duration.ofSeconds(2);
+  private static final double REQUESTS_PER_SECOND_PER_HOME = 50;
+  private static final int MINIMUM_HOMES = 2;
+  private static final int EVENT_LOOPS = 2;
+  private static final int WORKERS = 4;
 
   private final Closer closer = new Closer();
   private final MetricRegistry metrics = new MetricRegistry();
   private final InvariantMonitor monitor = new CountingInvariantMonitor(metrics);
   private final DaemonSettings settings;
   private final StepHook hook;
+  private final Vertx vertx;
+  private final ObjectStore store;
+  private final EngineClient engines;
+  private final ConfigurationKeeper configuration;
+  private final LedgerDirectory ledgers;
+  private PeerDuty peers;
+  private RoutingDispatcher dispatcher;
+  private StoreBackedCalls calls;
+  private ShutdownCoordinator shutdown;
+  private LeaseDuty plannerLease;
+  private final AtomicReference<DemandSource> localDemand = new AtomicReference<>(List::of);
 
   Daemon(DaemonSettings settings, StepHook hook) {
     this.settings = settings;
     this.hook = hook;
+    DaemonSettings.Platform platform = settings.platform();
+    vertx =
+        Vertx.vertx(
+            new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS).setWorkerPoolSize(WORKERS));
+    closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
+    store = closer.register(new HttpObjectStore(vertx, platform.store(), platform.storeTimeout()));
+    engines = closer.register(new HttpEngineClient(vertx, EngineClientOptions.standard()));
+    configuration =
+        closer.register(
+            new ConfigurationKeeper(vertx, store, platform.pollInterval(), metrics, monitor, hook));
+    ledgers =
+        closer.register(
+            new LedgerDirectory(vertx, store, platform.pollInterval(), configuration, engines));
   }
 
   void start() throws ListenException {
-    Vertx vertx = Vertx.vertx();
-    closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
+    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+    String instanceId = settings.instanceName() + "-" + Integer.toHexString(random.nextInt());
+    LOGGER.info("starting instance={} failure_domain={}", instanceId, settings.failureDomain());
+    startPeers(instanceId, random);
+    startDispatcher(random);
+    startCalls();
+    startPlanner(instanceId);
+    configuration.start();
+    ledgers.start();
+    listen(routes());
+  }
+
+  private void startPeers(String instanceId, UniformRandomProvider random) {
+    StoreInstanceList instanceList =
+        closer.register(new StoreInstanceList(vertx, store, settings.platform().pollInterval()));
+    Instance self =
+        new Instance(
+            instanceId,
+            settings.listeners().callers(),
+            settings.listeners().peers(),
+            settings.failureDomain(),
+            InstanceState.LIVE);
+    peers =
+        closer.register(
+            new PeerDuty(
+                self,
+                settings.peers(),
+                settings.tls().map(TlsSetup::forPeers),
+                instanceList,
+                configuration,
+                configuration,
+                () -> localDemand.get().localDemand(),
+                metrics,
+                random));
+  }
+
+  private void startDispatcher(UniformRandomProvider random) {
+    dispatcher =
+        new RoutingDispatcher(
+            vertx, configuration, ledgers, peers, settings.limits(), metrics, monitor, random);
+    closer.register(dispatcher);
+    localDemand.set(dispatcher);
+  }
+
+  private void startCalls() {
+    DaemonSettings.Limits limits = settings.limits();
+    calls =
+        closer.register(
+            new StoreBackedCalls(
+                vertx,
+                store,
+                peers,
+                new HttpOutcomeQuery(vertx, configuration),
+                CallLimits.withRetention(limits.claimRetention()),
+                hook,
+                monitor,
+                metrics));
+    shutdown =
+        new ShutdownCoordinator(
+            vertx,
+            limits.entryTimeToLive(),
+            SPREAD_ALLOWANCE,
+            limits.drainTimeout(),
+            calls::runningCalls,
+            monitor);
+  }
+
+  private void startPlanner(String instanceId) {
+    plannerLease =
+        closer.register(new LeaseDuty(vertx, store, PLANNER_LEASE, instanceId, LEASE_DURATION));
+    PlacementParts parts =
+        new PlacementParts(
+            vertx,
+            store,
+            engines,
+            plannerLease,
+            configuration,
+            peers,
+            peers,
+            monitor,
+            metrics,
+            hook);
+    DaemonSettings.Limits limits = settings.limits();
+    PlacementTerms terms =
+        PlacementTerms.standard(limits.orderQuarantine(), limits.defaultDeadline());
+    closer.register(
+        new PlacementDuty(parts, terms, new GainPlacement(GainSettings.standard())).start());
+  }
+
+  private Router routes() {
     Router router = Router.router(vertx);
     router.get("/metrics").handler(new MetricsHandler(metrics));
-    listen(vertx, router);
+    OperatorParts operatorParts =
+        new OperatorParts(
+            configuration, peers, ledgers, plannerLease, monitor, this::drainOnRequest);
+    new OperatorApi(operatorParts, settings.operatorTokenSha256()).mount(router);
+    router.get("/operator/explain/request").handler(new RequestExplanationRoute(dispatcher));
+    new CallerApi(callerApiParts()).mount(router);
+    return router;
+  }
+
+  private CallerApiParts callerApiParts() {
+    HomeEntryDirectory entries =
+        new HomeEntryDirectory(
+            peers,
+            new HomeInstances(REQUESTS_PER_SECOND_PER_HOME, MINIMUM_HOMES),
+            this::requestsPerSecond,
+            settings.limits().entryTimeToLive());
+    return new CallerApiParts(
+        vertx,
+        configuration,
+        dispatcher,
+        engines,
+        new BoundedAdapterLoader(engines, configuration, ledgers, peers, metrics),
+        calls,
+        entries,
+        peers,
+        shutdown,
+        monitor,
+        metrics,
+        settings.limits());
   }
 
-  private void listen(Vertx vertx, Router router) throws ListenException {
+  private double requestsPerSecond(String deployment) {
+    return peers.totalDemand().stream()
+        .filter(sample -> sample.deployment().equals(deployment))
+        .mapToDouble(DemandSample::requestsPerSecond)
+        .sum();
+  }
+
+  private void listen(Router router) throws ListenException {
     Address address = settings.listeners().callers();
     HttpServerOptions options =
-        new HttpServerOptions().setMaxHeaderSize(settings.limits().headerBytes());
+        new HttpServerOptions()
+            .setMaxHeaderSize(settings.limits().headerBytes())
+            .setTcpNoDelay(true);
+    settings.tls().ifPresent(tls -> TlsSetup.apply(tls, options));
     try {
       vertx
           .createHttpServer(options)
@@ -59,9 +254,19 @@
     LOGGER.info("listening callers={} peers={}", address, settings.listeners().peers());
   }
 
+  /** Ends the process gracefully from a thread of its own, since the shutdown waits. */
+  private CompletableFuture<Void> drainOnRequest() {
+    Thread thread = new Thread(() -> System.exit(0), "drain");
+    thread.setDaemon(true);
+    thread.start();
+    return CompletableFuture.completedFuture(null);
+  }
+
   /** Finishes what runs, then closes everything; returns whether no request was cut. */
   boolean shutDownGracefully() {
+    boolean complete = shutdown.beginLeaving(peers::leave).join();
+    LOGGER.info("leaving complete={} violations={}", complete, monitor.violations());
     closer.close();
-    return true;
+    return complete;
   }
 }
--- a/fleet/src/main/java/org/agatefield/fleet/CommandRunner.java
+++ b/fleet/src/main/java/org/agatefield/fleet/CommandRunner.java
@@ -10,12 +10,6 @@
 final class CommandRunner {
   private static final String MAIN = "org.agatefield.command.AgatefieldctlMain";
 
-  private final Path directory;
-
-  CommandRunner(Path directory) {
-    this.directory = directory;
-  }
-
   /** Returns the command's output, and fails with a {@link FleetException} if it fails. */
   String run(String... arguments) {
     List<String> command = new ArrayList<>();
@@ -23,11 +17,7 @@
     command.addAll(List.of("-cp", System.getProperty("java.class.path"), MAIN));
     command.addAll(List.of(arguments));
     try {
-      Process process =
-          new ProcessBuilder(command)
-              .directory(directory.toFile())
-              .redirectErrorStream(true)
-              .start();
+      Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
       String output =
           new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8).strip();
       int code = process.waitFor();
--- a/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
+++ b/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
@@ -204,40 +204,41 @@
             .orElseThrow();
     String seeds =
         String.join(", ", peerAddresses.values().stream().map(each -> "\"" + each + "\"").toList());
-    return """
-    [instance]
-    name = "%s"
-    region = "%s"
-    failure_domain = "%s"
-
-    [listen]
-    callers = "%s"
-    peers = "%s"
-
-    [platform]
-    store = "%s"
-    store_timeout_milliseconds = 1000
-    poll_interval_seconds = 5
-
-    [membership]
-    seeds = [%s]
-
-    [operators]
-    token_sha256 = "%s"
-
-    [limits]
-    %s
-    """
-        .formatted(
-            name,
-            entry.failureDomain().region(),
-            entry.failureDomain().name(),
-            address(name),
-            peerAddresses.get(name),
-            storeForDaemons.orElse(address(STORE)),
-            seeds,
-            DigestUtils.sha256Hex(OPERATOR_TOKEN),
-            moreSettings);
+    String template =
+        """
+        [instance]
+        name = "%s"
+        region = "%s"
+        failure_domain = "%s"
+
+        [listen]
+        callers = "%s"
+        peers = "%s"
+
+        [platform]
+        store = "%s"
+        store_timeout_milliseconds = 1000
+        poll_interval_seconds = 5
+
+        [membership]
+        seeds = [%s]
+
+        [operators]
+        token_sha256 = "%s"
+
+        [limits]
+        %s
+        """;
+    return template.formatted(
+        name,
+        entry.failureDomain().region(),
+        entry.failureDomain().name(),
+        address(name),
+        peerAddresses.get(name),
+        storeForDaemons.orElse(address(STORE)),
+        seeds,
+        DigestUtils.sha256Hex(OPERATOR_TOKEN),
+        moreSettings);
   }
 
   private void registerEntry(FleetPlan.Entry entry) {
--- a/fleet/src/main/java/org/agatefield/fleet/Quickstart.java
+++ b/fleet/src/main/java/org/agatefield/fleet/Quickstart.java
@@ -27,7 +27,7 @@
   Quickstart(LocalFleet fleet, Path runDirectory, PrintStream output) {
     this.fleet = fleet;
     this.runDirectory = runDirectory;
-    this.commands = new CommandRunner(runDirectory);
+    this.commands = new CommandRunner();
     this.output = output;
   }
 
--- a/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
@@ -66,7 +66,12 @@
             .should()
             .dependOnClassesThat()
             .resideInAnyPackage(
-                "java.io..", "java.net..", "java.nio.file..", "java.nio.channels..", "io.vertx..", "io.netty..");
+                "java.io..",
+                "java.net..",
+                "java.nio.file..",
+                "java.nio.channels..",
+                "io.vertx..",
+                "io.netty..");
     rule.check(CLASSES);
   }
 
@@ -98,7 +103,7 @@
   }
 
   @Test
-  void nothingStartsAProcessButTheFleetTool() {
+  void noProcessIsStartedButByTheFleetTool() {
     ArchRule rule =
         ArchRuleDefinition.noClasses()
             .that()
