Let a dispatcher run under an embedding program's clock and policies

Change: DispatchPolicies, a constructor without Vert.x, a public tick. Ruled out: a copy of the dispatcher's logic inside the measuring tool.

--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/RoutingDispatcher.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/RoutingDispatcher.java
@@ -6,16 +6,12 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.agatefield.admission.AdmissionQueue;
-import org.agatefield.admission.DeadlineShedding;
 import org.agatefield.admission.QueueBounds;
-import org.agatefield.admission.RetryBudget;
 import org.agatefield.admission.RetryPolicy;
-import org.agatefield.admission.WeightedFairOrder;
 import org.agatefield.daemon.core.ConfigurationSource;
 import org.agatefield.daemon.core.DemandSource;
 import org.agatefield.daemon.core.Dispatch;
@@ -27,12 +23,10 @@
 import org.agatefield.daemon.core.ReplicaDirectory;
 import org.agatefield.daemon.core.ServiceRequest;
 import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.Closer;
 import org.agatefield.model.DemandSample;
 import org.agatefield.model.Deployment;
 import org.agatefield.model.ErrorKind;
-import org.agatefield.routing.CostModel;
-import org.agatefield.routing.CrossingRule;
-import org.agatefield.routing.ExpectedTimeChooser;
 import org.agatefield.routing.PrefixTable;
 import org.agatefield.settings.DaemonSettings;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -50,34 +44,24 @@
     implements Dispatcher, DemandSource, RoutedDispatch.Owner, AutoCloseable {
   private static final long TICK_MILLISECONDS = 20;
   private static final int PREFIXES_PER_RUNNER = 8_192;
-  private static final double RETRY_SHARE = 0.2;
-  private static final double RETRY_RESERVE = 20;
   private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-  private static final long CROSSING_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(60);
-  private static final CostModel COSTS =
-      new CostModel(
-          TimeUnit.MICROSECONDS.toNanos(100),
-          TimeUnit.MILLISECONDS.toNanos(13),
-          CROSSING_NANOSECONDS,
-          400);
 
   private final ReentrantLock lock = new ReentrantLock();
-  private final Vertx vertx;
   private final InstanceDirectory instances;
   private final LongSupplier clock;
   private final TargetIndex index;
   private final DispatchCore core;
   private final AdmissionQueue queue;
-  private final RetryPolicy retries = new RetryBudget(RETRY_SHARE, RETRY_RESERVE);
+  private final RetryPolicy retries;
   private final DemandMeter demand = new DemandMeter();
   private final DecisionLog decisions = new DecisionLog();
   private final DispatchMetrics metrics;
   private final RequestFactory requests;
   private final String region;
-  private final long timer;
+  private final Closer closer = new Closer();
   private long lastRequestNumber;
 
-  /** Creates a dispatcher and starts its timer. */
+  /** Creates a dispatcher with the standard policies that is driven by a timer of {@code vertx}. */
   public RoutingDispatcher(
       Vertx vertx,
       ConfigurationSource configuration,
@@ -87,34 +71,64 @@
       MetricRegistry registry,
       InvariantMonitor monitor,
       UniformRandomProvider random) {
-    this.vertx = vertx;
+    this(
+        configuration,
+        replicas,
+        instances,
+        limits,
+        registry,
+        monitor,
+        DispatchPolicies.standard(random),
+        System::nanoTime);
+    long timer = vertx.setPeriodic(TICK_MILLISECONDS, ignored -> tick());
+    closer.register(() -> vertx.cancelTimer(timer));
+  }
+
+  /**
+   * Creates a dispatcher whose embedding program calls {@link #tick()} and passes time by {@code
+   * clock}, in nanoseconds.
+   */
+  public RoutingDispatcher(
+      ConfigurationSource configuration,
+      ReplicaDirectory replicas,
+      InstanceDirectory instances,
+      DaemonSettings.Limits limits,
+      MetricRegistry registry,
+      InvariantMonitor monitor,
+      DispatchPolicies policies,
+      LongSupplier clock) {
     this.instances = instances;
-    this.clock = System::nanoTime;
-    final PrefixTable prefixes = new PrefixTable(PREFIXES_PER_RUNNER);
+    this.clock = clock;
+    retries = policies.retries();
     index = new TargetIndex(configuration, replicas);
     queue =
         new AdmissionQueue(
             new QueueBounds(limits.queuedRequests(), limits.queuedBytes()),
-            new DeadlineShedding(random),
-            new WeightedFairOrder());
+            policies.shedding(),
+            policies.order());
     metrics = new DispatchMetrics(registry);
     metrics.gauge("queued-requests", () -> locked(queue::size));
     metrics.gauge("queued-bytes", () -> locked(queue::bytes));
     region = instances.self().failureDomain().region();
     requests = new RequestFactory(region);
+    PrefixTable prefixes = new PrefixTable(PREFIXES_PER_RUNNER);
     core =
         new DispatchCore(
             index,
             new UpstreamTable(replicas, prefixes),
-            new ExpectedTimeChooser(COSTS, prefixes, random),
-            new CrossingRule(CROSSING_NANOSECONDS),
+            policies.chooser().apply(prefixes),
+            policies.crossing(),
             queue,
             demand,
             decisions,
             metrics,
             monitor,
             this);
-    timer = vertx.setPeriodic(TICK_MILLISECONDS, ignored -> run(now -> core.tick(now)));
+  }
+
+  /** Refuses what has become too late and sends what has a place by now. */
+  public void tick() {
+    run(core::tick);
   }
 
   @Override
@@ -175,7 +189,7 @@
 
   @Override
   public void close() {
-    vertx.cancelTimer(timer);
+    closer.close();
   }
 
   private CompletableFuture<Dispatch> admit(PendingRequest pending, long now) {
