Let process tests bring about failures at named steps

Cause: failures between two steps cannot be met by luck of timing. Ruled out: signals sent after a delay, since the verdict would depend on the machine's load.

--- /dev/null
+++ b/fleet/src/test/java/org/agatefield/fleet/StepFault.java
@@ -0,0 +1,63 @@
+package org.agatefield.fleet;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.agatefield.daemon.core.Step;
+
+/** A failure at a named step of a daemon that runs {@link HookedDaemonMain}. For one thread. */
+public final class StepFault {
+  private static final Duration REACH_LIMIT = Duration.ofSeconds(60);
+
+  private final Step step;
+  private final String subject;
+  private final String action;
+  private final Path marker;
+
+  private StepFault(Step step, String subject, String action, Path marker) {
+    this.step = step;
+    this.subject = subject;
+    this.action = action;
+    this.marker = marker;
+  }
+
+  /** The daemon ends at the step, as if killed. */
+  public static StepFault halt(Step step, String subject, Path marker) {
+    return new StepFault(step, subject, "halt", marker);
+  }
+
+  /** The daemon waits at the step, as if paused, until {@link #goOn()}. */
+  public static StepFault hold(Step step, String subject, Path marker) {
+    return new StepFault(step, subject, "wait", marker);
+  }
+
+  /** Returns the options of the daemon's virtual machine. */
+  public List<String> options() {
+    return List.of(
+        "-Dtest.step=" + step.name(),
+        "-Dtest.subject=" + subject,
+        "-Dtest.action=" + action,
+        "-Dtest.marker=" + marker);
+  }
+
+  /** Returns whether the daemon has reached the step. */
+  public boolean isReached() {
+    return Files.exists(marker);
+  }
+
+  /** Waits until the daemon has reached the step. */
+  public void awaitReached() {
+    LocalFleet.await("step " + step + " is reached", REACH_LIMIT, this::isReached);
+  }
+
+  /** Lets a daemon that waits go on. */
+  public void goOn() {
+    try {
+      Files.createFile(Path.of(marker + ".go"));
+    } catch (IOException exception) {
+      throw new FleetException("the marker cannot be made", exception);
+    }
+  }
+}
