Answer retries of finished calls from memory; wait for the release of a lease

A retry of a finished call read the store each time, and one of a lost call also asked the service each time.

A daemon closed the store's client right after asking it to release the lease; closing now waits up to a second for the release.

--- a/daemon/src/main/java/org/agatefield/daemon/calls/StoreBackedCalls.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/StoreBackedCalls.java
@@ -37,6 +37,7 @@
 public final class StoreBackedCalls implements NonRepeatableCalls, AutoCloseable {
   private static final Duration LONGEST_STORE_PAUSE = Duration.ofMillis(500);
 
+  private final RecentOutcomes recent = new RecentOutcomes();
   private final Map<String, ClaimExecution> executions = new ConcurrentHashMap<>();
   private final CallParts parts;
   private final InstanceDirectory instances;
@@ -78,10 +79,18 @@
               ErrorKind.KEY_EXPIRED, "the key is older than outcomes are kept; nothing was sent"));
     }
     String name = ClaimNames.nameOf(call.caller(), call.service().name(), call.key());
+    Optional<CompletableFuture<ServiceExchange>> kept = recent.find(name, call.bodySha256());
+    if (kept.isPresent()) {
+      metrics.counter("agatefield.calls.answeredFromMemory").inc();
+      return kept.get();
+    }
     ClaimExecution created = newExecution(call, request, dispatcher, sender, name);
     ClaimExecution running = executions.putIfAbsent(name, created);
     if (running == null) {
       metrics.counter("agatefield.calls.started").inc();
+      created
+          .reply()
+          .whenComplete((answer, failure) -> recent.keep(name, call.bodySha256(), answer, failure));
       created.start();
       return withDeadline(created, call);
     }
--- a/daemon/src/main/java/org/agatefield/daemon/leases/LeaseDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/leases/LeaseDuty.java
@@ -2,11 +2,16 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.agatefield.daemon.core.LeaseView;
 import org.agatefield.lease.LeaseDecision;
 import org.agatefield.lease.LeaseGrant;
@@ -33,6 +38,7 @@
 public final class LeaseDuty implements LeaseView, AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(LeaseDuty.class);
   private static final long CLOCK_DRIFT_PER_MILLION = 10_000;
+  private static final long RELEASE_LIMIT_SECONDS = 1;
   private static final int RENEWALS_PER_DURATION = 4;
   private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
 
@@ -89,7 +95,21 @@
       previous = lastSeen;
     }
     if (release.isPresent() && previous.isPresent()) {
-      store.update(previous.get(), newIdentifier(), encode(release.get().lease()));
+      awaitBriefly(store.update(previous.get(), newIdentifier(), encode(release.get().lease())));
+    }
+  }
+
+  /** Waits for the release, so that the store's client is not closed before it is sent. */
+  private static void awaitBriefly(CompletableFuture<StoredObject> release) {
+    if (Context.isOnEventLoopThread()) {
+      return;
+    }
+    try {
+      release.get(RELEASE_LIMIT_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException exception) {
+      LOGGER.debug("lease not released, it lapses", exception);
     }
   }
 
--- a/fleet/src/test/java/org/agatefield/fleet/calls/StoreBackedCallsTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/StoreBackedCallsTest.java
@@ -385,4 +385,26 @@
         .atMost(GENEROUS)
         .until(() -> bench.storeCounts().contains("\"delete\":{\"claims\":30}"));
   }
+
+  @Test
+  void retriesOfFinishedCallDoNotReadTheStoreEachTime() {
+    StoreBackedCalls first = instance("a");
+    for (int retry = 0; retry < 100; retry++) {
+      assertEquals(exchange("execution 1"), book(first, "key").join());
+    }
+    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
+    assertEquals(
+        "{\"calls\":{\"create\":{\"claims\":1},\"get\":{\"claims\":1},"
+            + "\"update\":{\"claims\":1}},\"total\":3,\"waitingWatches\":0}",
+        bench.storeCounts().trim());
+  }
+
+  @Test
+  void keptAnswerIsNotGivenToAnotherBody() {
+    StoreBackedCalls first = instance("a");
+    book(first, "key").join();
+    AgatefieldException failure =
+        failureOf(bench.call(first, "key", "other", LONG, bench.sender("key", this::answerAtOnce)));
+    assertEquals(ErrorKind.KEY_REUSED, failure.kind());
+  }
 }
--- /dev/null
+++ b/fleet/src/test/java/org/agatefield/fleet/platform/LeaseDutyTest.java
@@ -0,0 +1,83 @@
+package org.agatefield.fleet.platform;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.agatefield.daemon.leases.LeaseDuty;
+import org.agatefield.lease.LeaseGrant;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class LeaseDutyTest {
+  private static final Duration GENEROUS = Duration.ofSeconds(60);
+  private static final Duration DURATION = Duration.ofSeconds(2);
+
+  private final StoreBench bench = new StoreBench();
+  private final List<LeaseDuty> contenders = new ArrayList<>();
+
+  @BeforeEach
+  void contend() {
+    for (String name : List.of("a", "b", "c")) {
+      contenders.add(
+          bench.closer.register(
+              new LeaseDuty(bench.vertx, bench.newClient(), "planner", name, DURATION)));
+    }
+    await().atMost(GENEROUS).until(() -> !holders().isEmpty());
+  }
+
+  @AfterEach
+  void close() {
+    bench.close();
+  }
+
+  private List<LeaseDuty> holders() {
+    return contenders.stream().filter(each -> each.currentGrant().isPresent()).toList();
+  }
+
+  private long token() {
+    return holders().stream()
+        .flatMap(each -> each.currentGrant().stream())
+        .mapToLong(LeaseGrant::fencingToken)
+        .max()
+        .orElse(0);
+  }
+
+  @Test
+  void oneOfThreeHoldsTheLease() {
+    assertEquals(1, holders().size());
+  }
+
+  @Test
+  void closedHolderIsFollowedByAnotherWithLargerToken() {
+    LeaseDuty first = holders().get(0);
+    long token = token();
+    first.close();
+    assertTrue(first.currentGrant().isEmpty());
+    await().atMost(GENEROUS).until(() -> token() > token);
+    assertTrue(first.currentGrant().isEmpty());
+  }
+
+  @Test
+  void grantEndsByItselfWhileTheStoreIsDown() {
+    final long token = token();
+    bench.faults("{\"down\":true}");
+    await().atMost(GENEROUS).until(() -> holders().isEmpty());
+    bench.faults("{}");
+    await().atMost(GENEROUS).until(() -> token() > token);
+  }
+
+  @Test
+  void lostAnswersToRenewalsAreReadBack() {
+    bench.faults("{\"loseAnswersShare\":0.5,\"seed\":42,\"kind\":\"leases\"}");
+    long updates = bench.counts().at("/calls/update/leases").asLong();
+    await()
+        .atMost(GENEROUS)
+        .until(() -> bench.counts().at("/calls/update/leases").asLong() > updates + 6);
+    await().atMost(GENEROUS).until(() -> holders().size() == 1);
+  }
+}
