Keep lagging load reports from closing a runner

Cause: under 500 requests a second a daemon sent about 30 a second to an engine that could take 400. A load report that caught the engine between two batches (1 running, 25 waiting) set the learnt limit to 1; and a report that lagged counted this instance's own, already answered requests as those of others, so that no place seemed free. Change: the learnt limit takes what an engine can run as the most that the last 16 reports have shown; the estimate of others' requests takes off the most that this instance had outstanding since about two reports ago. The load command gets a warm-up; ./agatefield-fleet added-latency measures a daemon against the engine in turns. Ruled out: the engine (straight to it all 5,000 were answered) and the caller's connections (the decision log shows one routing each 40 ms). Latency is measured again once the machine is quiet.

--- a/admission/src/main/java/org/agatefield/admission/LearntLimit.java
+++ b/admission/src/main/java/org/agatefield/admission/LearntLimit.java
@@ -1,18 +1,26 @@
 package org.agatefield.admission;
 
+import java.util.Arrays;
+
 /**
  * A limit that rises by one for each limit's worth of answers while it is used, and falls when the
  * runner refuses requests or lets them wait.
  *
+ * <p>A report may catch a runner between two batches, with few running requests and many waiting
+ * ones. So what it can run is taken to be the most that the last reports have shown.
+ *
  * <p>Invariant: stays between the given bounds. Confined to the thread that holds it.
  */
 public final class LearntLimit implements ConcurrencyLimit {
   private static final double DECREASE_FACTOR = 0.8;
   private static final double FULL_SHARE = 0.8;
+  private static final int KEPT_REPORTS = 16;
 
   private final int minimum;
   private final int maximum;
+  private final int[] lastRunning = new int[KEPT_REPORTS];
   private double limit;
+  private int reports;
 
   /** Creates a limit that starts at {@code initial}. */
   public LearntLimit(int minimum, int initial, int maximum) {
@@ -40,8 +48,12 @@
 
   @Override
   public void reported(int running, int waiting) {
-    if (waiting > 0 && running > 0) {
-      limit = Math.max(minimum, Math.min(limit, running));
+    if (waiting == 0 || running == 0) {
+      return;
     }
+    lastRunning[reports % KEPT_REPORTS] = running;
+    reports++;
+    int mostRunning = Arrays.stream(lastRunning).max().orElse(running);
+    limit = Math.max(minimum, Math.min(limit, mostRunning));
   }
 }
--- a/admission/src/test/java/org/agatefield/admission/LearntLimitTest.java
+++ b/admission/src/test/java/org/agatefield/admission/LearntLimitTest.java
@@ -1,5 +1,6 @@
 package org.agatefield.admission;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
@@ -7,6 +8,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
 
 class LearntLimitTest {
   @Property(tries = 300, seed = "5005")
@@ -25,4 +27,36 @@
       assertTrue(limit.limit() >= 2 && limit.limit() <= 64);
     }
   }
+
+  @Test
+  void reportFromBetweenTwoBatchesDoesNotLowerTheLimitBelowWhatTheEngineRan() {
+    LearntLimit limit = new LearntLimit(1, 32, 1_024);
+    limit.reported(16, 10);
+    limit.reported(1, 25);
+    assertEquals(16, limit.limit());
+  }
+
+  @Test
+  void engineThatLetsRequestsWaitLowersTheLimitToWhatItRuns() {
+    LearntLimit limit = new LearntLimit(1, 32, 1_024);
+    limit.reported(16, 10);
+    assertEquals(16, limit.limit());
+  }
+
+  @Test
+  void engineThatRunsLessForLongLowersTheLimit() {
+    LearntLimit limit = new LearntLimit(1, 32, 1_024);
+    limit.reported(16, 10);
+    for (int report = 0; report < 100; report++) {
+      limit.reported(4, 10);
+    }
+    assertEquals(4, limit.limit());
+  }
+
+  @Test
+  void reportWithoutWaitingRequestsLeavesTheLimit() {
+    LearntLimit limit = new LearntLimit(1, 32, 1_024);
+    limit.reported(3, 0);
+    assertEquals(32, limit.limit());
+  }
 }
--- a/command/src/main/java/org/agatefield/command/LoadCommand.java
+++ b/command/src/main/java/org/agatefield/command/LoadCommand.java
@@ -29,6 +29,13 @@
   @Once
   private int seconds = 10;
 
+  @Option(
+      name = {"--warm-up-seconds"},
+      title = "N",
+      description = "How long to send before that, without reporting it")
+  @Once
+  private int warmUpSeconds;
+
   @Option(
       name = {"--maximum-tokens"},
       title = "N",
@@ -38,7 +45,13 @@
 
   @Override
   public CommandExitCode call() throws Exception {
-    LoadPlan plan = new LoadPlan(model, rate, Duration.ofSeconds(seconds), maximumTokens);
+    LoadPlan plan =
+        new LoadPlan(
+            model,
+            rate,
+            Duration.ofSeconds(warmUpSeconds),
+            Duration.ofSeconds(seconds),
+            maximumTokens);
     try (LoadGenerator generator = new LoadGenerator(entryAddress(), authorization())) {
       LoadReportTable table = generator.run(plan);
       System.out.println(table.format());
--- a/command/src/main/java/org/agatefield/command/LoadGenerator.java
+++ b/command/src/main/java/org/agatefield/command/LoadGenerator.java
@@ -32,6 +32,14 @@
   private static final String END_MARKER = "[DONE]";
   private static final int TAIL_BYTES = 32;
 
+  /**
+   * When a request was to start. Immutable.
+   *
+   * @param plannedNanoseconds the monotonic time
+   * @param reported whether its times are reported
+   */
+  private record Start(long plannedNanoseconds, boolean reported) {}
+
   private final Closer closer = new Closer();
   private final Map<String, String> headers;
   private final Address address;
@@ -53,14 +61,15 @@
   }
 
   LoadReportTable run(LoadPlan plan) throws InterruptedException {
-    long requests = plan.duration().toSeconds() * plan.requestsPerSecond();
+    long warmUp = plan.warmUp().toSeconds() * plan.requestsPerSecond();
+    long requests = warmUp + plan.duration().toSeconds() * plan.requestsPerSecond();
     long intervalNanoseconds = TimeUnit.SECONDS.toNanos(1) / plan.requestsPerSecond();
     CountDownLatch answered = new CountDownLatch((int) requests);
     long begin = System.nanoTime();
     for (long number = 0; number < requests; number++) {
       long plannedStart = begin + number * intervalNanoseconds;
       waitUntil(plannedStart);
-      start(plan, plannedStart, answered);
+      start(plan, new Start(plannedStart, number >= warmUp), answered);
     }
     boolean complete = answered.await(LAST_ANSWERS_SECONDS, TimeUnit.SECONDS);
     if (!complete) {
@@ -77,7 +86,7 @@
     }
   }
 
-  private void start(LoadPlan plan, long plannedStart, CountDownLatch answered) {
+  private void start(LoadPlan plan, Start start, CountDownLatch answered) {
     RequestOptions options =
         new RequestOptions()
             .setMethod(HttpMethod.POST)
@@ -89,24 +98,24 @@
     client
         .request(options)
         .compose(request -> request.send(Buffer.buffer(plan.body())))
-        .compose(response -> read(response, plannedStart))
+        .compose(response -> read(response, start))
         .onFailure(failure -> failed.incrementAndGet())
         .onComplete(ended -> answered.countDown());
   }
 
-  private Future<Void> read(HttpClientResponse response, long plannedStart) {
+  private Future<Void> read(HttpClientResponse response, Start start) {
     AnswerTail tail = new AnswerTail(TAIL_BYTES);
     response.handler(
         part -> {
           if (tail.isEmpty()) {
-            record(firstPart, plannedStart);
+            record(firstPart, start);
           }
           tail.append(part);
         });
-    return response.end().onSuccess(ended -> count(response, tail, plannedStart));
+    return response.end().onSuccess(ended -> count(response, tail, start));
   }
 
-  private void count(HttpClientResponse response, AnswerTail tail, long plannedStart) {
+  private void count(HttpClientResponse response, AnswerTail tail, Start start) {
     int status = response.statusCode();
     if (status == 429 || status == 503) {
       refused.incrementAndGet();
@@ -117,12 +126,15 @@
       return;
     }
     whole.incrementAndGet();
-    record(wholeAnswer, plannedStart);
+    record(wholeAnswer, start);
   }
 
-  private static void record(Histogram histogram, long plannedStart) {
+  private static void record(Histogram histogram, Start start) {
+    if (!start.reported()) {
+      return;
+    }
     histogram.recordValue(
-        Math.max(0, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - plannedStart)));
+        Math.max(0, TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - start.plannedNanoseconds())));
   }
 
   @Override
--- a/command/src/main/java/org/agatefield/command/LoadPlan.java
+++ b/command/src/main/java/org/agatefield/command/LoadPlan.java
@@ -7,10 +7,12 @@
  *
  * @param model the deployment or adapter
  * @param requestsPerSecond how many requests start each second
- * @param duration how long requests are started
+ * @param warmUp how long requests are started at first that are not reported
+ * @param duration how long requests are started after that
  * @param maximumTokens the most tokens of each answer
  */
-record LoadPlan(String model, int requestsPerSecond, Duration duration, int maximumTokens) {
+record LoadPlan(
+    String model, int requestsPerSecond, Duration warmUp, Duration duration, int maximumTokens) {
   String body() {
     return "{\"model\":\""
         + model
--- a/fleet/src/main/java/org/agatefield/fleet/FleetMain.java
+++ b/fleet/src/main/java/org/agatefield/fleet/FleetMain.java
@@ -8,7 +8,7 @@
 @Cli(
     name = "agatefield-fleet",
     description = "Starts local fleets to try out and to soak",
-    commands = {QuickstartCommand.class})
+    commands = {QuickstartCommand.class, AddedLatencyCommand.class})
 public final class FleetMain {
   private static final int USAGE = 2;
   private static final int FAILURE = 1;
--- a/fleet/src/main/java/org/agatefield/fleet/FleetPlan.java
+++ b/fleet/src/main/java/org/agatefield/fleet/FleetPlan.java
@@ -42,12 +42,26 @@
    * @param failureDomain where it lies
    * @param memoryMegabytes its accelerator memory
    * @param checksFencingTokens whether it refuses orders with an old fencing token
+   * @param tokenMilliseconds time of one step of its batch
+   * @param batch most requests that it runs at once
    */
   public record Engine(
       String name,
       FailureDomain failureDomain,
       long memoryMegabytes,
-      boolean checksFencingTokens) {}
+      boolean checksFencingTokens,
+      int tokenMilliseconds,
+      int batch) {
+
+    /** Creates an engine with the usual speed. */
+    public Engine(
+        String name,
+        FailureDomain failureDomain,
+        long memoryMegabytes,
+        boolean checksFencingTokens) {
+      this(name, failureDomain, memoryMegabytes, checksFencingTokens, 5, 16);
+    }
+  }
 
   /**
    * A stand-in of a plain service's runner. Immutable.
--- a/fleet/src/main/java/org/agatefield/fleet/FleetPlans.java
+++ b/fleet/src/main/java/org/agatefield/fleet/FleetPlans.java
@@ -34,6 +34,17 @@
         new Weights(1.5, 6, 50));
   }
 
+  /** Returns one daemon before one engine, to measure what the daemon adds. */
+  public static FleetPlan latency() {
+    FailureDomain domain = new FailureDomain("kochi", "kochi-a");
+    return new FleetPlan(
+        List.of(new Entry("entry-1", domain)),
+        List.of(new Engine("engine-1", domain, ENGINE_MEGABYTES, true, 1, 256)),
+        List.of(),
+        List.of(new Model("summaries", MODEL_MEGABYTES, 1, List.of())),
+        new Weights(1.5, 6, 50));
+  }
+
   /** Returns the cooperative's fleet at the size of the brief. */
   public static FleetPlan cooperative() {
     List<FailureDomain> domains =
--- a/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
+++ b/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
@@ -151,6 +151,10 @@
             Long.toString(engine.memoryMegabytes()),
             "--checks-fencing-tokens",
             Boolean.toString(engine.checksFencingTokens()),
+            "--token-milliseconds",
+            Integer.toString(engine.tokenMilliseconds()),
+            "--batch",
+            Integer.toString(engine.batch()),
             "--weights",
             address(WEIGHTS).toString()));
   }
--- a/routing/src/main/java/org/agatefield/routing/RunnerLoad.java
+++ b/routing/src/main/java/org/agatefield/routing/RunnerLoad.java
@@ -3,10 +3,12 @@
 /**
  * How many requests an upstream has, from what this instance sent and from lagging reports.
  *
- * <p>A report counts requests of all instances; what this instance had outstanding when the report
- * came is taken off it, the rest is what others have, and what this instance has now is added. What
- * a report said of others counts half as much for each half-life that passes without a new one, so
- * that an upstream is not avoided for ever. Confined to one thread at a time.
+ * <p>A report counts requests of all instances at an unknown time since about two reports ago. The
+ * most that this instance had outstanding in that time is taken off it, so that its own requests,
+ * already answered, are never taken for those of others; the rest is what others have, and what
+ * this instance has now is added. What a report said of others counts half as much for each
+ * half-life that passes without a new one, so that an upstream is not avoided for ever. Confined to
+ * one thread at a time.
  */
 public final class RunnerLoad {
   private static final double SMOOTHING = 0.1;
@@ -15,6 +17,8 @@
   private static final long INITIAL_NANOSECONDS = 1_000_000_000L;
 
   private int own;
+  private int mostOwnSinceReport;
+  private int mostOwnBeforeReport;
   private int others;
   private long reportedAtNanoseconds;
   private double nanosecondsPerRequest = INITIAL_NANOSECONDS;
@@ -22,6 +26,7 @@
   /** Records a request that was sent. */
   public void sent() {
     own++;
+    mostOwnSinceReport = Math.max(mostOwnSinceReport, own);
   }
 
   /** Records that a request is no longer at the upstream. */
@@ -37,7 +42,10 @@
   /** Takes in a report of requests at the upstream. */
   public void reported(int running, int waiting, long nowNanoseconds) {
     reportedAtNanoseconds = nowNanoseconds;
-    others = Math.max(0, running + waiting - own);
+    int mostOwn = Math.max(mostOwnSinceReport, mostOwnBeforeReport);
+    others = Math.max(0, running + waiting - mostOwn);
+    mostOwnBeforeReport = mostOwnSinceReport;
+    mostOwnSinceReport = own;
   }
 
   /** Returns the requests of this instance at the upstream. */
