--- /dev/null
+++ b/measure/src/main/java/org/agatefield/measure/Driver.java
@@ -0,0 +1,231 @@
+package org.agatefield.measure;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.agatefield.model.DemandSample;
+import org.agatefield.model.FailureDomain;
+import org.agatefield.model.Upstream;
+import org.agatefield.placement.LedgerRules;
+import org.agatefield.routing.HomeInstances;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Runs one scenario under one set of policies: steps the runners by the service-time model and
+ * calls the decisions of the daemon. Deterministic for a seed. Confined to one thread.
+ */
+final class Driver {
+  /** Placement settles before anything is counted or changes. */
+  static final int WARM_UP_SECONDS = 60;
+
+  static final double CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+  private static final long STEP_NANOSECONDS = TimeUnit.MILLISECONDS.toNanos(5);
+  private static final int STEPS_PER_TICK = 4;
+  private static final int STEPS_PER_SECOND = 200;
+  private static final int REPORT_LAG_MILLISECONDS = 500;
+  private static final int DETECTION_SECONDS = 3;
+  private static final int DRAIN_SECONDS = 12;
+  private static final int ORACLE_HORIZON_SECONDS = 10;
+  private static final int PROMPT_BYTES_PER_TOKEN = 4;
+  private static final int EVENT_BYTES = 180;
+
+  final UserProfile profile;
+  final ServiceTimes times;
+  final Scenario scenario;
+  final Variant variant;
+  final EventQueue events = new EventQueue();
+  final Measurement measurement = new Measurement();
+  final Fleet fleet;
+  private final List<Arrival> arrivals;
+  private final List<EntryInstance> entries = new ArrayList<>();
+  private final HomeInstances homes = new HomeInstances(10, 2);
+  private final Map<String, List<EntryInstance>> homeCache = new HashMap<>();
+  private final PlannerDriver planner;
+  private long lastRequest;
+
+  Driver(UserProfile profile, Scenario scenario, Variant variant, long seed) {
+    this.profile = profile;
+    this.times = ServiceTimes.standard();
+    this.scenario = scenario;
+    this.variant = variant;
+    fleet = new Fleet(profile, times);
+    arrivals = new DemandGenerator(profile, times, scenario, seed).arrivals();
+    int instances = variant.isOracle() ? 1 : profile.entryDomains().size();
+    for (int number = 0; number < instances; number++) {
+      var random = RandomSource.XO_SHI_RO_256_PP.create(seed * 31 + number);
+      entries.add(
+          new EntryInstance(
+              number,
+              profile.entryDomains().get(number),
+              fleet,
+              variant.policies().apply(random),
+              events::now));
+    }
+    planner =
+        new PlannerDriver(
+            fleet, events, times, measurement, variant.placement().get(), this::demand);
+  }
+
+  Measurement run() {
+    planner.settle();
+    arrivals.forEach(
+        arrival ->
+            events.at(arrival.nanoseconds(), () -> new CallerRequest(this, arrival).start()));
+    scheduleFailures();
+    long steps = (long) (WARM_UP_SECONDS + scenario.seconds() + DRAIN_SECONDS) * STEPS_PER_SECOND;
+    for (long step = 1; step <= steps; step++) {
+      events.runUntil(step * STEP_NANOSECONDS);
+      fleet.runners.values().forEach(runner -> runner.step(STEP_NANOSECONDS));
+      if (step % STEPS_PER_TICK == 0) {
+        tick();
+      }
+      if (step == (long) WARM_UP_SECONDS * STEPS_PER_SECOND) {
+        measurement.begin(busyNanoseconds());
+      }
+      if (step % STEPS_PER_SECOND == 0) {
+        eachSecond();
+      }
+    }
+    measurement.end(busyNanoseconds());
+    return measurement;
+  }
+
+  private double busyNanoseconds() {
+    return fleet.runners.values().stream().mapToDouble(Runner::busyNanoseconds).sum();
+  }
+
+  private void tick() {
+    if (variant.isOracle()) {
+      fleet.takeReports();
+    }
+    entries.stream().filter(entry -> !entry.silent).forEach(entry -> entry.dispatcher.tick());
+  }
+
+  private void eachSecond() {
+    if (!variant.isOracle()) {
+      events.after(REPORT_LAG_MILLISECONDS, fleet::takeReports);
+    }
+    planner.plan();
+  }
+
+  private List<DemandSample> demand() {
+    if (variant.isOracle()) {
+      return comingDemand();
+    }
+    List<DemandSample> samples = new ArrayList<>();
+    entries.stream()
+        .filter(entry -> !entry.silent)
+        .forEach(entry -> samples.addAll(entry.dispatcher.localDemand()));
+    return samples;
+  }
+
+  private List<DemandSample> comingDemand() {
+    Map<String, Integer> counts = new HashMap<>();
+    long end = events.now() + TimeUnit.SECONDS.toNanos(ORACLE_HORIZON_SECONDS);
+    for (Arrival arrival : arrivals) {
+      if (arrival.nanoseconds() >= events.now() && arrival.nanoseconds() < end) {
+        counts.merge(arrival.deployment(), 1, Integer::sum);
+      }
+    }
+    List<DemandSample> samples = new ArrayList<>();
+    counts.forEach(
+        (model, count) -> {
+          double rate = (double) count / ORACLE_HORIZON_SECONDS;
+          double busy = rate / times.requestsPerSecondPerRunner();
+          samples.add(new DemandSample(model, "all", rate, 0, busy));
+        });
+    return samples;
+  }
+
+  private void scheduleFailures() {
+    switch (scenario) {
+      case RUNNER_LOST -> loseRunner("runner-0", 40, 80);
+      case DOMAIN_LOST -> silenceDomain(profile.runnerDomains().get(1), 40, 90);
+      case STORE_DOWN -> {
+        atSecond(20, () -> planner.storeDown = true);
+        atSecond(100, () -> planner.storeDown = false);
+      }
+      default -> {}
+    }
+  }
+
+  private void loseRunner(String name, int from, int until) {
+    atSecond(from, () -> fleet.runners.get(name).die());
+    atSecond(from + DETECTION_SECONDS, () -> fleet.believe(name, false));
+    atSecond(until, () -> fleet.runners.get(name).comeBack());
+    atSecond(until + DETECTION_SECONDS, () -> comeBack(name));
+  }
+
+  private void comeBack(String name) {
+    fleet.ledgers.computeIfPresent(
+        name, (ignored, ledger) -> LedgerRules.restarted(ledger, ledger.bootIdentifier()));
+    fleet.believe(name, true);
+  }
+
+  private void silenceDomain(FailureDomain domain, int from, int until) {
+    for (Upstream upstream : fleet.current().upstreams()) {
+      if (upstream.failureDomain().equals(domain)) {
+        atSecond(from, () -> fleet.runners.get(upstream.name()).fallSilent());
+        atSecond(from + DETECTION_SECONDS, () -> fleet.believe(upstream.name(), false));
+        atSecond(until, () -> fleet.runners.get(upstream.name()).comeBack());
+        atSecond(until + DETECTION_SECONDS, () -> comeBack(upstream.name()));
+      }
+    }
+    entries.stream()
+        .filter(entry -> entry.self().failureDomain().equals(domain))
+        .forEach(
+            entry -> {
+              atSecond(from, () -> entry.silent = true);
+              atSecond(until, () -> entry.silent = false);
+            });
+  }
+
+  private void atSecond(int second, Runnable action) {
+    events.at(TimeUnit.SECONDS.toNanos(WARM_UP_SECONDS + second), action);
+  }
+
+  /** Returns the home that a caller uses; after a failed one the next. */
+  EntryInstance entryFor(Arrival arrival, int failed) {
+    List<EntryInstance> ranked =
+        homeCache.computeIfAbsent(
+            arrival.deployment() + "/" + arrival.region(),
+            ignored -> ranked(arrival.deployment(), arrival.region()));
+    int homesOfModel = Math.min(2, ranked.size());
+    int position = (arrival.caller() % homesOfModel + failed) % ranked.size();
+    return ranked.get(position);
+  }
+
+  private List<EntryInstance> ranked(String deployment, String region) {
+    Map<String, EntryInstance> near = new HashMap<>();
+    for (EntryInstance entry : entries) {
+      if (entry.region().equals(region)) {
+        near.put(entry.self().id(), entry);
+      }
+    }
+    if (near.isEmpty()) {
+      return entries;
+    }
+    return homes.ranked(deployment, near.keySet()).stream().map(near::get).toList();
+  }
+
+  double latencyMilliseconds(EntryInstance entry, Upstream upstream) {
+    boolean sameRegion = entry.region().equals(upstream.failureDomain().region());
+    return sameRegion ? profile.domainLatencyMilliseconds() : profile.regionLatencyMilliseconds();
+  }
+
+  long callerLatencyNanoseconds() {
+    return (long) (profile.callerLatencyMilliseconds() * TimeUnit.MILLISECONDS.toNanos(1));
+  }
+
+  double linkBytes(Arrival arrival) {
+    return (double) arrival.promptTokens() * PROMPT_BYTES_PER_TOKEN
+        + (double) arrival.outputTokens() * EVENT_BYTES;
+  }
+
+  String nextRequestId() {
+    lastRequest++;
+    return Long.toString(lastRequest);
+  }
+}
--- /dev/null
+++ b/measure/src/main/java/org/agatefield/measure/MeasureMain.java
@@ -0,0 +1,96 @@
+package org.agatefield.measure;
+
+import com.github.rvesse.airline.SingleCommand;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** Measures each decision against its baselines on the same demand. Used by one thread. */
+@Command(name = "measure", description = "Measures each decision against its baselines.")
+public final class MeasureMain {
+  private static final int EXIT_USAGE = 2;
+
+  @Option(name = "--user", description = "whose sizes: cooperative or consortium")
+  private String user = "cooperative";
+
+  @Option(name = "--seed", description = "the first seed")
+  private long seed = 1;
+
+  @Option(name = "--seeds", description = "how many seeds, one after another from the first")
+  private int seeds = 5;
+
+  @Option(name = "--scenario", description = "only this scenario")
+  private String scenario = "";
+
+  @Option(name = "--decision", description = "only this decision and ours")
+  private String decision = "";
+
+  @Option(name = "--threads", description = "runs at once; does not change the figures")
+  private int threads = 2;
+
+  /** Runs the command. */
+  public static void main(String[] arguments) {
+    try {
+      SingleCommand.singleCommand(MeasureMain.class).parse(arguments).run(System.out);
+    } catch (ParseException | IllegalArgumentException exception) {
+      System.err.println("measure: " + exception.getMessage());
+      System.exit(EXIT_USAGE);
+    }
+  }
+
+  private void run(PrintStream out) {
+    UserProfile profile = UserProfile.named(user);
+    out.printf("user=%s seeds=%d..%d%n", user, seed, seed + seeds - 1);
+    ExecutorService workers = Executors.newFixedThreadPool(threads);
+    try {
+      for (Scenario each : scenarios()) {
+        out.print(Summary.heading());
+        measure(profile, each, workers, out);
+        out.println();
+      }
+    } finally {
+      workers.shutdown();
+    }
+  }
+
+  private List<Scenario> scenarios() {
+    if (scenario.isEmpty()) {
+      return List.of(Scenario.values());
+    }
+    return Arrays.stream(Scenario.values()).filter(each -> each.label().equals(scenario)).toList();
+  }
+
+  private List<Variant> variants() {
+    List<Variant> variants = new ArrayList<>();
+    variants.add(Variant.oracle());
+    variants.add(Variant.ours());
+    Variant.baselines().stream()
+        .filter(each -> decision.isEmpty() || each.decision().equals(decision))
+        .forEach(variants::add);
+    return variants;
+  }
+
+  private void measure(
+      UserProfile profile, Scenario each, ExecutorService workers, PrintStream out) {
+    for (Variant variant : variants()) {
+      Summary summary = new Summary(each, variant, profile.runnerDomains().size());
+      List<CompletableFuture<Measurement>> runs = new ArrayList<>();
+      for (long next = seed; next < seed + seeds; next++) {
+        long current = next;
+        runs.add(
+            CompletableFuture.supplyAsync(
+                () -> new Driver(profile, each, variant, current).run(), workers));
+      }
+      runs.forEach(run -> summary.add(run.join()));
+      out.print(summary.row(variant.decision()));
+      out.flush();
+    }
+  }
+}
