Prove the membership over an in-memory network with loss, cuts, pauses and crashes

Change: a seeded in-memory network (loss, delay, duplication, reordering, cuts between regions, pauses, crashes) and 11 properties: convergence, no death under loss, no false death that stays, no resurrection, a paused member kills nobody, a cut region keeps its members and rejoins without deaths inside a region, leaving is never taken back, a generation is heard within 5 s, messages an interval do not grow with the group, restart of all at once.

--- a/membership/src/main/java/org/agatefield/membership/MembershipSettings.java
+++ b/membership/src/main/java/org/agatefield/membership/MembershipSettings.java
@@ -55,7 +55,7 @@
         5,
         250,
         2,
-        2,
+        3,
         8,
         32,
         30_000,
--- /dev/null
+++ b/membership/src/test/java/org/agatefield/membership/MembershipTest.java
@@ -0,0 +1,240 @@
+package org.agatefield.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.agatefield.membership.SimulatedGroup.Node;
+import org.agatefield.model.InstanceState;
+
+class MembershipTest {
+  private static final MembershipSettings SETTINGS = MembershipSettings.defaults();
+  private static final long LIMIT_MILLISECONDS = 300_000;
+  private static final long SOON_MILLISECONDS = 5_000;
+
+  @Property(tries = 40, seed = "11")
+  void allMembersFindEachOtherFromOneSeedAddress(
+      @ForAll long seed, @ForAll @IntRange(min = 2, max = 40) int members) {
+    SimulatedGroup group = new SimulatedGroup(seed, SETTINGS);
+    unreliable(group);
+    group.startMany(members, "north", "south");
+    assertTrue(group.runUntil(group::hasConverged, LIMIT_MILLISECONDS));
+  }
+
+  @Property(tries = 40, seed = "12")
+  void lossDelayAndDuplicationAloneNeverKillAnyoneForGood(@ForAll long seed) {
+    SimulatedGroup group = joined(seed, 16, "north", "south");
+    unreliable(group);
+    group.run(120_000);
+    reliable(group);
+    assertTrue(group.runUntil(group::hasConverged, LIMIT_MILLISECONDS));
+  }
+
+  @Property(tries = 100, seed = "21")
+  void lossDelayAndDuplicationAloneKillNobody(@ForAll long seed) {
+    assertEquals(0, deathsUnderLoss(seed, SETTINGS));
+  }
+
+  @Property(tries = 40, seed = "13")
+  void crashedMemberIsDeadEverywhereAndStaysDead(@ForAll long seed) {
+    SimulatedGroup group = joined(seed, 16, "north", "south");
+    unreliable(group);
+    Node crashed = group.nodes.get("m005");
+    crashed.crashed = true;
+    assertTrue(group.runUntil(() -> nobodyPresents(group, "m005"), LIMIT_MILLISECONDS));
+    Node late = group.start("late", "south", group.nodes.get("m000").address);
+    for (int step = 0; step < 600; step++) {
+      group.run(100);
+      assertTrue(nobodyPresents(group, "m005"));
+    }
+    assertTrue(late.presentIds().contains("m000"));
+  }
+
+  @Property(tries = 40, seed = "14")
+  void pausedMemberKillsNobodyWhenItGoesOn(
+      @ForAll long seed, @ForAll @LongRange(min = 2_000, max = 3_600_000) long pause) {
+    assertEquals(0, deathsByPausedMember(seed, pause, SETTINGS));
+  }
+
+  @Property(tries = 25, seed = "15")
+  void regionThatIsCutOffKeepsItsOwnMembersAndRejoins(
+      @ForAll long seed, @ForAll @LongRange(min = 1_000, max = 1_800_000) long cut) {
+    SimulatedGroup group = joined(seed, 18, "north", "north", "south");
+    group.cut("north", "south");
+    group.run(cut);
+    for (Node node : group.running()) {
+      for (Node other : group.running()) {
+        boolean expected = node != other && node.region.equals(other.region);
+        assertTrue(!expected || node.presentIds().contains(other.id()));
+      }
+    }
+    group.heal();
+    assertTrue(group.runUntil(group::hasConverged, LIMIT_MILLISECONDS));
+  }
+
+  @Property(tries = 25, seed = "16")
+  void rejoiningKillsNobodyWithinTheOwnRegion(@ForAll long seed) {
+    SimulatedGroup group = joined(seed, 18, "north", "north", "south");
+    group.cut("north", "south");
+    group.run(300_000);
+    group.heal();
+    assertTrue(group.runUntil(group::hasConverged, LIMIT_MILLISECONDS));
+    group.run(60_000);
+    for (Node node : group.running()) {
+      for (String dead : node.everDead) {
+        assertFalse(node.region.equals(group.nodes.get(dead).region));
+      }
+    }
+  }
+
+  @Property(tries = 40, seed = "17")
+  void leavingMemberIsKnownAsLeavingSoonAndNeverAsLiveAgain(@ForAll long seed) {
+    SimulatedGroup group = joined(seed, 24, "north", "south");
+    unreliable(group);
+    Node leaving = group.nodes.get("m007");
+    group.leave(leaving);
+    Set<Node> heard = new HashSet<>();
+    for (int step = 0; step < 1_200; step++) {
+      group.run(100);
+      for (Node node : group.running()) {
+        boolean leavingThere =
+            node.membership.find("m007").orElseThrow().instance().state() == InstanceState.LEAVING;
+        assertTrue(leavingThere || !heard.contains(node));
+        if (leavingThere) {
+          heard.add(node);
+        }
+      }
+    }
+    assertEquals(24, heard.size());
+  }
+
+  @Property(tries = 20, seed = "18")
+  void higherGenerationIsHeardEverywhereWithinSeconds(
+      @ForAll long seed, @ForAll @IntRange(min = 2, max = 128) int members) {
+    SimulatedGroup group = joined(seed, members, "north", "south", "east");
+    group.raise(group.nodes.get("m001"), 5);
+    assertTrue(
+        group.runUntil(
+            () ->
+                group.running().stream()
+                    .allMatch(node -> node.generationHeard == 5 || node.id().equals("m001")),
+            SOON_MILLISECONDS));
+  }
+
+  @Property(tries = 2, seed = "19")
+  void messagesStartedInAnIntervalDoNotGrowWithTheGroup(@ForAll long seed) {
+    for (int members : List.of(8, 64, 160)) {
+      SimulatedGroup group = joined(seed, members, "north", "south", "east");
+      group.run(60_000);
+      List<Long> before = sent(group);
+      group.run(100_000);
+      long total = 0;
+      for (int each = 0; each < members; each++) {
+        total += sent(group).get(each) - before.get(each);
+      }
+      assertTrue(total <= members * 100L * 3, "messages=" + total);
+      assertTrue(group.largestMessage <= 2 * SETTINGS.updatesPerPage() + 2);
+    }
+  }
+
+  @Property(tries = 10, seed = "20")
+  void restartOfEveryMemberAtOnceConvergesWithoutBurst(@ForAll long seed) {
+    SimulatedGroup group = joined(seed, 48, "north", "south", "east");
+    List<Node> old = new ArrayList<>(group.running());
+    old.forEach(node -> node.crashed = true);
+    Node first = group.start("seed", "north");
+    for (int each = 0; each < 48; each++) {
+      group.start("new" + each, each % 2 == 0 ? "north" : "south", first.address);
+    }
+    long start = group.now;
+    assertTrue(group.runUntil(group::hasConverged, LIMIT_MILLISECONDS));
+    long seconds = 1 + (group.now - start) / 1_000;
+    long bound = seconds * 24 + 50;
+    group.running().stream()
+        .filter(node -> node != first)
+        .forEach(node -> assertTrue(node.sent <= bound, node.sent + " above " + bound));
+  }
+
+  static long deathsUnderLoss(long seed, MembershipSettings settings) {
+    SimulatedGroup group = joined(seed, settings, 16, "north", "south");
+    unreliable(group);
+    group.run(120_000);
+    return group.running().stream().mapToLong(node -> node.deathsSeen.size()).sum();
+  }
+
+  static long deathsByPausedMember(long seed, long pause, MembershipSettings settings) {
+    SimulatedGroup group = joined(seed, settings, 12, "north", "south");
+    Node paused = group.nodes.get("m003");
+    Node suspected = group.nodes.get("m004");
+    group.pause(suspected);
+    assertTrue(group.runUntil(() -> suspects(paused, "m004"), LIMIT_MILLISECONDS));
+    group.pause(paused);
+    group.resume(suspected);
+    group.run(pause);
+    final long deathsBefore = deathsOfOthers(group, paused);
+    group.resume(paused);
+    assertTrue(group.runUntil(group::hasConverged, LIMIT_MILLISECONDS));
+    group.run(60_000);
+    return deathsOfOthers(group, paused) - deathsBefore;
+  }
+
+  static boolean rejoinsAfterCut(long seed, long cut, MembershipSettings settings) {
+    SimulatedGroup group = joined(seed, settings, 18, "north", "north", "south");
+    group.cut("north", "south");
+    group.run(cut);
+    group.heal();
+    return group.runUntil(group::hasConverged, LIMIT_MILLISECONDS);
+  }
+
+  private static SimulatedGroup joined(long seed, int members, String... regions) {
+    return joined(seed, SETTINGS, members, regions);
+  }
+
+  private static SimulatedGroup joined(
+      long seed, MembershipSettings settings, int members, String... regions) {
+    SimulatedGroup group = new SimulatedGroup(seed, settings);
+    group.startMany(members, regions);
+    assertTrue(group.runUntil(group::hasConverged, LIMIT_MILLISECONDS));
+    return group;
+  }
+
+  private static void unreliable(SimulatedGroup group) {
+    group.lossShare = 0.1;
+    group.duplicateShare = 0.1;
+    group.maximumDelay = 200;
+  }
+
+  private static void reliable(SimulatedGroup group) {
+    group.lossShare = 0;
+    group.duplicateShare = 0;
+    group.maximumDelay = 5;
+  }
+
+  private static boolean nobodyPresents(SimulatedGroup group, String id) {
+    return group.running().stream().noneMatch(node -> node.presentIds().contains(id));
+  }
+
+  private static boolean suspects(Node node, String id) {
+    return node.membership.find(id).orElseThrow().liveness() == Liveness.SUSPECT;
+  }
+
+  /** Counts, over all members, the deaths that they saw of members other than {@code except}. */
+  private static long deathsOfOthers(SimulatedGroup group, Node except) {
+    return group.running().stream()
+        .flatMap(node -> node.deathsSeen.stream())
+        .filter(id -> !id.equals(except.id()))
+        .count();
+  }
+
+  private static List<Long> sent(SimulatedGroup group) {
+    return group.nodes.values().stream().map(node -> node.sent).toList();
+  }
+}
