Prove that memory is never overcommitted under any interleaving of a seed

Cause: the ledger's rules need a proof that does not rest on our own books. Change: a simulation of three planners, a store with conditional updates, three engines (some check fencing tokens, some ignore them) that count their own memory, and a network that loses, doubles and delays orders; planners paused between any two actions, the lease moving, engines restarting, adapters loaded from ledgers up to a quarantine old, configurations changing. Found on the way: a load guarded by the entry's memory alone could overcommit beside memory that the ledger does not explain; the whole reservation is now set against it. Not proved: an order sent after a pause longer than the quarantine towards an engine that ignores tokens; two earlier orders that reach a restarted engine before its token is raised.

--- a/placement/src/main/java/org/agatefield/placement/RunnerSteps.java
+++ b/placement/src/main/java/org/agatefield/placement/RunnerSteps.java
@@ -98,8 +98,7 @@
   private static Optional<RunnerStep> adoption(Scene scene) {
     for (String name : scene.report().versions().stream().filter(RunnerSteps::isOurs).toList()) {
       VersionId version = VersionId.parse(name);
-      Optional<LedgerEntry> entry = scene.ledger().entry(version);
-      if (entry.isEmpty() || entry.get().state() == LedgerState.RETIRED) {
+      if (!hasEntry(scene, version)) {
         long unexplained = Math.max(0, scene.report().usedMegabytes() - heldMegabytes(scene));
         RunnerLedger adopted = LedgerRules.adopt(scene.ledger(), version, unexplained);
         return Optional.of(RunnerStep.write(adopted, version + " is held without an entry"));
@@ -108,6 +107,14 @@
     return Optional.empty();
   }
 
+  private static boolean hasEntry(Scene scene, VersionId version) {
+    return scene
+        .ledger()
+        .entry(version)
+        .filter(each -> each.state() != LedgerState.RETIRED)
+        .isPresent();
+  }
+
   private static boolean isOurs(String engineName) {
     int at = engineName.lastIndexOf(VERSION_SEPARATOR);
     return at > 0 && at < engineName.length() - 1;
@@ -199,9 +206,9 @@
 
   private static Optional<RunnerStep> load(Scene scene, LedgerEntry entry) {
     LoadReport report = scene.report();
-    boolean fits =
-        report.usedMegabytes() + entry.memoryMegabytes() <= report.memoryMegabytes()
-            && scene.ledger().freeMegabytes() >= 0;
+    long unexplained = Math.max(0, report.usedMegabytes() - heldMegabytes(scene));
+    long available = Math.min(report.memoryMegabytes(), scene.ledger().memoryMegabytes());
+    boolean fits = scene.ledger().reservedMegabytes() + unexplained <= available;
     if (entry.state() != LedgerState.LOADING || !fits) {
       return Optional.empty();
     }
--- /dev/null
+++ b/placement/src/test/java/org/agatefield/placement/LedgerSimulation.java
@@ -0,0 +1,481 @@
+package org.agatefield.placement;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.EnumSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.agatefield.model.ConfigurationDocument;
+import org.agatefield.model.DemandSample;
+import org.agatefield.model.VersionId;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Planners, a store, engines and a network whose interleaving a seed decides.
+ *
+ * <p>Orders are lost, doubled and delayed; answers are lost; planners are paused between any two
+ * actions, also between the check of the lease and the send; the lease moves; engines restart;
+ * adapters are loaded by instances that know old ledgers; configurations change. Towards an engine
+ * that ignores tokens an order takes effect within the quarantine after the check of the lease;
+ * towards one that checks them, at any time. Used from one thread.
+ */
+final class LedgerSimulation {
+  static final long QUARANTINE = 300;
+  private static final long ENGINE_MEGABYTES = 48;
+  private static final int PAUSE = 600;
+  private static final long ORDER_TIMEOUT = 30;
+  private static final int PLANNERS = 3;
+  private static final int ACTIONS = 4_000;
+
+  /** An order on its way. */
+  private record Message(
+      SimulatedEngine engine,
+      SimulatedPlanner from,
+      SimulatedPlanner.Work work,
+      int boots,
+      long earliest,
+      long deadline) {}
+
+  /** What an instance once read of a ledger. */
+  private record OldView(RunnerLedger ledger, long readAt) {}
+
+  private final UniformRandomProvider random;
+  private final Set<Mechanism> off;
+  private final List<SimulatedEngine> engines = new ArrayList<>();
+  private final List<SimulatedPlanner> planners = new ArrayList<>();
+  private final Map<String, SimulatedPlanner.Copy> store = new HashMap<>();
+  private final List<Message> network = new ArrayList<>();
+  private final Deque<OldView> views = new ArrayDeque<>();
+  private final Set<VersionId> resident = new HashSet<>();
+  private final Set<VersionId> wanted = new HashSet<>();
+  private final List<String> lost = new ArrayList<>();
+  private final boolean engineFailures;
+  private ConfigurationDocument configuration;
+  private int holder;
+  private long leaseToken = 1;
+  private long now;
+  private long moves;
+  private long releases;
+  private long lateLoads;
+
+  LedgerSimulation(long seed, Set<Mechanism> off, boolean engineFailures) {
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    this.off = off.isEmpty() ? EnumSet.noneOf(Mechanism.class) : EnumSet.copyOf(off);
+    this.engineFailures = engineFailures;
+    for (int i = 0; i < 3; i++) {
+      engines.add(new SimulatedEngine("r" + i, ENGINE_MEGABYTES, i % 2 == 0));
+    }
+    for (int i = 0; i < PLANNERS; i++) {
+      planners.add(new SimulatedPlanner(i));
+    }
+    planners.get(0).gain(leaseToken);
+    changeConfiguration();
+  }
+
+  /** Runs to the end and returns every overcommit. */
+  LedgerSimulation run() {
+    for (int i = 0; i < ACTIONS; i++) {
+      now++;
+      act(random.nextInt(1_000));
+      deliverOverdue();
+      watchResidence();
+    }
+    return this;
+  }
+
+  List<String> overcommits() {
+    return engines.stream().flatMap(each -> each.overcommits.stream()).toList();
+  }
+
+  List<String> lostVersions() {
+    return lost;
+  }
+
+  long moves() {
+    return moves;
+  }
+
+  long releases() {
+    return releases;
+  }
+
+  /** Returns how many orders to load arrived when the ledger no longer counted the version. */
+  long lateLoads() {
+    return lateLoads;
+  }
+
+  private void act(int choice) {
+    SimulatedPlanner planner =
+        planners.get(random.nextInt(4) > 0 ? holder : random.nextInt(PLANNERS));
+    SimulatedEngine engine = engines.get(random.nextInt(engines.size()));
+    if (choice < 5) {
+      moveLease();
+    } else if (choice < 12) {
+      changeConfiguration();
+    } else if (choice < 18 && engineFailures) {
+      failEngine(engine);
+    } else if (choice < 90) {
+      loadAdapterFromOldView();
+    } else if (choice < 250) {
+      observe(planner, engine);
+    } else if (choice < 350) {
+      decide(planner);
+    } else if (choice < 800) {
+      work(planner, engine);
+    } else {
+      deliverAny();
+    }
+  }
+
+  private void changeConfiguration() {
+    configuration = TestConfigurations.random(random, engines);
+    wanted.clear();
+    WantedVersion.of(configuration).forEach(each -> wanted.add(each.version()));
+    resident.retainAll(wanted);
+  }
+
+  private void moveLease() {
+    planners.get(holder).pausedUntil = now + random.nextInt(2) * random.nextInt(PAUSE);
+    holder = random.nextInt(PLANNERS);
+    planners.get(holder).pausedUntil = 0;
+    leaseToken++;
+    planners.get(holder).gain(leaseToken);
+  }
+
+  private void failEngine(SimulatedEngine engine) {
+    if (engine.isUp()) {
+      engine.stop();
+      network.removeIf(each -> each.engine() == engine);
+      resident.clear();
+    } else {
+      engine.start();
+    }
+  }
+
+  /** An instance that is up to a quarantine behind loads an adapter. */
+  private void loadAdapterFromOldView() {
+    views.removeIf(each -> now - each.readAt() >= QUARANTINE);
+    List<OldView> known = List.copyOf(views);
+    if (known.isEmpty()) {
+      return;
+    }
+    RunnerLedger ledger = known.get(random.nextInt(known.size())).ledger();
+    for (LedgerEntry entry : ledger.entries()) {
+      List<AdapterReservation> adapters = loadableAdapters(entry);
+      if (entry.isLoaded() && !adapters.isEmpty()) {
+        AdapterReservation adapter = adapters.get(random.nextInt(adapters.size()));
+        engine(ledger.upstream()).loadAdapter(entry.version(), adapter, now);
+      }
+    }
+  }
+
+  private List<AdapterReservation> loadableAdapters(LedgerEntry entry) {
+    return off.contains(Mechanism.ADAPTERS_RESERVED)
+        ? ReplicaSize.of(configuration, entry.version()).adapters()
+        : entry.adapters();
+  }
+
+  private void observe(SimulatedPlanner planner, SimulatedEngine engine) {
+    if (engine.isUp()) {
+      planner.observations.put(engine.name, new RunnerObservation(engine.report(now), now));
+    } else {
+      planner.observations.remove(engine.name);
+    }
+  }
+
+  private boolean holdsLease(SimulatedPlanner planner) {
+    return planners.get(holder) == planner && planner.token == leaseToken;
+  }
+
+  private void takeOver(SimulatedPlanner planner) {
+    boolean complete = true;
+    for (SimulatedEngine engine : engines) {
+      SimulatedPlanner.Copy current =
+          store.getOrDefault(
+              engine.name,
+              new SimulatedPlanner.Copy(
+                  RunnerLedger.empty(engine.name, engine.memoryMegabytes), 0));
+      planner.table.put(engine.name, current);
+      if (!off.contains(Mechanism.TAKEOVER_WRITES)) {
+        complete &=
+            current.ledger().plannerToken() <= planner.token
+                && write(
+                    planner,
+                    LedgerRules.takeOver(current.ledger(), engine.memoryMegabytes, planner.token));
+      }
+    }
+    planner.takenOver = complete;
+  }
+
+  /** A conditional update; its answer may be lost, and the ledger must then be read again. */
+  private boolean write(SimulatedPlanner planner, RunnerLedger ledger) {
+    SimulatedPlanner.Copy known = planner.table.get(ledger.upstream());
+    long storeVersion =
+        Optional.ofNullable(store.get(ledger.upstream()))
+            .map(SimulatedPlanner.Copy::version)
+            .orElse(0L);
+    if (known == null) {
+      return false;
+    }
+    if (known.version() != storeVersion) {
+      readAgain(planner, ledger.upstream());
+      return false;
+    }
+    SimulatedPlanner.Copy written = new SimulatedPlanner.Copy(ledger, storeVersion + 1);
+    store.put(ledger.upstream(), written);
+    views.add(new OldView(ledger, now));
+    planner.table.put(ledger.upstream(), written);
+    return random.nextInt(20) > 0;
+  }
+
+  private void readAgain(SimulatedPlanner planner, String upstream) {
+    SimulatedPlanner.Copy current = store.get(upstream);
+    planner.takenOver = current.ledger().plannerToken() <= planner.token;
+    planner.table.put(upstream, current);
+  }
+
+  /** Takes the next small action of a planner for a runner. */
+  private void work(SimulatedPlanner planner, SimulatedEngine engine) {
+    if (planner.pausedUntil > now) {
+      return;
+    }
+    if (!planner.takenOver) {
+      if (holdsLease(planner)) {
+        takeOver(planner);
+      }
+      return;
+    }
+    SimulatedPlanner.Work work = planner.works.get(engine.name);
+    if (work == null) {
+      begin(planner, engine);
+      return;
+    }
+    switch (work.progress) {
+      case RESERVED -> check(planner, engine, work);
+      case CHECKED -> send(planner, engine, work);
+      case SENT -> giveUp(planner, engine, work);
+      default -> throw new IllegalStateException();
+    }
+  }
+
+  private void begin(SimulatedPlanner planner, SimulatedEngine engine) {
+    RunnerLedger ledger = planner.table.get(engine.name).ledger();
+    planner.ages.observe(ledger, now);
+    Optional<RunnerObservation> evidence = planner.evidence(engine.name);
+    if (evidence.isEmpty()) {
+      return;
+    }
+    RunnerSteps steps = new RunnerSteps(off.contains(Mechanism.QUARANTINE) ? 0 : QUARANTINE);
+    Optional<RunnerStep> step =
+        steps.next(ledger, evidence.get(), engine.checksFencingTokens, planner.ages, now);
+    if (step.isEmpty()) {
+      return;
+    }
+    releases += step.get().releasesMemory() ? 1 : 0;
+    boolean unchanged = step.get().ledger().equals(ledger);
+    if (unchanged || write(planner, forgetful(step.get().ledger()))) {
+      step.get()
+          .order()
+          .ifPresent(order -> planner.works.put(engine.name, newWork(order, planner)));
+    }
+  }
+
+  private RunnerLedger forgetful(RunnerLedger ledger) {
+    if (!off.contains(Mechanism.RETIRED_ADAPTERS)) {
+      return ledger;
+    }
+    List<LedgerEntry> entries =
+        ledger.entries().stream().filter(each -> each.state() != LedgerState.RETIRED).toList();
+    return new RunnerLedger(
+        ledger.upstream(),
+        ledger.memoryMegabytes(),
+        ledger.plannerToken(),
+        ledger.highestToken(),
+        ledger.bootIdentifier(),
+        entries);
+  }
+
+  private SimulatedPlanner.Work newWork(PlannedOrder order, SimulatedPlanner planner) {
+    return new SimulatedPlanner.Work(tokened(order), order.fencingToken(), planner.token);
+  }
+
+  private PlannedOrder tokened(PlannedOrder order) {
+    long token = off.contains(Mechanism.RISING_TOKENS) ? Long.MAX_VALUE : order.fencingToken();
+    return new PlannedOrder(order.action(), order.version(), order.memoryMegabytes(), token);
+  }
+
+  private void check(SimulatedPlanner planner, SimulatedEngine engine, SimulatedPlanner.Work work) {
+    if (!holdsLease(planner) || work.leaseToken != leaseToken) {
+      planner.works.remove(engine.name);
+      return;
+    }
+    work.progress = SimulatedPlanner.Progress.CHECKED;
+    work.checkedAt = now;
+  }
+
+  private void send(SimulatedPlanner planner, SimulatedEngine engine, SimulatedPlanner.Work work) {
+    work.progress = SimulatedPlanner.Progress.SENT;
+    work.sentAt = now;
+    if (!engine.checksFencingTokens && now - work.checkedAt >= QUARANTINE) {
+      return;
+    }
+    int copies = random.nextInt(8) == 0 ? 0 : 1 + random.nextInt(2);
+    long deadline = engine.checksFencingTokens ? Long.MAX_VALUE : work.checkedAt + QUARANTINE;
+    for (int i = 0; i < copies; i++) {
+      long earliest = now + (random.nextInt(3) == 0 ? random.nextInt((int) QUARANTINE) : 0);
+      network.add(new Message(engine, planner, work, engine.boots(), earliest, deadline));
+    }
+  }
+
+  private void giveUp(
+      SimulatedPlanner planner, SimulatedEngine engine, SimulatedPlanner.Work work) {
+    if (now - work.sentAt > ORDER_TIMEOUT) {
+      planner.works.remove(engine.name);
+      planner.orderEnded.put(engine.name, now);
+    }
+  }
+
+  private void deliverAny() {
+    List<Message> due = network.stream().filter(each -> each.earliest() <= now).toList();
+    if (!due.isEmpty()) {
+      Message message = due.get(random.nextInt(due.size()));
+      network.remove(message);
+      deliver(message);
+    }
+  }
+
+  private void deliverOverdue() {
+    for (Message message : List.copyOf(network)) {
+      if (message.deadline() <= now + 1) {
+        network.remove(message);
+        deliver(message);
+      }
+    }
+  }
+
+  private void deliver(Message message) {
+    SimulatedEngine engine = message.engine();
+    if (!engine.isUp() || engine.boots() != message.boots()) {
+      return;
+    }
+    countLate(message);
+    boolean done = engine.carryOut(message.work().order, now);
+    boolean answered = random.nextInt(6) > 0;
+    SimulatedPlanner planner = message.from();
+    if (answered && planner.works.get(engine.name) == message.work()) {
+      planner.works.remove(engine.name);
+      message.work().afterwards.ifPresent(ledger -> write(planner, ledger));
+      planner.orderEnded.put(engine.name, now);
+      if (done) {
+        recordUnload(planner, engine, message.work());
+      }
+    }
+  }
+
+  private void countLate(Message message) {
+    PlannedOrder order = message.work().order;
+    boolean counted =
+        store
+            .get(message.engine().name)
+            .ledger()
+            .entry(order.version())
+            .filter(each -> each.state() != LedgerState.RETIRED)
+            .isPresent();
+    if (order.action() == PlannedOrder.Action.LOAD && !counted) {
+      lateLoads++;
+    }
+  }
+
+  private static void recordUnload(
+      SimulatedPlanner planner, SimulatedEngine engine, SimulatedPlanner.Work work) {
+    if (work.order.action() == PlannedOrder.Action.UNLOAD) {
+      planner.ages.unloaded(engine.name, work.order.version(), work.entryToken, work.sentAt);
+    }
+  }
+
+  private void decide(SimulatedPlanner planner) {
+    boolean heardOfAll =
+        engines.stream()
+            .allMatch(each -> !each.isUp() || planner.observations.containsKey(each.name));
+    if (!planner.takenOver || !heardOfAll || planner.pausedUntil > now) {
+      return;
+    }
+    List<RunnerView> views = engines.stream().map(each -> view(planner, each)).toList();
+    List<DemandSample> demand = TestConfigurations.demand(random, configuration);
+    PlacementInput input = new PlacementInput(configuration, views, demand, planner.ages, 3, now);
+    PlacementPlanner policy =
+        new PlacementPlanner(
+            new GainPlacement(new GainSettings(5, 0.001, 2)), new DrainRules(2, 10));
+    Set<String> changed = new HashSet<>();
+    for (PlannedMove move : policy.plan(input)) {
+      boolean free = !planner.works.containsKey(move.upstream()) && changed.add(move.upstream());
+      if (free) {
+        apply(planner, move);
+      }
+    }
+  }
+
+  private RunnerView view(SimulatedPlanner planner, SimulatedEngine engine) {
+    return new RunnerView(
+        TestConfigurations.upstream(engine),
+        planner.table.get(engine.name).ledger(),
+        Optional.ofNullable(planner.observations.get(engine.name)).map(RunnerObservation::report),
+        planner.observations.containsKey(engine.name));
+  }
+
+  private void apply(SimulatedPlanner planner, PlannedMove move) {
+    ReplicaSize size = ReplicaSize.of(configuration, move.version());
+    if (off.contains(Mechanism.ADAPTERS_RESERVED)) {
+      size = new ReplicaSize(size.memoryMegabytes(), List.of());
+    }
+    RunnerLedger before = planner.table.get(move.upstream()).ledger();
+    RunnerLedger after = move.applyTo(before, size);
+    if (off.contains(Mechanism.RESERVE_BEFORE_ORDER) && move.kind() == MoveKind.LOAD) {
+      LedgerEntry entry = after.entry(move.version()).orElseThrow();
+      PlannedOrder order =
+          new PlannedOrder(
+              PlannedOrder.Action.LOAD,
+              move.version(),
+              entry.memoryMegabytes(),
+              entry.orderToken());
+      SimulatedPlanner.Work unreserved = newWork(order, planner);
+      unreserved.afterwards = Optional.of(after);
+      planner.works.put(move.upstream(), unreserved);
+      moves++;
+      return;
+    }
+    if (write(planner, after)) {
+      moves++;
+    }
+  }
+
+  /** Notes each wanted version that served once and is now nowhere. */
+  private void watchResidence() {
+    for (VersionId version : wanted) {
+      boolean serves = engines.stream().anyMatch(each -> each.isUp() && serves(each, version));
+      if (serves) {
+        resident.add(version);
+      } else if (resident.remove(version)) {
+        lost.add(version + " at " + now);
+      }
+    }
+  }
+
+  private boolean serves(SimulatedEngine engine, VersionId version) {
+    return engine.holds(version, now)
+        && Optional.ofNullable(store.get(engine.name))
+            .flatMap(each -> each.ledger().entry(version))
+            .filter(LedgerEntry::isLoaded)
+            .isPresent();
+  }
+
+  private SimulatedEngine engine(String name) {
+    return engines.stream().filter(each -> each.name.equals(name)).findFirst().orElseThrow();
+  }
+}
--- /dev/null
+++ b/placement/src/test/java/org/agatefield/placement/RunnerStepsTest.java
@@ -0,0 +1,95 @@
+package org.agatefield.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.util.List;
+import java.util.Optional;
+import org.agatefield.model.LoadReport;
+import org.agatefield.model.VersionId;
+import org.junit.jupiter.api.Test;
+
+class RunnerStepsTest {
+  private static final long QUARANTINE = 100;
+  private static final VersionId VERSION = new VersionId("m", "v1");
+
+  private final RunnerSteps steps = new RunnerSteps(QUARANTINE);
+  private final LedgerAges ages = new LedgerAges();
+  private final RunnerLedger loading =
+      LedgerRules.reserve(
+          LedgerRules.restarted(RunnerLedger.empty("runner", 50), "boot"), VERSION, 20, List.of());
+  private final RunnerLedger unloading = LedgerRules.unload(loading, VERSION);
+
+  @Test
+  void memoryOfVersionsThatAreStillBeingLoadedIsNotReleasedOnReportsAlone() {
+    RunnerObservation reported = observed(20, List.of(), unloading.highestToken(), 10);
+    RunnerStep step = next(unloading, reported, true, 10).orElseThrow();
+    assertFalse(step.releasesMemory());
+    assertEquals(PlannedOrder.Action.UNLOAD, step.order().orElseThrow().action());
+  }
+
+  @Test
+  void memoryIsReleasedOnceTheEngineUnloadedAndSawTheToken() {
+    ages.observe(unloading, 1);
+    ages.unloaded("runner", VERSION, unloading.highestToken(), 5);
+    RunnerObservation reported = observed(0, List.of(), unloading.highestToken(), 10);
+    assertEquals(
+        LedgerRules.release(unloading, VERSION),
+        next(unloading, reported, true, 10).orElseThrow().ledger());
+  }
+
+  @Test
+  void enginesThatIgnoreTokensAreWaitedForAndAskedToUnloadAgainAfterTheQuarantine() {
+    ages.observe(unloading, 1);
+    ages.unloaded("runner", VERSION, unloading.highestToken(), 5);
+    assertEquals(Optional.empty(), next(unloading, observed(0, List.of(), 0, 90), false, 90));
+    RunnerStep again = next(unloading, observed(0, List.of(), 0, 102), false, 102).orElseThrow();
+    assertEquals(PlannedOrder.Action.UNLOAD, again.order().orElseThrow().action());
+    ages.unloaded("runner", VERSION, unloading.highestToken(), 103);
+    assertEquals(
+        LedgerRules.release(unloading, VERSION),
+        next(unloading, observed(0, List.of(), 0, 105), false, 105).orElseThrow().ledger());
+  }
+
+  @Test
+  void nothingIsLoadedBesideMemoryThatTheLedgerDoesNotExplain() {
+    assertEquals(Optional.empty(), next(loading, observed(31, List.of(), 0, 10), true, 10));
+    assertEquals(
+        PlannedOrder.Action.LOAD,
+        next(loading, observed(30, List.of(), 0, 10), true, 10)
+            .flatMap(RunnerStep::order)
+            .orElseThrow()
+            .action());
+  }
+
+  @Test
+  void enginesThatRestartedAreFirstMadeToRefuseEarlierOrders() {
+    LoadReport report = new LoadReport("boot-2", 50, 0, 0, 0, List.of(), List.of(), 0);
+    RunnerStep step = next(loading, new RunnerObservation(report, 10), true, 10).orElseThrow();
+    assertEquals(
+        new PlannedOrder(
+            PlannedOrder.Action.RAISE_TOKEN, new VersionId("", ""), 0, loading.highestToken()),
+        step.order().orElseThrow());
+  }
+
+  @Test
+  void versionsThatAnEngineHoldsWithoutAnEntryAreCounted() {
+    RunnerObservation reported = observed(20, List.of("m@v0"), 0, 10);
+    RunnerLedger adopted = next(loading, reported, true, 10).orElseThrow().ledger();
+    LedgerEntry entry = adopted.entry(new VersionId("m", "v0")).orElseThrow();
+    assertEquals(LedgerState.UNLOADING, entry.state());
+    assertEquals(20, entry.reservedMegabytes());
+  }
+
+  private static RunnerObservation observed(
+      long usedMegabytes, List<String> versions, long highestToken, long askedAt) {
+    return new RunnerObservation(
+        new LoadReport("boot", 50, usedMegabytes, 0, 0, versions, List.of(), highestToken),
+        askedAt);
+  }
+
+  private Optional<RunnerStep> next(
+      RunnerLedger ledger, RunnerObservation observation, boolean checks, long now) {
+    return steps.next(ledger, observation, checks, ages, now);
+  }
+}
