--- a/fleet/src/test/java/org/agatefield/fleet/calls/StoreBackedCallsTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/StoreBackedCallsTest.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import org.agatefield.daemon.calls.OutcomeQuery;
 import org.agatefield.daemon.calls.StoreBackedCalls;
 import org.agatefield.daemon.core.ServiceExchange;
@@ -138,7 +139,7 @@
   }
 
   @Test
-  void storeDownBeforeTheClaimIsRefusedWithATimeToComeBack() {
+  void storeDownBeforeTheClaimIsRefusedWithTimeToComeBack() {
     bench.storeFaults("{\"down\":true}");
     StoreBackedCalls first = instance("a");
     AgatefieldException failure = failureOf(book(first, "key"));
@@ -154,7 +155,7 @@
   void outcomeIsServedAndKeptWhileTheStoreIsDown() {
     StoreBackedCalls first = instance("a");
     CompletableFuture<ServiceExchange> answer = new CompletableFuture<>();
-    CompletableFuture<ServiceExchange> caller =
+    final CompletableFuture<ServiceExchange> caller =
         bench.call(first, "key", "body", LONG, bench.sender("key", count -> answer));
     await().atMost(GENEROUS).until(() -> bench.executions.containsKey("key"));
     bench.storeFaults("{\"down\":true}");
@@ -314,7 +315,7 @@
             Duration.ofMillis(200),
             bench.sender("key", this::answerAtOnce));
     paused.join();
-    CompletableFuture.delayedExecutor(400, java.util.concurrent.TimeUnit.MILLISECONDS)
+    CompletableFuture.delayedExecutor(400, TimeUnit.MILLISECONDS)
         .execute(() -> wake.complete(null));
     failureOf(caller);
     await().atMost(GENEROUS).until(() -> bench.storeCounts().contains("\"delete\""));
