End an arrival whose claim is being removed; it ran calls twice

Cause: a create whose answer was lost and was read back as another's claim was given up for removal, but the arrival waited and could claim again under the same attempt. The removal then deleted the claim of a call that was being sent, and another instance ran it again.

Change: such an arrival is answered at once (key in progress, or the other's outcome). The daemon also refuses to send for an attempt that is given up, and reports it as a violation.

--- a/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
@@ -269,15 +269,16 @@
   }
 
   private void send() {
-    boolean permitted = permittedSends.getAndDecrement() > 0;
+    boolean abandoned = parts.remover().isAbandoned(arrival.attemptId());
+    boolean permitted = permittedSends.getAndDecrement() > 0 && !abandoned;
     parts
         .monitor()
         .check(
             InvariantMonitor.Promise.AT_MOST_ONCE,
             permitted,
-            () -> "second send of attempt " + arrival.attemptId() + " key " + call.key());
+            () -> "send of attempt " + arrival.attemptId() + " that is over, key " + call.key());
     if (!permitted) {
-      throw new IllegalStateException("second send of attempt " + arrival.attemptId());
+      throw new IllegalStateException("send of attempt " + arrival.attemptId() + " that is over");
     }
     Dispatch chosen = dispatch.orElseThrow();
     LOGGER.info(
--- a/idempotency/src/main/java/org/agatefield/idempotency/ClaimProtocol.java
+++ b/idempotency/src/main/java/org/agatefield/idempotency/ClaimProtocol.java
@@ -19,7 +19,7 @@
  *   <li>{@link ClaimAction.Send} is only given in {@link Phase#HOLDING}, which is only reached with
  *       the own claim seen in the store, and reached again only on proof that nothing was sent;
  *   <li>{@link ClaimAction.Remove} is never given after {@link ClaimAction.Send}, but on proof that
- *       nothing was sent;
+ *       nothing was sent; after it the arrival neither creates a claim nor sends;
  *   <li>a refusal with {@link RunState#NO} means that at a moment after the arrival no attempt with
  *       the key had been sent, and that this attempt never will be.
  * </ul>
@@ -45,7 +45,7 @@
       case READING -> afterRead(event, arrival, nowNanoseconds);
       case ACQUIRING -> afterAcquire(event);
       case CREATING -> afterCreate(event);
-      case READING_BACK -> afterReadBack(event, arrival, nowNanoseconds);
+      case READING_BACK -> afterReadBack(event, arrival);
       case HOLDING -> afterHold(arrival, nowNanoseconds);
       case SENDING -> afterSend(event, arrival);
       case REACQUIRING -> afterReacquire(event);
@@ -94,13 +94,13 @@
         storeUnavailable(RunState.NO, "the store refused the claim"));
   }
 
-  private ClaimStep<A> afterReadBack(ClaimEvent<A> event, Arrival arrival, long now) {
+  private ClaimStep<A> afterReadBack(ClaimEvent<A> event, Arrival arrival) {
     if (event instanceof ClaimEvent.Found<A> found) {
       if (found.claim().attemptId().equals(arrival.attemptId())) {
         return step(Phase.HOLDING, new ClaimAction.Resume<>());
       }
-      ClaimStep<A> judged = judge(found, arrival, now);
-      return prepend(judged, new ClaimAction.GiveBack<>(), new ClaimAction.Remove<>());
+      return prepend(
+          answerFor(found, arrival), new ClaimAction.GiveBack<>(), new ClaimAction.Remove<>());
     }
     // The create may still take effect: sending now could follow or precede another's send.
     RunState runState = event instanceof ClaimEvent.Absent ? RunState.NO : RunState.UNKNOWN;
@@ -179,6 +179,18 @@
         "an earlier arrival of the call was not run and its claim cannot be removed yet");
   }
 
+  /**
+   * Answers an arrival whose own claim is being removed. It must not go on: a later claim under the
+   * same attempt would be removed while it is sent for.
+   */
+  private ClaimStep<A> answerFor(ClaimEvent.Found<A> found, Arrival arrival) {
+    boolean same = found.claim().bodyHash().equals(arrival.bodyHash());
+    if (same && found.claim().outcome().isEmpty()) {
+      return inProgress();
+    }
+    return judge(found, arrival, arrival.joinUntilNanoseconds());
+  }
+
   private ClaimStep<A> judge(ClaimEvent.Found<A> found, Arrival arrival, long now) {
     Claim<A> claim = found.claim();
     if (!claim.bodyHash().equals(arrival.bodyHash())) {
@@ -202,6 +214,10 @@
     if (found.holderState() == HolderState.GONE) {
       return askOrRefuse(claim, arrival);
     }
+    return inProgress();
+  }
+
+  private ClaimStep<A> inProgress() {
     return refuse(
         ErrorKind.KEY_IN_PROGRESS, RunState.UNKNOWN, "a call with the same key is running");
   }
--- a/idempotency/src/test/java/org/agatefield/idempotency/ClaimProtocolTest.java
+++ b/idempotency/src/test/java/org/agatefield/idempotency/ClaimProtocolTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
+import net.jqwik.api.EdgeCasesMode;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
@@ -15,7 +17,7 @@
 class ClaimProtocolTest {
   private static final int RUNS = 5_000;
 
-  @Property(tries = 20_000, seed = "42")
+  @Property(tries = 100_000, seed = "42", edgeCases = EdgeCasesMode.NONE)
   void callIsSentAtMostOnceAndItsAnswerKept(
       @ForAll long seed,
       @ForAll @DoubleRange(min = 0, max = 0.5) double faultShare,
@@ -25,6 +27,31 @@
     assertEquals(List.of(), world.violations);
   }
 
+  /** Seeds that once ran twice: an arrival went on after its claim was given up for removal. */
+  @Test
+  void arrivalWhoseClaimIsBeingRemovedDoesNotClaimAgain() {
+    for (long seed : new long[] {273, 4363, 31478, 54911, 56905}) {
+      SimulatedWorld world = new SimulatedWorld(seed, 0.3, Fault.NONE);
+      world.run(12);
+      assertEquals(List.of(), world.violations);
+    }
+  }
+
+  @Test
+  void claimOfAnotherFoundAfterLostCreateEndsTheArrival() {
+    ClaimProtocol<String> protocol = new ClaimProtocol<>();
+    Arrival arrival = new Arrival("mine", "body", 1_000, 1_000, false);
+    Claim<String> other = new Claim<>("other", "b", "body", 0, 0, 0, Optional.empty());
+    ClaimStep<String> step =
+        protocol.next(
+            ClaimState.in(ClaimState.Phase.READING_BACK),
+            new ClaimEvent.Found<>(other, ClaimEvent.HolderState.RUNNING),
+            arrival,
+            0);
+    assertEquals(ClaimState.Phase.DONE, step.state().phase());
+    assertTrue(step.actions().contains(new ClaimAction.Remove<String>()));
+  }
+
   @Test
   void withoutFaultsTheFirstArrivalRunsAndAllGetItsAnswer() {
     SimulatedWorld world = new SimulatedWorld(1, 0, Fault.NONE);
--- a/lease/src/test/java/org/agatefield/lease/LeaseProtocolTest.java
+++ b/lease/src/test/java/org/agatefield/lease/LeaseProtocolTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import net.jqwik.api.EdgeCasesMode;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
@@ -18,7 +19,7 @@
   private static final int RUNS = 2_000;
   private static final LeaseTerms TERMS = new LeaseTerms(100, 25, 0);
 
-  @Property(tries = 5_000, seed = "42")
+  @Property(tries = 20_000, seed = "42", edgeCases = EdgeCasesMode.NONE)
   void grantsOfTwoHoldersNeverOverlapAndTokensRise(
       @ForAll long seed,
       @ForAll @DoubleRange(min = 0, max = 0.5) double faultShare,
