--- a/fleet/src/main/java/org/agatefield/fleet/FleetMain.java
+++ b/fleet/src/main/java/org/agatefield/fleet/FleetMain.java
@@ -3,12 +3,13 @@
 import com.github.rvesse.airline.annotations.Cli;
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.util.concurrent.Callable;
+import org.agatefield.fleet.soak.SoakCommand;
 
 /** The entry point of the fleet tools. */
 @Cli(
     name = "agatefield-fleet",
     description = "Starts local fleets to try out and to soak",
-    commands = {QuickstartCommand.class, AddedLatencyCommand.class})
+    commands = {QuickstartCommand.class, AddedLatencyCommand.class, SoakCommand.class})
 public final class FleetMain {
   private static final int USAGE = 2;
   private static final int FAILURE = 1;
--- a/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
+++ b/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
@@ -275,6 +275,11 @@
     new InstanceObjects(http, address(STORE)).setState(name, "LEAVING");
   }
 
+  /** Marks an instance or upstream as live in the platform's list. */
+  public void markLive(String name) {
+    new InstanceObjects(http, address(STORE)).setState(name, "LIVE");
+  }
+
   /** Returns the configuration of the plan, written against generation 0. */
   public ConfigurationDocument configuration() {
     return SampleConfiguration.of(plan, addresses);
--- /dev/null
+++ b/fleet/src/main/java/org/agatefield/fleet/soak/SoakCounts.java
@@ -0,0 +1,14 @@
+package org.agatefield.fleet.soak;
+
+import java.util.concurrent.atomic.LongAdder;
+
+/** Counts what a soak did. Safe for use by any thread. */
+final class SoakCounts {
+  final LongAdder requests = new LongAdder();
+  final LongAdder wholeAnswers = new LongAdder();
+  final LongAdder bookings = new LongAdder();
+  final LongAdder bookingAttempts = new LongAdder();
+  final LongAdder bookingsAnswered = new LongAdder();
+  final LongAdder failures = new LongAdder();
+  final LongAdder configurations = new LongAdder();
+}
