--- a/daemon/src/main/java/org/agatefield/daemon/http/BodyReader.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/BodyReader.java
@@ -2,6 +2,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.concurrent.atomic.AtomicLong;
@@ -17,11 +18,13 @@
 final class BodyReader {
   private static final long INITIAL_CAPACITY_BYTES = 64 * 1024;
 
+  private final Vertx vertx;
   private final long maximumBodyBytes;
   private final long maximumHeldBytes;
   private final AtomicLong heldBytes = new AtomicLong();
 
-  BodyReader(long maximumBodyBytes, long maximumHeldBytes) {
+  BodyReader(Vertx vertx, long maximumBodyBytes, long maximumHeldBytes) {
+    this.vertx = vertx;
     this.maximumBodyBytes = maximumBodyBytes;
     this.maximumHeldBytes = maximumHeldBytes;
   }
@@ -68,8 +71,9 @@
   }
 
   /** Refuses without reading; the connection ends since the body was not taken off it. */
-  private static Future<Buffer> refuse(HttpServerRequest request, AgatefieldException failure) {
+  private Future<Buffer> refuse(HttpServerRequest request, AgatefieldException failure) {
     request.response().putHeader("Connection", "close");
+    LingeringClose.begin(vertx, request);
     return Future.failedFuture(failure);
   }
 
@@ -130,6 +134,7 @@
         over = true;
         release(counted);
         request.response().putHeader("Connection", "close");
+        LingeringClose.begin(vertx, request);
         promise.fail(failure);
       }
     }
--- a/daemon/src/main/java/org/agatefield/daemon/http/CallerApi.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/CallerApi.java
@@ -39,7 +39,8 @@
   public CallerApi(CallerApiParts parts) {
     this.parts = parts;
     this.identities = new CallerIdentities(parts.configuration());
-    this.bodies = new BodyReader(parts.limits().bodyBytes(), parts.limits().queuedBytes());
+    this.bodies =
+        new BodyReader(parts.vertx(), parts.limits().bodyBytes(), parts.limits().queuedBytes());
     this.generations = new GenerationHandler(parts);
     this.services = new ServiceHandler(parts);
     this.directory = new DirectoryHandler(parts);
--- a/daemon/src/main/java/org/agatefield/daemon/http/Generation.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/Generation.java
@@ -27,7 +27,7 @@
  */
 final class Generation {
   private static final Logger LOGGER = LogManager.getLogger(Generation.class);
-  private static final int MAXIMUM_ATTEMPTS_WITHOUT_PROGRESS = 4;
+  private static final int MAXIMUM_ATTEMPTS_WITHOUT_PROGRESS = 6;
 
   private final CallerApiParts parts;
   private final Context context;
--- a/daemon/src/main/java/org/agatefield/daemon/http/GenerationHandler.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/GenerationHandler.java
@@ -53,7 +53,7 @@
     AnswerNames names = AnswerNames.of(prefix + terms.requestId(), body.model());
     CallerAnswer answer =
         body.stream()
-            ? new StreamedAnswer(request, names)
+            ? new StreamedAnswer(request.response(), names)
             : new WholeAnswer(request.response(), names);
     Context context = parts.vertx().getOrCreateContext();
     new Generation(parts, context, task, answer, afterwards).begin(request.response());
--- a/daemon/src/main/java/org/agatefield/daemon/http/InvalidRequestHandler.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/InvalidRequestHandler.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.vertx.core.Handler;
+import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServerRequest;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.ErrorKind;
@@ -23,6 +24,6 @@
     String message = tooLarge ? "the request headers are too large" : "not a valid HTTP request";
     request.response().putHeader("Connection", "close");
     ErrorAnswer.send(request.response(), new AgatefieldException(kind, message, cause));
-    request.connection().close();
+    LingeringClose.begin(Vertx.currentContext().owner(), request);
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/http/StreamedAnswer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/StreamedAnswer.java
@@ -1,7 +1,6 @@
 package org.agatefield.daemon.http;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.ArrayList;
 import java.util.List;
@@ -20,16 +19,14 @@
   private static final Buffer END_MARKER = Buffer.buffer("data: [DONE]\n\n");
   private static final Buffer ERROR_EVENT = Buffer.buffer("event: error\ndata: ");
 
-  private final HttpServerRequest request;
   private final HttpServerResponse response;
   private final AnswerNames names;
   private final List<EngineAnswerPart> heldBack = new ArrayList<>();
   private boolean resumed;
   private int tokens;
 
-  StreamedAnswer(HttpServerRequest request, AnswerNames names) {
-    this.request = request;
-    this.response = request.response();
+  StreamedAnswer(HttpServerResponse response, AnswerNames names) {
+    this.response = response;
     this.names = names;
   }
 
@@ -82,7 +79,7 @@
     }
     Buffer event =
         ERROR_EVENT.copy().appendBuffer(ErrorAnswer.body(failure)).appendBuffer(EVENT_END);
-    response.write(event).onComplete(ignored -> request.connection().close());
+    response.write(event).onComplete(ignored -> response.reset());
   }
 
   private void write(EngineAnswerPart part) {
