Prove that accepted configurations are never undone under any interleaving of a seed

Cause: operators race, answers are lost after the write took effect, watches and reads lag, peers offer old documents. Change: a store whose calls take effect and are answered in an order that a seed decides, three instances, racing operators; checked: generations never fall at any instance, each accepted document replaced the one it was written against, an answer 'accepted' or 'not run' is true. A document that may have been accepted is no longer answered as refused when the store is read from a lagging copy. Conclusion: the answer 'unknown' remains for what the store did not tell within eight tries.

--- a/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationApplication.java
+++ b/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationApplication.java
@@ -5,7 +5,6 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import org.agatefield.configuration.ChangeRules;
 import org.agatefield.configuration.ConfigurationDifference;
 import org.agatefield.configuration.ConfigurationFault;
@@ -30,19 +29,28 @@
 final class ConfigurationApplication {
   static final ObjectKey CURRENT = new ObjectKey(ObjectKind.CONFIGURATION, "current");
   private static final int MAXIMUM_TRIES = 8;
-  private static final long RETRY_DELAY_MILLISECONDS = 250;
 
   private final ObjectStore store;
   private final ConfigurationHistory history;
   private final ConfigurationDocument document;
+  private final Executor retries;
   private final String writeIdentifier = UUID.randomUUID().toString();
   private volatile boolean mayHaveTakenEffect;
 
+  /**
+   * Creates an attempt.
+   *
+   * @param retries runs the next try after a delay
+   */
   ConfigurationApplication(
-      ObjectStore store, ConfigurationHistory history, ConfigurationDocument document) {
+      ObjectStore store,
+      ConfigurationHistory history,
+      ConfigurationDocument document,
+      Executor retries) {
     this.store = store;
     this.history = history;
     this.document = document;
+    this.retries = retries;
   }
 
   /** Returns the accepted document; fails with an {@link AgatefieldException}. */
@@ -73,6 +81,11 @@
     }
     ConfigurationDocument base =
         found.map(ConfigurationCodec::decode).orElse(ConfigurationDocument.empty());
+    if (base.generation() < document.generation() && mayHaveTakenEffect) {
+      return CompletableFuture.failedFuture(
+          new StoreException(
+              StoreFailure.UNKNOWN_RESULT, "the store was read from a lagging copy"));
+    }
     if (base.generation() != document.generation()) {
       return CompletableFuture.failedFuture(
           new ConfigurationConflictException(ConfigurationDifference.between(base, document)));
@@ -117,9 +130,7 @@
     if (pointless || number >= MAXIMUM_TRIES) {
       return CompletableFuture.failedFuture(storeDown(failure));
     }
-    Executor later =
-        CompletableFuture.delayedExecutor(RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
-    return CompletableFuture.completedFuture(number + 1).thenComposeAsync(this::attempt, later);
+    return CompletableFuture.completedFuture(number + 1).thenComposeAsync(this::attempt, retries);
   }
 
   private ConfigurationRefusedException tooLarge() {
--- a/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationKeeper.java
+++ b/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationKeeper.java
@@ -6,6 +6,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.agatefield.daemon.core.ConfigurationSink;
 import org.agatefield.daemon.core.ConfigurationSource;
@@ -32,6 +34,10 @@
     implements ConfigurationSource, ConfigurationSink, AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(ConfigurationKeeper.class);
 
+  private static final long RETRY_DELAY_MILLISECONDS = 250;
+  private static final Executor RETRIES =
+      CompletableFuture.delayedExecutor(RETRY_DELAY_MILLISECONDS, TimeUnit.MILLISECONDS);
+
   private final ObjectStore store;
   private final ConfigurationInForce inForce;
   private final ConfigurationHistory history;
@@ -92,7 +98,9 @@
    * @param document read by {@link org.agatefield.configuration.ConfigurationReader}
    */
   public CompletableFuture<ConfigurationDocument> apply(ConfigurationDocument document) {
-    return new ConfigurationApplication(store, history, document).run().thenApply(this::accepted);
+    return new ConfigurationApplication(store, history, document, RETRIES)
+        .run()
+        .thenApply(this::accepted);
   }
 
   private ConfigurationDocument accepted(ConfigurationDocument document) {
--- /dev/null
+++ b/daemon/src/test/java/org/agatefield/daemon/configuration/RacingOperators.java
@@ -0,0 +1,194 @@
+package org.agatefield.daemon.configuration;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Supplier;
+import org.agatefield.daemon.core.ConfigurationSink;
+import org.agatefield.daemon.core.InvariantMonitor;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ConfigurationDocument;
+import org.agatefield.model.RunState;
+import org.agatefield.model.WeightStoreLimits;
+import org.agatefield.platform.StoredObject;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Operators who race each other at several instances, over a store and peers whose order a seed
+ * decides. Used from one thread.
+ */
+final class RacingOperators {
+  private static final int INSTANCES = 3;
+  private static final int STEPS = 400;
+
+  private final UniformRandomProvider random;
+  private final ScheduledStore store;
+  private final ConfigurationHistory history;
+  private final List<ConfigurationInForce> instances = new ArrayList<>();
+  private final List<List<ConfigurationDocument>> adopted = new ArrayList<>();
+  private final Map<ConfigurationDocument, String> answers = new HashMap<>();
+  private final List<String> violations = new ArrayList<>();
+  private final boolean adoptAnything;
+  private int documents;
+
+  /**
+   * Creates a race.
+   *
+   * @param adoptAnything whether instances adopt what they hear last, also an earlier document
+   */
+  RacingOperators(long seed, Set<ScheduledStore.Mechanism> off, boolean adoptAnything) {
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    this.store = new ScheduledStore(random, off);
+    this.history = new ConfigurationHistory(store);
+    this.adoptAnything = adoptAnything;
+    for (int i = 0; i < INSTANCES; i++) {
+      ConfigurationInForce instance = new ConfigurationInForce(new Monitor());
+      List<ConfigurationDocument> heard = new ArrayList<>();
+      instance.subscribe(heard::add);
+      instances.add(instance);
+      adopted.add(heard);
+    }
+  }
+
+  /** Runs to the end and returns every violation. */
+  List<String> run() {
+    for (int i = 0; i < STEPS; i++) {
+      act(random.nextInt(10));
+    }
+    while (store.runOne()) {
+      continue;
+    }
+    checkAdopted();
+    checkAnswers();
+    checkSuccession();
+    return violations;
+  }
+
+  /** Returns how many documents were accepted. */
+  int accepted() {
+    return acceptedDocuments().size();
+  }
+
+  private void act(int choice) {
+    int instance = random.nextInt(INSTANCES);
+    if (choice == 0) {
+      apply(instance);
+    } else if (choice == 1) {
+      learnFromStore(instance);
+    } else if (choice == 2) {
+      List<ConfigurationDocument> peer = adopted.get(random.nextInt(INSTANCES));
+      offer(instance, peer.get(random.nextInt(peer.size())));
+    } else {
+      store.runOne();
+    }
+  }
+
+  /** An operator changes what an instance has in force, perhaps long out of date. */
+  private void apply(int instance) {
+    documents++;
+    ConfigurationDocument base = instances.get(instance).current();
+    ConfigurationDocument document =
+        new ConfigurationDocument(
+            base.generation(),
+            base.deployments(),
+            base.adapters(),
+            base.callers(),
+            base.services(),
+            base.upstreams(),
+            new WeightStoreLimits(documents, 1, 1));
+    new ConfigurationApplication(store, history, document, store)
+        .run()
+        .whenComplete((accepted, failure) -> answered(instance, document, accepted, failure));
+  }
+
+  private void answered(
+      int instance,
+      ConfigurationDocument document,
+      ConfigurationDocument accepted,
+      Throwable failure) {
+    if (failure == null) {
+      answers.put(document, "accepted");
+      offer(instance, accepted);
+      return;
+    }
+    RunState state = AgatefieldException.from(failure).runState();
+    answers.put(document, state == RunState.NO ? "refused" : "unknown");
+  }
+
+  /** A watch or list reports any version that the object ever had. */
+  private void learnFromStore(int instance) {
+    List<StoredObject> versions = store.versionsOf(ConfigurationApplication.CURRENT);
+    if (!versions.isEmpty()) {
+      StoredObject version = versions.get(random.nextInt(versions.size()));
+      offer(instance, ConfigurationCodec.decode(version));
+    }
+  }
+
+  private void offer(int instance, ConfigurationDocument document) {
+    if (adoptAnything) {
+      adopted.get(instance).add(document);
+      return;
+    }
+    ConfigurationSink sink = instances.get(instance);
+    sink.offer(document);
+  }
+
+  private List<ConfigurationDocument> acceptedDocuments() {
+    return store.versionsOf(ConfigurationApplication.CURRENT).stream()
+        .map(ConfigurationCodec::decode)
+        .toList();
+  }
+
+  private void checkAdopted() {
+    for (List<ConfigurationDocument> heard : adopted) {
+      long generation = -1;
+      for (ConfigurationDocument document : heard) {
+        if (document.generation() <= generation) {
+          violations.add("generation " + document.generation() + " after " + generation);
+        }
+        generation = document.generation();
+      }
+    }
+  }
+
+  private void checkAnswers() {
+    List<ConfigurationDocument> accepted = acceptedDocuments();
+    answers.forEach(
+        (document, answer) -> {
+          boolean took = accepted.contains(document.withGeneration(document.generation() + 1));
+          boolean truthful = answer.equals("unknown") || took == answer.equals("accepted");
+          if (!truthful) {
+            violations.add(answer + " but " + took + ": " + document);
+          }
+        });
+  }
+
+  /** Each accepted document replaced the one that it was written against. */
+  private void checkSuccession() {
+    long generation = 0;
+    for (ConfigurationDocument document : acceptedDocuments()) {
+      if (document.generation() != generation + 1) {
+        violations.add("generation " + document.generation() + " replaced " + generation);
+      }
+      generation = document.generation();
+    }
+  }
+
+  /** Counts what the instance itself reports. */
+  private final class Monitor implements InvariantMonitor {
+    @Override
+    public void check(Promise promise, boolean holds, Supplier<String> evidence) {
+      if (!holds) {
+        violations.add(evidence.get());
+      }
+    }
+
+    @Override
+    public long violations() {
+      return violations.size();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/agatefield/daemon/configuration/RacingOperatorsTest.java
@@ -0,0 +1,53 @@
+package org.agatefield.daemon.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.LongStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.agatefield.daemon.configuration.ScheduledStore.Mechanism;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Requirement REQ-CONFIGURATION: an accepted configuration is never undone. */
+class RacingOperatorsTest {
+  private static final int SEEDS = 200;
+
+  @Property(tries = 500, seed = "42")
+  void acceptedDocumentsAreNeverUndoneAndAnswersAreTrue(@ForAll long seed) {
+    assertEquals(List.of(), new RacingOperators(seed, Set.of(), false).run());
+  }
+
+  @Test
+  void racesHaveDocumentsAccepted() {
+    int accepted = 0;
+    for (long seed = 0; seed < SEEDS; seed++) {
+      RacingOperators race = new RacingOperators(seed, Set.of(), false);
+      race.run();
+      accepted += race.accepted();
+    }
+    assertTrue(accepted > 2 * SEEDS, "only " + accepted);
+  }
+
+  @ParameterizedTest
+  @EnumSource(Mechanism.class)
+  void withoutAnyOneMechanismSomeRaceFails(Mechanism mechanism) {
+    assertTrue(failures(EnumSet.of(mechanism), false) > 0, mechanism + " prevents nothing");
+  }
+
+  @Test
+  void adoptingWhateverComesLastFails() {
+    assertTrue(failures(Set.of(), true) > 0);
+  }
+
+  private static long failures(Set<Mechanism> off, boolean adoptAnything) {
+    return LongStream.range(0, SEEDS)
+        .filter(seed -> !new RacingOperators(seed, off, adoptAnything).run().isEmpty())
+        .count();
+  }
+}
