Count a refused request once in the demand, however often it is retried

Cause: refusals that callers repeat at once made a model look many times as much in demand, so the planner moved on noise in steady demand. Change: DemandSample.requestsPerSecond counts requests sent to an upstream and refusedPerSecond requests refused, both without retries, known again by caller and last prefix hash for 5 s.

--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/DemandMeter.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/DemandMeter.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -11,22 +12,46 @@
 /** The recent demand for each deployment at this instance. Confined to the dispatcher's lock. */
 final class DemandMeter {
   private static final long TIME_CONSTANT_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
+  private static final long RETRY_WINDOW_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
+  private static final int MAXIMUM_REFUSED_REQUESTS = 8_192;
   private static final double FORGOTTEN_REQUESTS_PER_SECOND = 0.001;
 
   private final Map<String, Rates> deployments = new HashMap<>();
 
+  /**
+   * Requests of the last seconds that were refused, so that their retries are not counted again.
+   */
+  private final LinkedHashMap<String, Long> refusedRequests =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAXIMUM_REFUSED_REQUESTS;
+        }
+      };
+
   private static final class Rates {
     private final DecayingRate requests = new DecayingRate(TIME_CONSTANT_NANOSECONDS);
     private final DecayingRate refused = new DecayingRate(TIME_CONSTANT_NANOSECONDS);
     private final DecayingRate busySeconds = new DecayingRate(TIME_CONSTANT_NANOSECONDS);
   }
 
-  void arrived(String deployment, long nowNanoseconds) {
+  /** Records a request that was sent to an upstream for the first time. */
+  void admitted(String deployment, long nowNanoseconds) {
     rates(deployment).requests.add(1, nowNanoseconds);
   }
 
-  void refused(String deployment, long nowNanoseconds) {
-    rates(deployment).refused.add(1, nowNanoseconds);
+  /**
+   * Records a refusal, once for a request and its retries.
+   *
+   * @param fingerprint the same for retries of a request
+   */
+  void refused(String deployment, String fingerprint, long nowNanoseconds) {
+    Long earlier = refusedRequests.put(fingerprint, nowNanoseconds);
+    if (earlier == null || nowNanoseconds - earlier > RETRY_WINDOW_NANOSECONDS) {
+      rates(deployment).refused.add(1, nowNanoseconds);
+    }
   }
 
   void busy(String deployment, double seconds, long nowNanoseconds) {
@@ -37,10 +62,15 @@
     List<DemandSample> samples = new ArrayList<>(deployments.size());
     deployments.forEach(
         (deployment, rates) -> samples.add(sample(deployment, region, rates, nowNanoseconds)));
-    samples.removeIf(sample -> sample.requestsPerSecond() < FORGOTTEN_REQUESTS_PER_SECOND);
+    samples.removeIf(DemandMeter::isForgotten);
     return samples;
   }
 
+  private static boolean isForgotten(DemandSample sample) {
+    double offered = sample.requestsPerSecond() + sample.refusedPerSecond();
+    return offered < FORGOTTEN_REQUESTS_PER_SECOND;
+  }
+
   private static DemandSample sample(
       String deployment, String region, Rates rates, long nowNanoseconds) {
     return new DemandSample(
--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/DispatchCore.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/DispatchCore.java
@@ -148,7 +148,7 @@
       PendingRequest pending, ErrorKind kind, String reason, Duration retryAfter, long now) {
     waiting.remove(pending.queued.id());
     metrics.refused(kind);
-    demand.refused(pending.target.deployment(), now);
+    demand.refused(pending.target.deployment(), pending.fingerprint, now);
     decisions.refused(
         pending.requestId, pending.target.name(), "refused=" + kind.code() + " why=" + reason);
     AgatefieldException failure =
@@ -214,6 +214,10 @@
         !leaving.contains(name),
         () -> "request " + pending.requestId + " was routed to leaving upstream " + name);
     lastAttemptNumber++;
+    if (!pending.wasSent) {
+      pending.wasSent = true;
+      demand.admitted(pending.target.deployment(), now);
+    }
     upstreams.state(name).sent();
     queue.started(pending.target.name());
     chooser.sent(pending.routing, name);
--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/PendingRequest.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/PendingRequest.java
@@ -14,14 +14,22 @@
 final class PendingRequest {
   final String requestId;
   final Target target;
+  final String fingerprint;
   final RoutingRequest routing;
   final QueuedRequest queued;
   final Set<String> failedUpstreams = new HashSet<>();
   CompletableFuture<Dispatch> future = new CompletableFuture<>();
   boolean mayHaveRun;
+  boolean wasSent;
 
-  PendingRequest(String requestId, Target target, RoutingRequest routing, QueuedRequest queued) {
+  PendingRequest(
+      String requestId,
+      String fingerprint,
+      Target target,
+      RoutingRequest routing,
+      QueuedRequest queued) {
     this.requestId = requestId;
+    this.fingerprint = fingerprint;
     this.target = target;
     this.routing = routing;
     this.queued = queued;
--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/RequestFactory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/RequestFactory.java
@@ -37,7 +37,7 @@
     RoutingRequest routing =
         new RoutingRequest(
             region, target.adapter(), request.promptTokens(), linkBytes, request.prefixHashes());
-    return new PendingRequest(request.requestId(), target, routing, queued);
+    return new PendingRequest(request.requestId(), fingerprint(request), target, routing, queued);
   }
 
   PendingRequest service(ServiceRequest request, Target target, long id, int weight, long now) {
@@ -54,11 +54,11 @@
             1);
     RoutingRequest routing =
         new RoutingRequest(region, Optional.empty(), 0, request.bodyBytes(), List.of());
-    return new PendingRequest(request.requestId(), target, routing, queued);
+    return new PendingRequest(request.requestId(), request.requestId(), target, routing, queued);
   }
 
-  /** Returns what makes retries of a request go to the same version. */
-  static String versionHash(ModelRequest request) {
+  /** Returns what retries of a request have in common, for versions and demand. */
+  static String fingerprint(ModelRequest request) {
     List<Long> prefixes = request.prefixHashes();
     String last =
         prefixes.isEmpty()
--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/RoutingDispatcher.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/RoutingDispatcher.java
@@ -139,8 +139,7 @@
           if (deployment.isEmpty()) {
             return failed(ErrorKind.NOT_FOUND, "no model is named '" + request.model() + "'");
           }
-          demand.arrived(deployment.get().name(), now);
-          String hash = RequestFactory.versionHash(request);
+          String hash = RequestFactory.fingerprint(request);
           Target target = index.target(request.model(), deployment.get(), hash);
           int weight = index.weightOf(request.caller());
           return admit(requests.model(request, target, ++lastRequestNumber, weight, now), now);
--- a/model/src/main/java/org/agatefield/model/DemandSample.java
+++ b/model/src/main/java/org/agatefield/model/DemandSample.java
@@ -6,8 +6,8 @@
  *
  * @param deployment the deployment
  * @param region the region of the entry instances that measured it
- * @param requestsPerSecond requests that arrived each second, joined retries not counted
- * @param refusedPerSecond requests refused each second for want of capacity
+ * @param requestsPerSecond requests that were sent to an upstream each second, retries not counted
+ * @param refusedPerSecond requests refused each second for want of capacity, retries not counted
  * @param busySecondsPerSecond runner seconds spent on it each second
  */
 public record DemandSample(
