--- a/membership/src/main/java/org/agatefield/membership/Membership.java
+++ b/membership/src/main/java/org/agatefield/membership/Membership.java
@@ -17,6 +17,8 @@
  * time in milliseconds.
  */
 public final class Membership {
+  private static final int MANY_FOUND = 4;
+
   private final MembershipSettings settings;
   private final MemberTable table = new MemberTable();
   private final GossipQueue queue = new GossipQueue();
@@ -169,10 +171,19 @@
     if (message.sender().id().equals(self.id())) {
       return;
     }
-    merge(message.sender(), now, outbox);
-    message.updates().forEach(update -> merge(update, now, outbox));
-    hearGeneration(message, outbox);
     MembershipMessage.Body body = message.body();
+    boolean exchanged =
+        body instanceof MembershipMessage.StateRequest
+            || body instanceof MembershipMessage.StateAnswer;
+    merge(message.sender(), false, now, outbox);
+    int found = 0;
+    for (MemberUpdate update : message.updates()) {
+      found += merge(update, exchanged, now, outbox) ? 1 : 0;
+    }
+    if (found >= MANY_FOUND) {
+      schedule.hastenExchange(now);
+    }
+    hearGeneration(message, outbox);
     if (body instanceof MembershipMessage.StateRequest request) {
       exchange.answer(self, message, request, outbox);
     } else if (body instanceof MembershipMessage.StateAnswer answer) {
@@ -182,15 +193,27 @@
     }
   }
 
-  private void merge(MemberUpdate update, long now, Outbox outbox) {
+  /**
+   * Takes in a statement; says whether an exchange found a member that was not known. Such a member
+   * is no news to others, so it is not spread; whoever it contacted first spreads it.
+   */
+  private boolean merge(MemberUpdate update, boolean exchanged, long now, Outbox outbox) {
     if (update.id().equals(self.id())) {
       refute(update, outbox);
-      return;
+      return false;
     }
+    boolean found = exchanged && table.get(update.id()).isEmpty();
     long suspicion = settings.suspicionMilliseconds(table.presentCount() + 1);
-    if (table.merge(update, now, suspicion)) {
-      table.get(update.id()).map(MemberTable.Entry::update).ifPresent(outbox::changed);
+    if (!table.merge(update, now, suspicion)) {
+      return false;
+    }
+    MemberUpdate believed = table.get(update.id()).orElseThrow().update();
+    if (found) {
+      outbox.actions.add(new MembershipAction.MemberChanged(believed));
+      return true;
     }
+    outbox.changed(believed);
+    return false;
   }
 
   private void refute(MemberUpdate update, Outbox outbox) {
--- a/membership/src/main/java/org/agatefield/membership/Schedule.java
+++ b/membership/src/main/java/org/agatefield/membership/Schedule.java
@@ -8,6 +8,7 @@
  */
 final class Schedule {
   private static final long LONELY_CONTACT_INTERVAL_MILLISECONDS = 1_000;
+  private static final long HASTENED_EXCHANGE_MILLISECONDS = 2_000;
 
   private final MembershipSettings settings;
   private final UniformRandomProvider random;
@@ -49,6 +50,11 @@
     return true;
   }
 
+  /** Brings the next exchange forward, as the last one found many unknown members. */
+  void hastenExchange(long now) {
+    nextExchange = Math.min(nextExchange, now + jittered(HASTENED_EXCHANGE_MILLISECONDS));
+  }
+
   /** Returns whether a seed and a dead member are to be tried; oftener while nobody is known. */
   boolean contactDue(long now, boolean lonely) {
     if (now < nextContact) {
--- a/membership/src/test/java/org/agatefield/membership/MembershipMechanismTest.java
+++ b/membership/src/test/java/org/agatefield/membership/MembershipMechanismTest.java
@@ -41,20 +41,37 @@
     assertFalse(MembershipTest.rejoinsAfterCut(1, CUT_MILLISECONDS, withoutTryingTheDead()));
   }
 
+  @Test
+  void withoutRememberingTheDeadTheyComeBack() {
+    long runs =
+        LongStream.range(0, SEEDS)
+            .filter(
+                seed ->
+                    MembershipTest.deadComeBack(
+                        seed, PAUSE_MILLISECONDS, withoutRememberingTheDead()))
+            .count();
+    System.out.println("runs in which the dead come back: " + runs);
+    assertTrue(runs > 0);
+  }
+
   private static MembershipSettings withoutSuspicion() {
-    return settings(0, 5_000, 1_500);
+    return settings(0, 5_000, 1_500, 4_096);
   }
 
   private static MembershipSettings withoutNoticingPauses() {
-    return settings(5, 5_000, LONG_MILLISECONDS);
+    return settings(5, 5_000, LONG_MILLISECONDS, 4_096);
   }
 
   private static MembershipSettings withoutTryingTheDead() {
-    return settings(5, LONG_MILLISECONDS, 1_500);
+    return settings(5, LONG_MILLISECONDS, 1_500, 4_096);
+  }
+
+  private static MembershipSettings withoutRememberingTheDead() {
+    return settings(5, 5_000, 1_500, 0);
   }
 
   private static MembershipSettings settings(
-      int suspicionMultiplier, long deadContactInterval, long pause) {
+      int suspicionMultiplier, long deadContactInterval, long pause, int maximumDead) {
     MembershipSettings usual = MembershipSettings.defaults();
     return new MembershipSettings(
         usual.tickMilliseconds(),
@@ -71,7 +88,7 @@
         usual.exchangeIntervalMilliseconds(),
         deadContactInterval,
         usual.deadRetentionMilliseconds(),
-        usual.maximumDead(),
+        maximumDead,
         pause,
         usual.maximumHealthScore(),
         usual.remoteShare());
--- a/membership/src/test/java/org/agatefield/membership/MembershipTest.java
+++ b/membership/src/test/java/org/agatefield/membership/MembershipTest.java
@@ -58,6 +58,12 @@
     assertTrue(late.presentIds().contains("m000"));
   }
 
+  @Property(tries = 40, seed = "22")
+  void memberThatMissedDeathDoesNotBringTheDeadBack(
+      @ForAll long seed, @ForAll @LongRange(min = 60_000, max = 3_600_000) long pause) {
+    assertFalse(deadComeBack(seed, pause, SETTINGS));
+  }
+
   @Property(tries = 40, seed = "14")
   void pausedMemberKillsNobodyWhenItGoesOn(
       @ForAll long seed, @ForAll @LongRange(min = 2_000, max = 3_600_000) long pause) {
@@ -186,6 +192,26 @@
     return deathsOfOthers(group, paused) - deathsBefore;
   }
 
+  /** Says whether anyone but a member that slept through a death took the dead for alive again. */
+  static boolean deadComeBack(long seed, long pause, MembershipSettings settings) {
+    SimulatedGroup group = joined(seed, settings, 12, "north", "south");
+    Node paused = group.nodes.get("m003");
+    group.pause(paused);
+    group.nodes.get("m005").crashed = true;
+    group.run(pause);
+    group.resume(paused);
+    for (int step = 0; step < 600; step++) {
+      group.run(100);
+      boolean back =
+          group.running().stream()
+              .anyMatch(node -> node != paused && node.presentIds().contains("m005"));
+      if (back) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   static boolean rejoinsAfterCut(long seed, long cut, MembershipSettings settings) {
     SimulatedGroup group = joined(seed, settings, 18, "north", "north", "south");
     group.cut("north", "south");
