Count requests out when their last byte is written; prove the steps of a shutdown

Cause: a request was counted out before its answer was handed to the connection, so that a shutdown on another thread could close the connection over unsent bytes. Ruled out: waiting a fixed time before the end (a slow reader takes longer).

--- a/daemon/src/main/java/org/agatefield/daemon/http/CallerAnswer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/CallerAnswer.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.http;
 
+import io.vertx.core.Future;
 import org.agatefield.engine.EngineAnswerPart;
 import org.agatefield.model.AgatefieldException;
 
@@ -25,9 +26,9 @@
   /** Calls {@code action} once the caller has read enough. */
   void onDrained(Runnable action);
 
-  /** Ends the whole answer. */
-  void succeed();
+  /** Ends the whole answer; completes when all of it is written to the connection. */
+  Future<Void> succeed();
 
-  /** Ends with an explicit error. */
-  void fail(AgatefieldException failure);
+  /** Ends with an explicit error; completes when it is written to the connection. */
+  Future<Void> fail(AgatefieldException failure);
 }
--- a/daemon/src/main/java/org/agatefield/daemon/http/CallerApi.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/CallerApi.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.Meter;
+import io.vertx.core.Future;
 import io.vertx.core.Handler;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
@@ -98,18 +99,16 @@
           RequestTerms.read(
               request, requestId, identities.identify(request), parts.limits().defaultDeadline());
     } catch (AgatefieldException failure) {
-      ending.run();
-      refuse(context, failure);
+      refuse(context, failure).onComplete(ignored -> ending.run());
       return;
     }
     bodies
         .read(request)
         .onSuccess(body -> serve(context, handler, terms, body, ending))
         .onFailure(
-            failure -> {
-              ending.run();
-              refuse(context, AgatefieldException.from(failure));
-            });
+            failure ->
+                refuse(context, AgatefieldException.from(failure))
+                    .onComplete(ignored -> ending.run()));
   }
 
   private void serve(
@@ -127,11 +126,9 @@
     try {
       handler.handle(context, terms, body, afterwards);
     } catch (AgatefieldException failure) {
-      afterwards.run();
-      refuse(context, failure);
+      refuse(context, failure).onComplete(ignored -> afterwards.run());
     } catch (RuntimeException exception) {
-      afterwards.run();
-      refuse(context, AgatefieldException.from(exception));
+      refuse(context, AgatefieldException.from(exception)).onComplete(ignored -> afterwards.run());
     }
   }
 
@@ -146,12 +143,12 @@
     };
   }
 
-  private void refuse(RoutingContext context, AgatefieldException failure) {
+  private Future<Void> refuse(RoutingContext context, AgatefieldException failure) {
     parts.metrics().counter("agatefield.callers.errors." + failure.kind().code()).inc();
     if (failure.kind() == ErrorKind.INTERNAL) {
       LOGGER.error("unexpected fault path={}", context.request().path(), failure);
     }
-    ErrorAnswer.send(context.response(), failure);
+    return ErrorAnswer.send(context.response(), failure);
   }
 
   private static AgatefieldException notFound(RoutingContext context) {
--- a/daemon/src/main/java/org/agatefield/daemon/http/ErrorAnswer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ErrorAnswer.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.time.Duration;
@@ -24,10 +25,12 @@
 
   private ErrorAnswer() {}
 
-  /** Answers a failure, unless the answer has already begun. */
-  static void send(HttpServerResponse response, AgatefieldException failure) {
+  /**
+   * Answers a failure, unless the answer has already begun; completes when the answer is written.
+   */
+  static Future<Void> send(HttpServerResponse response, AgatefieldException failure) {
     if (response.headWritten() || response.ended() || response.closed()) {
-      return;
+      return Future.succeededFuture();
     }
     Optional<Long> retryAfter = retryAfterMilliseconds(failure);
     response.setStatusCode(failure.kind().httpStatus());
@@ -37,7 +40,7 @@
     if (failure.kind() == ErrorKind.SHUTTING_DOWN) {
       response.putHeader("Connection", "close");
     }
-    response.end(body(failure, retryAfter));
+    return response.end(body(failure, retryAfter));
   }
 
   /** Returns the failure as one JSON object. */
--- a/daemon/src/main/java/org/agatefield/daemon/http/Generation.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/Generation.java
@@ -47,7 +47,7 @@
   /**
    * Creates a request that has not begun.
    *
-   * @param afterwards called once when the request is over
+   * @param afterwards called once when the request is over and its answer is written
    */
   Generation(
       CallerApiParts parts,
@@ -198,6 +198,7 @@
   private void callerGone() {
     if (!over) {
       finish(DispatchOutcome.CANCELLED);
+      afterwards.run();
     }
   }
 
@@ -208,12 +209,12 @@
   private void end(DispatchOutcome outcome, AgatefieldException failure) {
     finish(outcome);
     parts.metrics().counter("agatefield.callers.errors." + failure.kind().code()).inc();
-    answer.fail(failure);
+    answer.fail(failure).onComplete(ignored -> afterwards.run());
   }
 
   private void succeeded() {
     finish(DispatchOutcome.SUCCEEDED);
-    answer.succeed();
+    answer.succeed().onComplete(ignored -> afterwards.run());
   }
 
   private void finish(DispatchOutcome outcome) {
@@ -226,7 +227,6 @@
     if (dispatch != null) {
       dispatch.finished(outcome);
     }
-    afterwards.run();
   }
 
   /** Hears the answer of one attempt; nothing is heard once another attempt is the current one. */
--- a/daemon/src/main/java/org/agatefield/daemon/http/ServiceAnswer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ServiceAnswer.java
@@ -60,7 +60,7 @@
     }
     finish();
     if (failure == null) {
-      ServiceHandler.write(response, exchange);
+      ServiceHandler.write(response, exchange).onComplete(ignored -> afterwards.run());
     } else {
       fail(AgatefieldException.from(failure));
     }
@@ -81,17 +81,17 @@
     if (!over) {
       finish();
       answer.cancel(true);
+      afterwards.run();
     }
   }
 
   private void fail(AgatefieldException failure) {
     parts.metrics().counter("agatefield.callers.errors." + failure.kind().code()).inc();
-    ErrorAnswer.send(response, failure);
+    ErrorAnswer.send(response, failure).onComplete(ignored -> afterwards.run());
   }
 
   private void finish() {
     over = true;
     parts.vertx().cancelTimer(deadlineTimer);
-    afterwards.run();
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/http/ServiceHandler.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ServiceHandler.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.http;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
@@ -170,12 +171,12 @@
     return new ServiceMessage(request.method(), path, headers, body, timeout);
   }
 
-  /** Writes a whole answer. */
-  static void write(HttpServerResponse response, ServiceExchange exchange) {
+  /** Writes a whole answer; completes when it is written to the connection. */
+  static Future<Void> write(HttpServerResponse response, ServiceExchange exchange) {
     response.setStatusCode(exchange.status());
     for (ServiceExchange.Header header : exchange.headers()) {
       response.headers().add(header.name(), header.value());
     }
-    response.end(exchange.body());
+    return response.end(exchange.body());
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/http/StreamedAnswer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/StreamedAnswer.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.http;
 
+import io.vertx.core.Future;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServerResponse;
 import java.util.ArrayList;
@@ -65,21 +66,20 @@
   }
 
   @Override
-  public void succeed() {
+  public Future<Void> succeed() {
     heldBack.forEach(this::write);
     begin();
-    response.end(END_MARKER);
+    return response.end(END_MARKER);
   }
 
   @Override
-  public void fail(AgatefieldException failure) {
+  public Future<Void> fail(AgatefieldException failure) {
     if (!response.headWritten()) {
-      ErrorAnswer.send(response, failure);
-      return;
+      return ErrorAnswer.send(response, failure);
     }
     Buffer event =
         ERROR_EVENT.copy().appendBuffer(ErrorAnswer.body(failure)).appendBuffer(EVENT_END);
-    response.write(event).onComplete(ignored -> response.reset());
+    return response.write(event).onComplete(ignored -> response.reset());
   }
 
   private void write(EngineAnswerPart part) {
--- a/daemon/src/main/java/org/agatefield/daemon/http/WholeAnswer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/WholeAnswer.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.http;
 
+import io.vertx.core.Future;
 import io.vertx.core.http.HttpServerResponse;
 import org.agatefield.engine.EngineAnswerPart;
 import org.agatefield.model.AgatefieldException;
@@ -41,13 +42,13 @@
   }
 
   @Override
-  public void succeed() {
+  public Future<Void> succeed() {
     response.putHeader("content-type", "application/json");
-    response.end(whole.renamed(names.id(), names.model()));
+    return response.end(whole.renamed(names.id(), names.model()));
   }
 
   @Override
-  public void fail(AgatefieldException failure) {
-    ErrorAnswer.send(response, failure);
+  public Future<Void> fail(AgatefieldException failure) {
+    return ErrorAnswer.send(response, failure);
   }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/agatefield/daemon/http/ShutdownCoordinatorTest.java
@@ -0,0 +1,152 @@
+package org.agatefield.daemon.http;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vertx.core.Vertx;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.agatefield.daemon.core.InvariantMonitor;
+import org.agatefield.standin.engine.TokenSequence;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Requirement REQ-GRACEFUL: the steps of a graceful shutdown, by a clock that the test sets. */
+class ShutdownCoordinatorTest {
+  private static final Duration LIMIT = Duration.ofSeconds(30);
+  private static final long SECOND = 1_000_000_000L;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final AtomicLong now = new AtomicLong(1_000 * SECOND);
+  private final AtomicInteger calls = new AtomicInteger();
+  private final AtomicInteger violations = new AtomicInteger();
+  private final AtomicInteger clockReads = new AtomicInteger();
+  private final ShutdownCoordinator coordinator =
+      new ShutdownCoordinator(
+          vertx,
+          Duration.ofSeconds(30),
+          Duration.ofSeconds(2),
+          Duration.ofSeconds(60),
+          calls::get,
+          new CountingMonitor(),
+          this::readClock);
+
+  @AfterEach
+  void close() {
+    vertx.close().toCompletionStage().toCompletableFuture().join();
+  }
+
+  @Test
+  void servesUntilNoCallerCanHoldAnAnswerThatNamesIt() {
+    final CompletableFuture<Boolean> over = coordinator.beginLeaving(() -> {});
+    assertTrue(coordinator.isLeaving());
+    advanceTo(1_031 * SECOND);
+    assertTrue(coordinator.tryBegin());
+    advanceTo(1_033 * SECOND);
+    assertFalse(coordinator.tryBegin());
+    assertFalse(over.isDone());
+    coordinator.ending().run();
+    assertTrue(over.join());
+    assertEquals(0, violations.get());
+  }
+
+  @Test
+  void countsTheTimeToLiveFromTheLastAnswerThatNamedIt() {
+    coordinator.beginLeaving(() -> {});
+    advanceTo(1_020 * SECOND);
+    coordinator.namedInEntryAnswer();
+    advanceTo(1_049 * SECOND);
+    assertTrue(coordinator.tryBegin());
+    advanceTo(1_051 * SECOND);
+    assertFalse(coordinator.tryBegin());
+  }
+
+  @Test
+  void waitsForCallsWhoseOutcomeIsNotYetWritten() {
+    calls.set(1);
+    CompletableFuture<Boolean> over = coordinator.beginLeaving(() -> {});
+    advanceTo(1_040 * SECOND);
+    assertFalse(over.isDone());
+    calls.set(0);
+    assertTrue(over.join());
+  }
+
+  @Test
+  void givesUpAfterTheDrainTimeoutAndReportsIt() {
+    assertTrue(coordinator.tryBegin());
+    CompletableFuture<Boolean> over = coordinator.beginLeaving(() -> {});
+    advanceTo(1_033 * SECOND);
+    now.set(1_094 * SECOND);
+    assertFalse(over.join());
+    assertEquals(1, violations.get());
+  }
+
+  @Test
+  void countsEachRequestOutOnceAndSaysThatItLeavesOnce() {
+    final AtomicInteger said = new AtomicInteger();
+    assertTrue(coordinator.tryBegin() && coordinator.tryBegin());
+    Runnable ending = coordinator.ending();
+    ending.run();
+    ending.run();
+    assertEquals(1, coordinator.running());
+    coordinator.beginLeaving(said::incrementAndGet);
+    coordinator.beginLeaving(said::incrementAndGet);
+    assertEquals(1, said.get());
+  }
+
+  @Test
+  void cutsNoStreamThatRunsAndRefusesOnlyAfterwards() {
+    try (CallerApiHarness harness = new CallerApiHarness()) {
+      harness.startEngine(20);
+      String body = "{\"model\":\"quotes\",\"prompt\":\"seal\",\"max_tokens\":60,\"stream\":true}";
+      final CompletableFuture<HttpResponse<String>> stream =
+          CompletableFuture.supplyAsync(
+              () -> harness.post(harness.address, "/v1/completions", body));
+      await().atMost(LIMIT).until(() -> harness.shutdown.running() == 1);
+      CompletableFuture<Boolean> over = harness.shutdown.beginLeaving(() -> {});
+      assertEquals(503, harness.get(harness.address, "/readyz").statusCode());
+      assertEquals(200, harness.get(harness.address, "/healthz").statusCode());
+      assertTrue(over.join());
+      String text = TokenSequence.of("quotes@v1", "seal", 60).text();
+      assertEquals(text, StreamText.read(stream.join().body()).text());
+      HttpResponse<String> refused = harness.post(harness.address, "/v1/completions", body);
+      assertEquals(503, refused.statusCode());
+      assertTrue(refused.body().contains("\"shutting_down\""), refused.body());
+      assertTrue(refused.body().contains("\"run\":\"no\""), refused.body());
+      assertEquals(0, harness.violations.get());
+    }
+  }
+
+  private long readClock() {
+    clockReads.incrementAndGet();
+    return now.get();
+  }
+
+  /** Sets the clock and waits until the coordinator has looked at it. */
+  private void advanceTo(long nanoseconds) {
+    now.set(nanoseconds);
+    int before = clockReads.get();
+    await().atMost(LIMIT).until(() -> clockReads.get() > before + 1);
+  }
+
+  /** Counts violations. */
+  private final class CountingMonitor implements InvariantMonitor {
+    @Override
+    public void check(Promise promise, boolean holds, Supplier<String> evidence) {
+      if (!holds) {
+        violations.incrementAndGet();
+      }
+    }
+
+    @Override
+    public long violations() {
+      return violations.get();
+    }
+  }
+}
--- a/engine/src/main/java/org/agatefield/engine/HttpEngineClient.java
+++ b/engine/src/main/java/org/agatefield/engine/HttpEngineClient.java
@@ -112,7 +112,11 @@
             .setPort(engine.port())
             .setURI(path)
             .setConnectTimeout(options.connectTimeout().toMillis());
-    return client.request(requestOptions);
+    try {
+      return client.request(requestOptions);
+    } catch (IllegalStateException closed) {
+      return Future.failedFuture(closed);
+    }
   }
 
   /** Tells an engine to stop work on a request; a lost message is made up for by the closed one. */
