Estimate waiting from what left the queue, and busy time at full load

Cause: an instance with few requests of its own took its queue to drain slowly and refused; the time of a request on a half empty engine understated the share of a runner that it needs. Change: DrainMeter measures departures while requests wait, with the instance's own rate of answers as long as little was seen; LoadStretch stretches busy time to full load, learnt by use of the limit.

--- a/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
+++ b/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
@@ -32,6 +32,8 @@
   private final Map<String, Map<Priority, CallerBacklogs>> byTarget = new HashMap<>();
   private final Map<String, DrainMeter> meters = new HashMap<>();
   private long waitingBytes;
+  private int running;
+  private long lastNanoseconds;
 
   /** Creates an empty queue. */
   public AdmissionQueue(QueueBounds bounds, SheddingPolicy shedding, SelectionOrder order) {
@@ -42,6 +44,7 @@
 
   /** Lets {@code request} wait, or refuses it or what must make room for it. */
   public Offer offer(QueuedRequest request, long nowNanoseconds) {
+    lastNanoseconds = nowNanoseconds;
     Optional<Refusal> refusal = shedding.onArrival(request, this, nowNanoseconds);
     if (refusal.isPresent()) {
       return new Offer(false, List.of(refusal.get()));
@@ -62,11 +65,15 @@
 
   /** Chooses the next request for a runner that has a place and can serve {@code targets}. */
   public Selection next(String resource, Collection<String> targets, long nowNanoseconds) {
+    lastNanoseconds = nowNanoseconds;
     List<Refusal> refused = new ArrayList<>();
     for (Priority priority : HIGHEST_FIRST) {
       List<QueuedRequest> heads = timelyHeads(priority, targets, nowNanoseconds, refused);
       if (!heads.isEmpty()) {
         QueuedRequest chosen = order.choose(resource, heads);
+        if (chosen.arrivalNanoseconds() < nowNanoseconds) {
+          meter(chosen.target()).departed();
+        }
         remove(chosen);
         return new Selection(Optional.of(chosen), refused);
       }
@@ -76,6 +83,7 @@
 
   /** Removes and returns the requests whose deadline can no longer be met. */
   public List<Refusal> expire(long nowNanoseconds) {
+    lastNanoseconds = nowNanoseconds;
     List<Refusal> refused = new ArrayList<>();
     for (Priority priority : HIGHEST_FIRST) {
       timelyHeads(priority, List.copyOf(byTarget.keySet()), nowNanoseconds, refused);
@@ -95,11 +103,13 @@
 
   /** Records that a request for {@code target} was sent to an upstream. */
   public void started(String target) {
+    running++;
     meter(target).started();
   }
 
   /** Records that a request for {@code target} is no longer at an upstream. */
   public void finished(String target) {
+    running = Math.max(0, running - 1);
     meter(target).finished();
   }
 
@@ -136,7 +146,7 @@
     for (CallerBacklogs backlogs : backlogsOf(target).values()) {
       count += backlogs.size();
     }
-    return meter(target).expectedDrainNanoseconds(count);
+    return meter(target).expectedDrainNanoseconds(count, running);
   }
 
   /** Returns the number of requests for {@code target} that are at upstreams. */
@@ -155,7 +165,7 @@
 
   @Override
   public long expectedWaitNanoseconds(QueuedRequest request) {
-    return meter(request.target()).expectedDrainNanoseconds(requestsBefore(request));
+    return meter(request.target()).expectedDrainNanoseconds(requestsBefore(request), running);
   }
 
   @Override
@@ -255,6 +265,7 @@
         .get(request.priority())
         .add(request);
     waitingBytes += request.bytes();
+    meter(request.target()).observe(true, lastNanoseconds);
   }
 
   private void remove(QueuedRequest request) {
@@ -263,9 +274,11 @@
     Map<Priority, CallerBacklogs> backlogs = byTarget.get(request.target());
     backlogs.get(request.priority()).remove(request);
     waitingBytes -= request.bytes();
-    if (backlogs.values().stream().allMatch(CallerBacklogs::isEmpty)) {
+    boolean empty = backlogs.values().stream().allMatch(CallerBacklogs::isEmpty);
+    if (empty) {
       byTarget.remove(request.target());
     }
+    meter(request.target()).observe(!empty, lastNanoseconds);
   }
 
   private Map<Priority, CallerBacklogs> backlogsOf(String target) {
--- a/admission/src/main/java/org/agatefield/admission/DrainMeter.java
+++ b/admission/src/main/java/org/agatefield/admission/DrainMeter.java
@@ -3,17 +3,23 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Measures how fast a target serves requests, by Little's law: requests running, divided by the
- * time that each takes.
+ * Measures how fast requests for a target leave the queue and how long they then take.
  *
- * <p>Confined to the thread that holds the queue.
+ * <p>Only the time during which requests wait counts, and what was seen longer ago counts less. As
+ * long as little was seen, the rate is that at which the embedding instance's requests end.
+ * Confined to the thread that holds the queue.
  */
 final class DrainMeter {
   private static final double SMOOTHING = 0.1;
+  private static final double WINDOW_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
 
   private int running;
   private double nanosecondsPerCost;
   private double meanCost;
+  private double departures;
+  private double backloggedNanoseconds;
+  private long observedNanoseconds;
+  private boolean backlogged;
 
   void started() {
     running++;
@@ -23,6 +29,23 @@
     running = Math.max(0, running - 1);
   }
 
+  /** Records whether requests wait from now on. */
+  void observe(boolean nowBacklogged, long nowNanoseconds) {
+    if (backlogged) {
+      double elapsed = Math.max(0, nowNanoseconds - observedNanoseconds);
+      double kept = Math.exp(-elapsed / WINDOW_NANOSECONDS);
+      departures *= kept;
+      backloggedNanoseconds = backloggedNanoseconds * kept + elapsed;
+    }
+    observedNanoseconds = nowNanoseconds;
+    backlogged = nowBacklogged;
+  }
+
+  /** Records that a request that waited was chosen. */
+  void departed() {
+    departures++;
+  }
+
   /** Learns from a request that was answered whole. */
   void measured(double cost, long serviceNanoseconds) {
     double perCost = serviceNanoseconds / cost;
@@ -38,9 +61,14 @@
     return (long) (nanosecondsPerCost * cost);
   }
 
-  /** Returns the expected time for {@code requests} to leave the queue, 0 if nothing is known. */
-  long expectedDrainNanoseconds(double requests) {
-    double perRequest = nanosecondsPerCost * meanCost / Math.max(1, running);
+  /**
+   * Returns the expected time for {@code requests} to leave the queue, 0 if nothing is known.
+   *
+   * @param runningOfAll requests of all targets that this instance has at upstreams
+   */
+  long expectedDrainNanoseconds(double requests, int runningOfAll) {
+    double expectedGap = nanosecondsPerCost * meanCost / Math.max(1, runningOfAll);
+    double perRequest = (backloggedNanoseconds + expectedGap) / (departures + 1);
     return (long) Math.min(requests * perRequest, (double) TimeUnit.DAYS.toNanos(1));
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/DispatchCore.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/DispatchCore.java
@@ -22,6 +22,7 @@
 import org.agatefield.routing.Candidate;
 import org.agatefield.routing.Choice;
 import org.agatefield.routing.CrossingRule;
+import org.agatefield.routing.LoadStretch;
 import org.agatefield.routing.UpstreamChooser;
 
 /**
@@ -44,6 +45,7 @@
   private final DispatchMetrics metrics;
   private final InvariantMonitor monitor;
   private final RoutedDispatch.Owner owner;
+  private final LoadStretch stretch = new LoadStretch();
   private final Map<Long, PendingRequest> waiting = new HashMap<>();
   private List<Runnable> completions = new ArrayList<>();
   private Set<String> leaving = Set.of();
@@ -130,15 +132,18 @@
     PendingRequest pending = dispatch.pending();
     String upstream = dispatch.upstream().name();
     long nanoseconds = now - dispatch.sentNanoseconds();
+    double usedShare = upstreams.state(upstream).usedShare(now);
     queue.finished(pending.target.name());
     if (outcome == DispatchOutcome.SUCCEEDED) {
       queue.measured(pending.target.name(), pending.queued.cost(), nanoseconds);
+      stretch.measured(usedShare, nanoseconds / pending.queued.cost());
     }
     if (upstreams.finished(dispatch, outcome, now)) {
       metrics.ejections.inc();
       decisions.ejected(upstream, outcome);
     }
-    double runnerSeconds = nanoseconds / 1e9 / upstreams.state(upstream).limit();
+    double runnerSeconds =
+        nanoseconds / 1e9 / upstreams.state(upstream).limit() * stretch.toFullLoad(usedShare);
     demand.busy(pending.target.deployment(), runnerSeconds, now);
     fill(upstream, now);
   }
--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/RunnerState.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/RunnerState.java
@@ -55,6 +55,10 @@
     return limit.limit();
   }
 
+  double usedShare(long nowNanoseconds) {
+    return (double) load.outstanding(nowNanoseconds) / limit.limit();
+  }
+
   boolean hasPlace(long nowNanoseconds) {
     return load.outstanding(nowNanoseconds) < limit.limit();
   }
