--- a/fleet/src/main/java/org/agatefield/fleet/InstanceObjects.java
+++ b/fleet/src/main/java/org/agatefield/fleet/InstanceObjects.java
@@ -12,7 +12,8 @@
 final class InstanceObjects {
   static final String COLLECTION = "/apis/agatefield.org/v1/namespaces/default/instances";
 
-  private static final Duration CALL_LIMIT = Duration.ofSeconds(20);
+  private static final Duration CALL_LIMIT = Duration.ofSeconds(5);
+  private static final Duration STATE_LIMIT = Duration.ofSeconds(60);
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private final FleetHttp http;
@@ -23,7 +24,24 @@
     this.store = store;
   }
 
+  /** Sets a state, again and again while the store fails, since the platform's own list goes on. */
   void setState(String name, String state) {
+    LocalFleet.await(
+        "the list says that " + name + " is " + state,
+        STATE_LIMIT,
+        () -> trySetState(name, state));
+  }
+
+  private boolean trySetState(String name, String state) {
+    try {
+      writeState(name, state);
+      return true;
+    } catch (FleetException exception) {
+      return false;
+    }
+  }
+
+  private void writeState(String name, String state) {
     String path = COLLECTION + "/" + name;
     FleetHttp.Answer found = FleetHttp.await(http.get(store, path), CALL_LIMIT);
     try {
--- a/fleet/src/main/java/org/agatefield/fleet/soak/ModelCaller.java
+++ b/fleet/src/main/java/org/agatefield/fleet/soak/ModelCaller.java
@@ -112,7 +112,7 @@
 
   private void checkEndsWithAnError(FleetHttp.Answer answer, String prompt) {
     if (answer.status() == 200 && !answer.text().contains("\"error\"")) {
-      violations.add("short answer without an error: prompt=" + prompt + " " + tail(answer));
+      violations.add("short answer without an error: prompt=" + prompt + " " + evidence(answer));
     }
   }
 
@@ -134,7 +134,7 @@
     if (parts != tokens || !checksum.equals(expected)) {
       violations.add(
           "answer is not whole or not the caller's: model=%s prompt=%s tokens=%d parts=%d %s"
-              .formatted(model, prompt, tokens, parts, tail(answer)));
+              .formatted(model, prompt, tokens, parts, evidence(answer)));
     }
   }
 
@@ -146,8 +146,7 @@
     }
   }
 
-  private static String tail(FleetHttp.Answer answer) {
-    String text = answer.text();
-    return "ends with: " + text.substring(Math.max(0, text.length() - 300)).replace('\n', ' ');
+  private static String evidence(FleetHttp.Answer answer) {
+    return "headers=" + answer.headers() + " answer=" + answer.text().replace('\n', ' ');
   }
 }
