Let what was learnt of a slow target fade, so that it is tried again

Cause: a target that was slow during an overload was refused at once ever after, because only its own answers could correct the estimate: in steady demand single models stayed at no answers from one instance with all runners a third full. Change: the expected service time fades with a time constant of 10 s after the last answer.

--- a/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
+++ b/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
@@ -114,8 +114,9 @@
   }
 
   /** Learns how long a request took that was answered whole. */
-  public void measured(String target, double cost, long serviceNanoseconds) {
-    meter(target).measured(cost, serviceNanoseconds);
+  public void measured(String target, double cost, long serviceNanoseconds, long nowNanoseconds) {
+    lastNanoseconds = nowNanoseconds;
+    meter(target).measured(cost, serviceNanoseconds, nowNanoseconds);
   }
 
   /** Returns the number of waiting requests. */
@@ -170,7 +171,7 @@
 
   @Override
   public long expectedServiceNanoseconds(QueuedRequest request) {
-    return meter(request.target()).expectedServiceNanoseconds(request.cost());
+    return meter(request.target()).expectedServiceNanoseconds(request.cost(), lastNanoseconds);
   }
 
   /** Fairness bounds what goes before: others get at most their weights' share meanwhile. */
--- a/admission/src/main/java/org/agatefield/admission/DrainMeter.java
+++ b/admission/src/main/java/org/agatefield/admission/DrainMeter.java
@@ -11,6 +11,7 @@
  */
 final class DrainMeter {
   private static final double SMOOTHING = 0.1;
+  private static final double MEMORY_NANOSECONDS = TimeUnit.SECONDS.toNanos(10);
   private static final double WINDOW_NANOSECONDS = TimeUnit.SECONDS.toNanos(5);
 
   private int running;
@@ -18,6 +19,7 @@
   private double meanCost;
   private double departures;
   private double backloggedNanoseconds;
+  private long measuredNanoseconds;
   private long observedNanoseconds;
   private boolean backlogged;
 
@@ -47,7 +49,8 @@
   }
 
   /** Learns from a request that was answered whole. */
-  void measured(double cost, long serviceNanoseconds) {
+  void measured(double cost, long serviceNanoseconds, long nowNanoseconds) {
+    measuredNanoseconds = nowNanoseconds;
     double perCost = serviceNanoseconds / cost;
     nanosecondsPerCost = nanosecondsPerCost == 0 ? perCost : smooth(nanosecondsPerCost, perCost);
     meanCost = meanCost == 0 ? cost : smooth(meanCost, cost);
@@ -57,8 +60,13 @@
     return running;
   }
 
-  long expectedServiceNanoseconds(double cost) {
-    return (long) (nanosecondsPerCost * cost);
+  /**
+   * Returns the expected time from leaving the queue to the whole answer. What was measured fades
+   * with time: a target that was slow once, and was refused ever since, is tried again.
+   */
+  long expectedServiceNanoseconds(double cost, long nowNanoseconds) {
+    double age = Math.max(0, nowNanoseconds - measuredNanoseconds);
+    return (long) (nanosecondsPerCost * cost * Math.exp(-age / MEMORY_NANOSECONDS));
   }
 
   /**
--- a/admission/src/test/java/org/agatefield/admission/AdmissionQueueTest.java
+++ b/admission/src/test/java/org/agatefield/admission/AdmissionQueueTest.java
@@ -135,7 +135,7 @@
               assertTrue(chosen.deadlineNanoseconds() > now, "started after its deadline");
               assertTrue(over.add(chosen.id()));
               queue.started(chosen.target());
-              queue.measured(chosen.target(), chosen.cost(), SECOND / 10);
+              queue.measured(chosen.target(), chosen.cost(), SECOND / 10, now);
               queue.finished(chosen.target());
             });
   }
@@ -197,7 +197,7 @@
   void requestThatCannotMeetItsDeadlineIsRefusedOnArrivalWithTimeToComeBack() {
     AdmissionQueue queue = queue(QueueBounds.NONE, 1);
     queue.started("first");
-    queue.measured("first", 1, SECOND);
+    queue.measured("first", 1, SECOND, 0);
     for (int copy = 0; copy < 10; copy++) {
       queue.offer(standard("caller", 0), 0);
     }
@@ -212,10 +212,21 @@
   void backlogOfOneCallerDoesNotMakeAnotherLookLate() {
     AdmissionQueue queue = queue(QueueBounds.NONE, 1);
     queue.started("first");
-    queue.measured("first", 1, SECOND);
+    queue.measured("first", 1, SECOND, 0);
     for (int copy = 0; copy < 50; copy++) {
       queue.offer(standard("retries", 0), 0);
     }
     assertTrue(queue.offer(request("polite", 1, Priority.STANDARD, 0, 5 * SECOND, 1), 0).queued());
   }
+
+  @Test
+  void targetThatWasSlowOnceIsTriedAgain() {
+    AdmissionQueue queue = queue(QueueBounds.NONE, 1);
+    queue.measured("first", 1, 10 * SECOND, 0);
+    QueuedRequest refused = request("caller", 1, Priority.STANDARD, 0, 5 * SECOND, 1);
+    assertFalse(queue.offer(refused, 0).queued());
+    long later = 30 * SECOND;
+    QueuedRequest tried = request("caller", 1, Priority.STANDARD, later, 5 * SECOND, 1);
+    assertTrue(queue.offer(tried, later).queued());
+  }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/DispatchCore.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/DispatchCore.java
@@ -135,7 +135,7 @@
     double usedShare = upstreams.state(upstream).usedShare(now);
     queue.finished(pending.target.name());
     if (outcome == DispatchOutcome.SUCCEEDED) {
-      queue.measured(pending.target.name(), pending.queued.cost(), nanoseconds);
+      queue.measured(pending.target.name(), pending.queued.cost(), nanoseconds, now);
       stretch.measured(usedShare, nanoseconds / pending.queued.cost());
     }
     if (upstreams.finished(dispatch, outcome, now)) {
