Compile the fleet's programs quickly in tests and soaks

Cause: process tests start many virtual machines; on the build machine with five builds at once the load was 30 on 10 cores, most of it compilation. Change: programs of a local fleet start with the first compiler tier only; measurements ask for full compilation. Ruled out: a shared class archive made at the first start, since Java 17 cannot make one by itself. Figures: none yet; to be compared when the machine is quiet. Conclusion: kept for now.

--- a/fleet/src/main/java/org/agatefield/fleet/AddedLatencyCommand.java
+++ b/fleet/src/main/java/org/agatefield/fleet/AddedLatencyCommand.java
@@ -47,7 +47,7 @@
   public Integer call() throws IOException {
     Path runDirectory = Files.createTempDirectory("agatefield-latency-");
     try (LocalFleet fleet = new LocalFleet(FleetPlans.latency(), runDirectory)) {
-      fleet.startAll();
+      fleet.withFullCompilation().startAll();
       Address engine = fleet.address("engine-1");
       Address daemon = fleet.address("entry-1");
       for (int turn = 1; turn <= turns; turn++) {
--- a/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
+++ b/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
@@ -73,6 +73,12 @@
     peerAddresses.put(entry.name(), ports.next());
   }
 
+  /** Lets programs be compiled for speed, for measurements. */
+  public LocalFleet withFullCompilation() {
+    launcher.useFullCompilation();
+    return this;
+  }
+
   /** Starts daemons with another main class, such as one that sets a test's hook. */
   public LocalFleet withDaemonMain(String mainClass) {
     daemonMain = mainClass;
--- a/fleet/src/main/java/org/agatefield/fleet/ProgramLauncher.java
+++ b/fleet/src/main/java/org/agatefield/fleet/ProgramLauncher.java
@@ -8,14 +8,16 @@
 import org.agatefield.model.Address;
 
 /**
- * Starts the project's programs as processes with the class path of this one. Safe for use by any
+ * Starts the project's programs as processes with the class path of this one. For use by one
  * thread.
  */
 final class ProgramLauncher {
   private static final List<String> JAVA_OPTIONS =
       List.of("-XX:+UseSerialGC", "-Xss512k", "-XX:+ExitOnOutOfMemoryError");
+  private static final String QUICK_COMPILATION = "-XX:TieredStopAtLevel=1";
 
   private final Path runDirectory;
+  private boolean fullCompilation;
 
   ProgramLauncher(Path runDirectory) {
     this.runDirectory = runDirectory;
@@ -26,6 +28,11 @@
     }
   }
 
+  /** Lets programs be compiled for speed, which costs processor time at their start. */
+  void useFullCompilation() {
+    fullCompilation = true;
+  }
+
   Path runDirectory() {
     return runDirectory;
   }
@@ -46,6 +53,9 @@
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
     command.addAll(JAVA_OPTIONS);
+    if (!fullCompilation) {
+      command.add(QUICK_COMPILATION);
+    }
     command.add("-Xmx" + maximumMegabytes + "m");
     command.addAll(options);
     command.add("-cp");
