Run retries without pause under a seeded order of faults of store and service

CallsUnderFaultsTest: 6 partners, 4 instances, 120 keys, store down, hanging, slow, losing answers and taking writes late, upstreams refusing, resetting and late.

--- a/fleet/src/test/java/org/agatefield/fleet/calls/CallsBench.java
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/CallsBench.java
@@ -51,7 +51,7 @@
  * <p>The service is a function that counts executions by key. Safe for use by any thread.
  */
 final class CallsBench implements AutoCloseable {
-  static final Duration STORE_TIMEOUT = Duration.ofSeconds(3);
+  private static final Duration STORE_TIMEOUT = Duration.ofSeconds(3);
 
   final Vertx vertx = Vertx.vertx();
   final Map<String, Integer> executions = new ConcurrentHashMap<>();
@@ -59,8 +59,14 @@
   final Set<String> aliveInstances = ConcurrentHashMap.newKeySet();
   final Closer closer = new Closer();
   private final Address storeAddress;
+  private final Duration storeTimeout;
 
   CallsBench() {
+    this(STORE_TIMEOUT);
+  }
+
+  CallsBench(Duration storeTimeout) {
+    this.storeTimeout = storeTimeout;
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().join());
     HttpServer server =
         new StoreServer(vertx, new ObjectTable())
@@ -87,7 +93,7 @@
   }
 
   HttpObjectStore newStore() {
-    return closer.register(new HttpObjectStore(vertx, storeAddress, STORE_TIMEOUT));
+    return closer.register(new HttpObjectStore(vertx, storeAddress, storeTimeout));
   }
 
   /** Returns limits with short times, so that tests need not wait long. */
--- /dev/null
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/CallsUnderFaultsTest.java
@@ -0,0 +1,176 @@
+package org.agatefield.fleet.calls;
+
+import static org.agatefield.fleet.calls.CallsBench.exchange;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.agatefield.daemon.calls.OutcomeQuery;
+import org.agatefield.daemon.calls.StoreBackedCalls;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.daemon.core.StepHook;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.PlainService;
+import org.agatefield.model.RunState;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Partners that retry without pause at several instances, while the store and the service fail in a
+ * seeded order. Interleavings differ from run to run; what is asserted holds for each.
+ */
+class CallsUnderFaultsTest {
+  private static final int PARTNERS = 6;
+  private static final int KEYS_PER_PARTNER = 20;
+  private static final int TRIES = 100_000;
+  private static final Duration STORE_TIMEOUT = Duration.ofMillis(200);
+  private static final Duration REMAINING = Duration.ofSeconds(2);
+  private static final long SEED = 42;
+  private static final List<String> STORE_FAULTS =
+      List.of(
+          "{}",
+          "{}",
+          "{}",
+          "{\"loseAnswersShare\":0.5,\"seed\":42}",
+          "{\"delayEffectMilliseconds\":400,\"delayEffectCount\":3,\"verb\":\"create\"}",
+          "{\"delayEffectMilliseconds\":300,\"delayEffectCount\":3}",
+          "{\"slowMilliseconds\":150}",
+          "{\"hang\":true}",
+          "{\"down\":true}");
+
+  private final CallsBench bench = new CallsBench(STORE_TIMEOUT);
+  private final List<StoreBackedCalls> instances = new ArrayList<>();
+  private final Map<String, Set<ServiceExchange>> answers = new ConcurrentHashMap<>();
+  private final List<String> falseRefusals = new CopyOnWriteArrayList<>();
+
+  @AfterEach
+  void close() {
+    bench.close();
+  }
+
+  @Test
+  void retriesUnderFaultsRunEachCallAtMostOnce() throws Exception {
+    for (int index = 0; index < 4; index++) {
+      instances.add(bench.newInstance("instance-" + index, StepHook.NONE, OutcomeQuery.NONE));
+    }
+    ExecutorService partners = Executors.newFixedThreadPool(PARTNERS);
+    List<Future<?>> running = new ArrayList<>();
+    for (int partner = 0; partner < PARTNERS; partner++) {
+      UniformRandomProvider random = random(partner);
+      String name = "partner-" + partner;
+      running.add(partners.submit(() -> bookAll(name, random)));
+    }
+    changeFaultsWhile(running);
+    partners.shutdown();
+    bench.storeFaults("{}");
+    Map<String, Integer> repeated = new ConcurrentHashMap<>(bench.executions);
+    repeated.values().removeIf(count -> count == 1);
+    assertEquals(Map.of(), repeated);
+    assertEquals(List.of(), bench.violations);
+    assertEquals(List.of(), falseRefusals);
+    answers.forEach((key, given) -> assertEquals(1, given.size(), key));
+    int keys = PARTNERS * KEYS_PER_PARTNER;
+    System.out.println(
+        "keys=" + keys + " executed=" + bench.executions.size() + " answered=" + answers.size());
+    assertTrue(answers.size() > keys / 10);
+  }
+
+  private static UniformRandomProvider random(int stream) {
+    return RandomSource.XO_RO_SHI_RO_128_PP.create(SEED + stream);
+  }
+
+  private void changeFaultsWhile(List<Future<?>> running) throws Exception {
+    UniformRandomProvider random = random(PARTNERS);
+    for (Future<?> partner : running) {
+      while (!partner.isDone()) {
+        bench.storeFaults(STORE_FAULTS.get(random.nextInt(STORE_FAULTS.size())));
+        TimeUnit.MILLISECONDS.sleep(100 + random.nextInt(300));
+      }
+      partner.get();
+    }
+  }
+
+  private void bookAll(String partner, UniformRandomProvider random) {
+    for (int number = 0; number < KEYS_PER_PARTNER; number++) {
+      String key = partner + "-" + number;
+      boolean over = false;
+      for (int attempt = 0; attempt < TRIES && !over; attempt++) {
+        over = bookAtOnce(key, 1 + random.nextInt(3), random);
+      }
+    }
+  }
+
+  /** Sends a call to some instances at once; returns whether one gave a final outcome. */
+  private boolean bookAtOnce(String key, int copies, UniformRandomProvider random) {
+    boolean executedBefore = bench.executions.containsKey(key);
+    List<CompletableFuture<ServiceExchange>> calls = new ArrayList<>();
+    for (int copy = 0; copy < copies; copy++) {
+      calls.add(send(key, random));
+    }
+    boolean over = false;
+    for (CompletableFuture<ServiceExchange> call : calls) {
+      over |= isFinal(key, call, executedBefore);
+    }
+    return over;
+  }
+
+  private CompletableFuture<ServiceExchange> send(String key, UniformRandomProvider random) {
+    StoreBackedCalls instance = instances.get(random.nextInt(instances.size()));
+    int fate = random.nextInt(10);
+    return bench.call(
+        instance,
+        new PlainService("booking", List.of(), Optional.empty(), 1_000),
+        key,
+        "body",
+        REMAINING,
+        new CallsBench.FreeDispatcher(2),
+        upstream -> execute(key, fate));
+  }
+
+  private CompletableFuture<ServiceExchange> execute(String key, int fate) {
+    if (fate == 0) {
+      return CompletableFuture.failedFuture(
+          new AgatefieldException(ErrorKind.NO_UPSTREAM, "connection refused"));
+    }
+    int execution = bench.executions.merge(key, 1, Integer::sum);
+    ServiceExchange answer = exchange(key + " execution " + execution);
+    if (fate == 1) {
+      return CompletableFuture.failedFuture(
+          new AgatefieldException(ErrorKind.UPSTREAM_FAILED, "connection reset"));
+    }
+    long lateMilliseconds = fate == 2 ? 3_000 : fate * 10L;
+    return CompletableFuture.supplyAsync(
+        () -> answer, CompletableFuture.delayedExecutor(lateMilliseconds, TimeUnit.MILLISECONDS));
+  }
+
+  private boolean isFinal(
+      String key, CompletableFuture<ServiceExchange> call, boolean executedBefore) {
+    try {
+      ServiceExchange answer = call.join();
+      answers.computeIfAbsent(key, created -> ConcurrentHashMap.newKeySet()).add(answer);
+      return true;
+    } catch (CompletionException exception) {
+      AgatefieldException failure = AgatefieldException.from(exception);
+      if (executedBefore && failure.runState() == RunState.NO) {
+        falseRefusals.add(key + " " + failure.getMessage());
+      }
+      return failure.kind() == ErrorKind.OUTCOME_UNKNOWN;
+    }
+  }
+}
--- a/fleet/src/test/java/org/agatefield/fleet/calls/StoreBackedCallsTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/StoreBackedCallsTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.buffer.Buffer;
@@ -107,7 +108,7 @@
             bench.sender("key", count -> CompletableFuture.completedFuture(exchange(large))))
         .join();
     ServiceExchange again = book(instance("b"), "key").join();
-    assertEquals(Buffer.buffer(large), again.body());
+    assertTrue(Buffer.buffer(large).equals(again.body()));
     assertEquals(Map.of("key", 1), bench.executions);
   }
 
