Prove at-most-once over processes for two failures at once

Lost answer to the claim with death after sending, and death before the outcome while the store is down.

--- a/fleet/src/test/java/org/agatefield/fleet/calls/AtMostOnceProcessTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/AtMostOnceProcessTest.java
@@ -98,6 +98,33 @@
     assertEquals(1, bookings.executions("k-outcome"));
   }
 
+  @Test
+  void lostAnswerToTheClaimAndDeathAfterSendingRunOnce() {
+    bookings.restart("entry-1");
+    bookings.storeFaults("{\"loseAnswersAfterEffect\":1,\"kind\":\"claims\",\"verb\":\"create\"}");
+    bookings.serviceFaults("{\"answerLateMilliseconds\":600000,\"calls\":1}");
+    bookings.send("entry-1", "k-two", BODY, Map.of());
+    awaitExecuted("k-two");
+    bookings.fleet.process("entry-1").kill();
+    bookings.bookUntilDone("entry-2", "k-two");
+    bookings.restart("entry-1");
+    assertEquals(1, bookings.executions("k-two"));
+  }
+
+  @Test
+  void deathBeforeTheOutcomeWhileTheStoreIsDownRunsOnce() {
+    StepFault fault = bookings.restartWith("entry-1", Step.BEFORE_OUTCOME, "k-both", false);
+    bookings.send("entry-1", "k-both", BODY, Map.of());
+    fault.awaitReached();
+    bookings.storeFaults("{\"down\":true}");
+    bookings.fleet.process("entry-1").kill();
+    assertEquals("unknown", runOf(bookings.book("entry-2", "k-both")));
+    bookings.storeFaults("{}");
+    bookings.bookUntilDone("entry-2", "k-both");
+    bookings.restart("entry-1");
+    assertEquals(1, bookings.executions("k-both"));
+  }
+
   @Test
   void lostAnswerToTheClaimStillRunsOnce() {
     bookings.storeFaults("{\"loseAnswersAfterEffect\":1,\"kind\":\"claims\",\"verb\":\"create\"}");
