--- a/fleet/src/main/java/org/agatefield/fleet/InstanceObjects.java
+++ b/fleet/src/main/java/org/agatefield/fleet/InstanceObjects.java
@@ -27,9 +27,7 @@
   /** Sets a state, again and again while the store fails, since the platform's own list goes on. */
   void setState(String name, String state) {
     LocalFleet.await(
-        "the list says that " + name + " is " + state,
-        STATE_LIMIT,
-        () -> trySetState(name, state));
+        "the list says that " + name + " is " + state, STATE_LIMIT, () -> trySetState(name, state));
   }
 
   private boolean trySetState(String name, String state) {
