--- a/standin/src/main/java/org/agatefield/standin/relay/RelayDirection.java
+++ b/standin/src/main/java/org/agatefield/standin/relay/RelayDirection.java
@@ -3,6 +3,8 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.net.NetSocket;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.function.Supplier;
 
 /**
@@ -72,10 +74,10 @@
     source.resume();
   }
 
-  /** Writes to a socket after delays, in the order of the calls. */
+  /** Writes to a socket after delays; one timer at a time keeps the order of the calls. */
   private final class Ordered {
     private final NetSocket target;
-    private long lastDueNanoseconds = System.nanoTime();
+    private final Deque<Delayed> waiting = new ArrayDeque<>();
 
     private Ordered(NetSocket target) {
       this.target = target;
@@ -90,15 +92,37 @@
     }
 
     private void after(long delayMilliseconds, Runnable action) {
-      long now = System.nanoTime();
-      long due = now + delayMilliseconds * NANOSECONDS_PER_MILLISECOND;
-      lastDueNanoseconds = Math.max(due, lastDueNanoseconds);
-      long wait = (lastDueNanoseconds - now) / NANOSECONDS_PER_MILLISECOND;
-      if (wait <= 0) {
-        action.run();
-        return;
+      long due = System.nanoTime() + delayMilliseconds * NANOSECONDS_PER_MILLISECOND;
+      waiting.add(new Delayed(due, action));
+      if (waiting.size() == 1) {
+        waitForFirst();
+      }
+    }
+
+    private void waitForFirst() {
+      long nanoseconds = waiting.peek().dueNanoseconds() - System.nanoTime();
+      if (nanoseconds > 0) {
+        long milliseconds = nanoseconds / NANOSECONDS_PER_MILLISECOND + 1;
+        vertx.setTimer(milliseconds, ignored -> runFirst());
+      } else {
+        runFirst();
+      }
+    }
+
+    private void runFirst() {
+      waiting.peek().action().run();
+      waiting.poll();
+      if (!waiting.isEmpty()) {
+        waitForFirst();
       }
-      vertx.setTimer(wait, ignored -> action.run());
     }
   }
+
+  /**
+   * Something that is done at a time. Immutable.
+   *
+   * @param dueNanoseconds when, by the monotonic clock
+   * @param action what
+   */
+  private record Delayed(long dueNanoseconds, Runnable action) {}
 }
