--- /dev/null
+++ b/fleet/src/test/java/org/agatefield/fleet/placing/PlacementFailureTest.java
@@ -0,0 +1,205 @@
+package org.agatefield.fleet.placing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.agatefield.daemon.core.Step;
+import org.agatefield.fleet.FleetPlan;
+import org.agatefield.fleet.HookedDaemonMain;
+import org.agatefield.fleet.LocalFleet;
+import org.agatefield.fleet.StepFault;
+import org.agatefield.model.ConfigurationDocument;
+import org.agatefield.model.Deployment;
+import org.agatefield.model.DeploymentVersion;
+import org.agatefield.model.FailureDomain;
+import org.agatefield.model.Priority;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Requirement REQ-MEMORY over processes: planners and engines fail in the middle of moves. */
+class PlacementFailureTest {
+  private static final FailureDomain FIRST = new FailureDomain("kochi", "kochi-a");
+  private static final FailureDomain SECOND = new FailureDomain("kochi", "kochi-b");
+  private static final String LIMITS =
+      "order_quarantine_seconds = 15\ndefault_deadline_milliseconds = 5000";
+
+  @TempDir Path directory;
+
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void plannerThatWakesAfterItsLeaseAndSendsItsOrderOvercommitsNothing(boolean checks) {
+    FleetPlan plan = plan(List.of(new FleetPlan.Engine("engine-1", FIRST, 10_000, checks)));
+    StepFault fault = StepFault.hold(Step.BEFORE_ORDER, "engine-1", directory.resolve("order"));
+    try (LocalFleet fleet = fleet(plan)) {
+      FleetStatus status = new FleetStatus(fleet);
+      startWithPlanner(fleet, status, fault);
+      fleet.apply("entry-2", document(fleet, 0, List.of("old")));
+      fault.awaitReached();
+      fleet.process("entry-1").pause();
+      FleetStatus.await("the other takes over", () -> status.isPlanner("entry-2"));
+      fleet.apply("entry-2", document(fleet, 1, List.of("new")));
+      FleetStatus.await(
+          "the old version is on its way out",
+          () -> status.ledgerState("entry-2", "engine-1", "old@v1").equals("unloading"));
+      fleet.process("entry-1").resume();
+      fault.goOn();
+      FleetStatus.await(
+          "the new model is served",
+          () -> fleet.complete("entry-2", "new", "question").status() == 200);
+      assertEquals(List.of(), status.violations());
+    }
+  }
+
+  @Test
+  void plannerThatEndsBetweenReservationAndOrderIsSucceeded() {
+    FleetPlan plan = plan(List.of(new FleetPlan.Engine("engine-1", FIRST, 10_000, true)));
+    StepFault fault =
+        StepFault.halt(Step.AFTER_RESERVATION, "engine-1", directory.resolve("reserved"));
+    try (LocalFleet fleet = fleet(plan)) {
+      FleetStatus status = new FleetStatus(fleet);
+      startWithPlanner(fleet, status, fault);
+      fleet.apply("entry-2", document(fleet, 0, List.of("old")));
+      fault.awaitReached();
+      FleetStatus.await(
+          "the model is served",
+          () -> fleet.complete("entry-2", "old", "question").status() == 200);
+      assertEquals(List.of(), status.violations());
+    }
+  }
+
+  @Test
+  void versionsChangeWhileOrdersAreLateAndDoubledWithoutCuttingTheModelOff() {
+    FleetPlan plan =
+        plan(
+            List.of(
+                new FleetPlan.Engine("engine-1", FIRST, 20_000, true),
+                new FleetPlan.Engine("engine-2", SECOND, 20_000, false)));
+    try (LocalFleet fleet = fleet(plan)) {
+      FleetStatus status = new FleetStatus(fleet);
+      startAll(fleet);
+      fleet.apply("entry-1", document(fleet, 0, List.of("old")));
+      FleetStatus.await(
+          "the model is served",
+          () -> fleet.complete("entry-2", "old", "question").status() == 200);
+      String faults = "{\"delayOrdersMilliseconds\":700,\"duplicateOrders\":true}";
+      status.faults("engine-1", faults);
+      status.faults("engine-2", faults);
+      fleet.apply("entry-1", withVersion(document(fleet, 1, List.of("old")), "v2"));
+      FleetStatus.await(
+          "the new version serves",
+          () -> {
+            assertEquals(200, fleet.complete("entry-2", "old", "question").status());
+            return status.status("entry-2").path("replicas").toString().contains("old@v2");
+          });
+      fleet.apply("entry-1", withVersion(document(fleet, 2, List.of("old")), "v3"));
+      FleetStatus.await(
+          "the next version alone serves",
+          () -> {
+            assertEquals(200, fleet.complete("entry-2", "old", "question").status());
+            String replicas = status.status("entry-2").path("replicas").toString();
+            return replicas.contains("old@v3") && !replicas.contains("old@v2");
+          });
+      assertEquals(List.of(), status.violations());
+    }
+  }
+
+  @Test
+  void modelsWhoseOnlyRunnerDiesAreLoadedElsewhere() {
+    FleetPlan plan =
+        plan(
+            List.of(
+                new FleetPlan.Engine("engine-1", FIRST, 10_000, true),
+                new FleetPlan.Engine("engine-2", SECOND, 10_000, true)));
+    try (LocalFleet fleet = fleet(plan)) {
+      FleetStatus status = new FleetStatus(fleet);
+      startAll(fleet);
+      fleet.apply("entry-1", document(fleet, 0, List.of("old")));
+      FleetStatus.await(
+          "the model is served",
+          () -> fleet.complete("entry-2", "old", "question").status() == 200);
+      String holder = status.status("entry-2").path("replicas").path(0).path("upstream").asText();
+      fleet.process(holder).kill();
+      FleetStatus.await(
+          "the model is served elsewhere",
+          () -> fleet.complete("entry-2", "old", "question").status() == 200);
+      assertEquals(List.of(), status.violations());
+    }
+  }
+
+  private LocalFleet fleet(FleetPlan plan) {
+    return new LocalFleet(plan, directory).withLimits(LIMITS);
+  }
+
+  /** Starts the fleet so that the first daemon is the planner, with a fault. */
+  private static void startWithPlanner(LocalFleet fleet, FleetStatus status, StepFault fault) {
+    fleet.withDaemonMain(HookedDaemonMain.class.getName());
+    fleet.withDaemonOptions("entry-1", fault.options());
+    fleet.startPlatform();
+    fleet.startUpstreams();
+    fleet.startDaemon("entry-1");
+    fleet.awaitAnswering("entry-1");
+    FleetStatus.await("the first daemon is the planner", () -> status.isPlanner("entry-1"));
+    fleet.startDaemon("entry-2");
+    fleet.awaitAnswering("entry-2");
+  }
+
+  private static void startAll(LocalFleet fleet) {
+    fleet.startPlatform();
+    fleet.startUpstreams();
+    fleet.startDaemons();
+  }
+
+  private static FleetPlan plan(List<FleetPlan.Engine> engines) {
+    return new FleetPlan(
+        List.of(new FleetPlan.Entry("entry-1", FIRST), new FleetPlan.Entry("entry-2", SECOND)),
+        engines,
+        List.of(),
+        List.of(),
+        new FleetPlan.Weights(50, 6, 50));
+  }
+
+  /** Returns a document with models that each take more than half of an engine of 10,000 MB. */
+  private static ConfigurationDocument document(
+      LocalFleet fleet, long generation, List<String> models) {
+    List<Deployment> deployments = new ArrayList<>();
+    for (String model : models) {
+      deployments.add(
+          new Deployment(
+              model, List.of(new DeploymentVersion("v1", 6_000, 1)), Priority.STANDARD, 1));
+    }
+    ConfigurationDocument base = fleet.configuration();
+    return new ConfigurationDocument(
+        generation,
+        deployments,
+        List.of(),
+        base.callers(),
+        base.services(),
+        base.upstreams(),
+        base.weightStore());
+  }
+
+  private static ConfigurationDocument withVersion(ConfigurationDocument document, String version) {
+    List<Deployment> deployments =
+        document.deployments().stream()
+            .map(
+                each ->
+                    new Deployment(
+                        each.name(),
+                        List.of(new DeploymentVersion(version, 6_000, 1)),
+                        each.priority(),
+                        each.minimumReplicas()))
+            .toList();
+    return new ConfigurationDocument(
+        document.generation(),
+        deployments,
+        document.adapters(),
+        document.callers(),
+        document.services(),
+        document.upstreams(),
+        document.weightStore());
+  }
+}
