Write down the ledger, the configuration and the policy; add the console

Change: decision records 0009 to 0011, docs/operators/configuration.md; console at /console (forms whose output is the document, sent to the operators' API; faults and differences shown as tables); policy tests; a planner now takes over a ledger that it learns of after its takeover before it decides on it (the configuration may come later than the lease).

--- a/daemon/src/main/java/org/agatefield/daemon/operate/OperatorApi.java
+++ b/daemon/src/main/java/org/agatefield/daemon/operate/OperatorApi.java
@@ -4,7 +4,8 @@
 import io.vertx.ext.web.handler.BodyHandler;
 
 /**
- * The operators' API under {@code /operator}, for those who hold the operators' token.
+ * The operators' API under {@code /operator}, for those who hold the operators' token, and the
+ * console that drives it.
  *
  * <p>Immutable; safe for use by any thread.
  */
@@ -30,5 +31,6 @@
     router.route("/operator/*").handler(BodyHandler.create(false).setBodyLimit(MAXIMUM_BODY_BYTES));
     new ConfigurationRoutes(parts.configuration()).mount(router);
     new StatusRoutes(parts).mount(router);
+    new ConsoleRoutes().mount(router);
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/placing/PlacementDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/PlacementDuty.java
@@ -51,6 +51,7 @@
   private final LedgerTable table;
   private final PlannerTakeover takeover;
   private final OrderSender sender;
+  private final RunnerReports reports;
   private final LedgerAges ages = new LedgerAges();
   private final Map<String, RunnerState> runners = new HashMap<>();
   private Context context;
@@ -68,6 +69,7 @@
     this.table = new LedgerTable(parts.store());
     this.takeover = new PlannerTakeover(table);
     this.sender = new OrderSender(parts, terms);
+    this.reports = new RunnerReports(parts);
     this.steps = new RunnerSteps(terms.orderQuarantine().toNanos());
     DrainRules drainRules =
         new DrainRules(terms.minimumDrain().toNanos(), terms.maximumDrain().toNanos());
@@ -106,7 +108,7 @@
       return;
     }
     List<Upstream> configured = modelRunners();
-    configured.forEach(this::poll);
+    configured.forEach(each -> reports.poll(each, state(each)));
     configured.forEach(this::advance);
     decide(configured);
   }
@@ -159,34 +161,6 @@
     return runners.computeIfAbsent(runner.name(), created -> new RunnerState());
   }
 
-  private void poll(Upstream runner) {
-    RunnerState state = state(runner);
-    if (!state.startPoll()) {
-      return;
-    }
-    long askedAt = System.nanoTime();
-    parts
-        .engines()
-        .loadReport(runner.address())
-        .whenComplete(
-            (report, failure) ->
-                context.runOnContext(ignored -> polled(runner, state, askedAt, report)));
-  }
-
-  private void polled(Upstream runner, RunnerState state, long askedAt, LoadReport report) {
-    state.endPoll();
-    if (report == null) {
-      return;
-    }
-    state.observe(new RunnerObservation(report, askedAt), System.nanoTime());
-    parts
-        .monitor()
-        .check(
-            Promise.MEMORY,
-            report.usedMegabytes() <= report.memoryMegabytes(),
-            () -> runner.name() + " uses more memory than it has: " + report);
-  }
-
   /** Takes the next step of a runner, unless one is being taken. */
   private void advance(Upstream runner) {
     RunnerState state = state(runner);
@@ -194,9 +168,7 @@
       return;
     }
     Optional<RunnerLedger> ledger = table.get(runner.name());
-    boolean resized =
-        ledger.filter(each -> each.memoryMegabytes() == runner.memoryMegabytes()).isEmpty();
-    if (resized || !table.isCertain(runner.name())) {
+    if (!isReady(runner, ledger)) {
       renew(runner, state);
       return;
     }
@@ -211,6 +183,15 @@
         .ifPresent(step -> take(runner, state, ledger.get(), step));
   }
 
+  /** Returns whether the ledger is known, fits the configuration and carries this lease's token. */
+  private boolean isReady(Upstream runner, Optional<RunnerLedger> ledger) {
+    return table.isCertain(runner.name())
+        && ledger
+            .filter(each -> each.memoryMegabytes() == runner.memoryMegabytes())
+            .filter(each -> each.plannerToken() == heldToken)
+            .isPresent();
+  }
+
   /** Reads a ledger that is not known, or writes one that does not fit the configuration. */
   private void renew(Upstream runner, RunnerState state) {
     state.begin();
@@ -298,13 +279,13 @@
         || configured.stream().allMatch(each -> state(each).isAlive(now, lifetime));
   }
 
-  /** Returns what to decide on, unless a ledger is not known. */
+  /** Returns what to decide on, unless a ledger is not known or not taken over. */
   private Optional<PlacementInput> input(List<Upstream> configured, long now) {
     List<RunnerView> views = new ArrayList<>();
     for (Upstream runner : configured) {
       RunnerState state = state(runner);
       Optional<RunnerLedger> ledger = table.get(runner.name());
-      if (ledger.isEmpty()) {
+      if (ledger.filter(each -> each.plannerToken() == heldToken).isEmpty()) {
         return Optional.empty();
       }
       boolean available =
@@ -339,9 +320,9 @@
         input.runners().size(),
         move.reason());
     parts.metrics().counter("agatefield.placement.moves." + move.kind()).inc();
-    state.begin();
     RunnerLedger next =
         move.applyTo(ledger.get(), ReplicaSize.of(input.configuration(), move.version()));
+    state.begin();
     if (move.kind() == MoveKind.LOAD) {
       budget = budget.take();
     }
