Learn a runner's limit from how much of their deadlines answers use

Cause: an engine batches up to 32 although its tokens then come too late, and a load report that happened to see one request waiting beside three running cut the limit to three; requests waited 16 s before runners that were a third full.

--- a/admission/src/main/java/org/agatefield/admission/FixedLimit.java
+++ b/admission/src/main/java/org/agatefield/admission/FixedLimit.java
@@ -7,7 +7,7 @@
  */
 public record FixedLimit(int limit) implements ConcurrencyLimit {
   @Override
-  public void succeeded(int outstanding) {
+  public void succeeded(int outstanding, double usedOfDeadline) {
     // Nothing is learnt.
   }
 
--- a/admission/src/test/java/org/agatefield/admission/LearntLimitTest.java
+++ b/admission/src/test/java/org/agatefield/admission/LearntLimitTest.java
@@ -16,7 +16,7 @@
     LearntLimit limit = new LearntLimit(2, 8, 64);
     for (int event : events) {
       if (event == 0) {
-        limit.succeeded(count);
+        limit.succeeded(count, count / 80.0);
       } else if (event == 1) {
         limit.rejected();
       } else {
--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/RunnerState.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/RunnerState.java
@@ -42,8 +42,8 @@
     load.finished();
   }
 
-  void succeeded(long nanoseconds, long nowNanoseconds) {
-    limit.succeeded(load.outstanding(nowNanoseconds));
+  void succeeded(long nanoseconds, double usedOfDeadline, long nowNanoseconds) {
+    limit.succeeded(load.outstanding(nowNanoseconds), usedOfDeadline);
     load.measured(nanoseconds);
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/UpstreamTable.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/UpstreamTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.agatefield.admission.QueuedRequest;
 import org.agatefield.daemon.core.DispatchOutcome;
 import org.agatefield.daemon.core.ReplicaDirectory;
 import org.agatefield.routing.Candidate;
@@ -54,7 +55,7 @@
     state.finished();
     switch (outcome) {
       case SUCCEEDED:
-        state.succeeded(now - dispatch.sentNanoseconds(), now);
+        state.succeeded(now - dispatch.sentNanoseconds(), usedOfDeadline(dispatch, now), now);
         outliers.succeeded(upstream);
         return false;
       case REJECTED:
@@ -70,6 +71,12 @@
     }
   }
 
+  private static double usedOfDeadline(RoutedDispatch dispatch, long now) {
+    QueuedRequest queued = dispatch.pending().queued;
+    long allowed = Math.max(1, queued.deadlineNanoseconds() - queued.arrivalNanoseconds());
+    return (double) (now - dispatch.sentNanoseconds()) / allowed;
+  }
+
   private RunnerState refreshed(String upstream, long now) {
     RunnerState state = state(upstream);
     directory
