--- a/admission/src/main/java/org/agatefield/admission/DeadlineShedding.java
+++ b/admission/src/main/java/org/agatefield/admission/DeadlineShedding.java
@@ -48,11 +48,13 @@
 
   private Refusal refusal(QueuedRequest request, long wait, long service, long remaining) {
     String reason =
-        String.format(
-            "needs %d ms in the queue and %d ms to run; %d ms remain",
-            TimeUnit.NANOSECONDS.toMillis(wait),
-            TimeUnit.NANOSECONDS.toMillis(service),
-            TimeUnit.NANOSECONDS.toMillis(remaining));
+        "needs "
+            + TimeUnit.NANOSECONDS.toMillis(wait)
+            + " ms in the queue and "
+            + TimeUnit.NANOSECONDS.toMillis(service)
+            + " ms to run; "
+            + TimeUnit.NANOSECONDS.toMillis(remaining)
+            + " ms remain";
     return new Refusal(request, ErrorKind.DEADLINE_UNREACHABLE, retryAfter(wait), reason);
   }
 
