--- a/measure/src/main/java/org/agatefield/measure/Driver.java
+++ b/measure/src/main/java/org/agatefield/measure/Driver.java
@@ -60,6 +60,7 @@
               number,
               profile.entryDomains().get(number),
               fleet,
+              fleet,
               variant.policies().apply(random),
               events::now));
     }
--- a/measure/src/main/java/org/agatefield/measure/EntryInstance.java
+++ b/measure/src/main/java/org/agatefield/measure/EntryInstance.java
@@ -9,8 +9,10 @@
 import java.util.function.Supplier;
 import org.agatefield.admission.RetryBudget;
 import org.agatefield.admission.RetryPolicy;
+import org.agatefield.daemon.core.ConfigurationSource;
 import org.agatefield.daemon.core.InstanceDirectory;
 import org.agatefield.daemon.core.InvariantMonitor;
+import org.agatefield.daemon.core.ReplicaDirectory;
 import org.agatefield.daemon.dispatch.DispatchPolicies;
 import org.agatefield.daemon.dispatch.RoutingDispatcher;
 import org.agatefield.model.Address;
@@ -44,14 +46,15 @@
   EntryInstance(
       int number,
       FailureDomain domain,
-      Fleet fleet,
+      ConfigurationSource configuration,
+      ReplicaDirectory replicas,
       DispatchPolicies policies,
       LongSupplier clock) {
     Address address = new Address("127.0.0.1", 1_000 + number);
     self = new Instance("entry-" + number, address, address, domain, InstanceState.LIVE);
     dispatcher =
         new RoutingDispatcher(
-            fleet, fleet, this, LIMITS, new MetricRegistry(), this, policies, clock);
+            configuration, replicas, this, LIMITS, new MetricRegistry(), this, policies, clock);
   }
 
   String region() {
--- a/measure/src/main/java/org/agatefield/measure/MeasureMain.java
+++ b/measure/src/main/java/org/agatefield/measure/MeasureMain.java
@@ -35,6 +35,9 @@
   @Option(name = "--threads", description = "runs at once; does not change the figures")
   private int threads = 2;
 
+  @Option(name = "--routing-speed", description = "only time routing decisions")
+  private boolean routingSpeed = false;
+
   /** Runs the command. */
   public static void main(String[] arguments) {
     try {
@@ -46,6 +49,10 @@
   }
 
   private void run(PrintStream out) {
+    if (routingSpeed) {
+      new RoutingBenchmark().run(out);
+      return;
+    }
     UserProfile profile = UserProfile.named(user);
     out.printf("user=%s seeds=%d..%d%n", user, seed, seed + seeds - 1);
     ExecutorService workers = Executors.newFixedThreadPool(threads);
