--- a/measure/src/main/java/org/agatefield/measure/slopes/DaemonsCommand.java
+++ b/measure/src/main/java/org/agatefield/measure/slopes/DaemonsCommand.java
@@ -25,6 +25,7 @@
 public final class DaemonsCommand implements Callable<Integer> {
   private static final int DOMAINS = 11;
   private static final int REGIONS = 3;
+  private static final int RECOVERY_SECONDS = 15;
   private static final long SETTLE_MILLISECONDS = 15_000;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
@@ -43,6 +44,12 @@
   @Option(name = "--change-seconds", description = "one configuration change each; 0 for none")
   private int changeSeconds = 0;
 
+  @Option(name = "--store-pause-seconds", description = "lets the store stand still; 0 for not")
+  private int storePauseSeconds = 0;
+
+  @Option(name = "--bookings", description = "calls that must not repeat, one after the other")
+  private int bookings = 0;
+
   @Override
   public Integer call() throws Exception {
     System.out.printf(
@@ -75,6 +82,56 @@
       report(fleet, count, elapsed, processorSeconds(fleet) - processorBefore);
       reportMetrics(metricsBefore, peerMetrics(fleet), count * elapsed);
       reportCounts(countsBefore, counts(fleet), elapsed);
+      if (bookings > 0) {
+        reportBookings(fleet);
+      }
+      if (storePauseSeconds > 0) {
+        reportRecovery(fleet);
+      }
+    }
+  }
+
+  /** Prints the store's calls of claims for each call that must not repeat. */
+  private void reportBookings(LocalFleet fleet) {
+    final JsonNode before = counts(fleet);
+    int succeeded = 0;
+    for (int each = 0; each < bookings; each++) {
+      String daemon = fleet.plan().instances().get(each % fleet.plan().instances().size()).name();
+      Map<String, String> headers =
+          Map.of("Content-Type", "application/json", "Idempotency-Key", "slope-" + each);
+      String body = "{\"slot\":" + each + "}";
+      int status =
+          fleet
+              .call(
+                  HttpMethod.POST,
+                  fleet.address(daemon),
+                  "/services/booking/bookings",
+                  headers,
+                  body)
+              .status();
+      succeeded += status < 300 ? 1 : 0;
+    }
+    JsonNode after = counts(fleet);
+    System.out.printf("  bookings=%d succeeded=%d%n", bookings, succeeded);
+    for (String verb : List.of("create", "get", "list", "update", "delete")) {
+      double calls =
+          after.path("calls").path(verb).path("claims").asDouble()
+              - before.path("calls").path(verb).path("claims").asDouble();
+      System.out.printf("  claims verb=%s per_booking=%.2f%n", verb, calls / bookings);
+    }
+  }
+
+  /** Prints the store's calls in each second after it stood still. */
+  private void reportRecovery(LocalFleet fleet) throws InterruptedException {
+    long before = counts(fleet).path("total").asLong();
+    fleet.process("store").pause();
+    Thread.sleep(storePauseSeconds * 1_000L);
+    fleet.process("store").resume();
+    for (int second = 1; second <= RECOVERY_SECONDS; second++) {
+      Thread.sleep(1_000);
+      long total = counts(fleet).path("total").asLong();
+      System.out.printf("  recovery second=%d calls=%d%n", second, total - before);
+      before = total;
     }
   }
 
--- a/membership/src/main/java/org/agatefield/membership/Membership.java
+++ b/membership/src/main/java/org/agatefield/membership/Membership.java
@@ -17,8 +17,6 @@
  * time in milliseconds.
  */
 public final class Membership {
-  private static final int MANY_FOUND = 4;
-
   private final MembershipSettings settings;
   private final MemberTable table = new MemberTable();
   private final GossipQueue queue = new GossipQueue();
@@ -180,7 +178,7 @@
     for (MemberUpdate update : message.updates()) {
       found += merge(update, exchanged, now, outbox) ? 1 : 0;
     }
-    if (found >= MANY_FOUND) {
+    if (found > 0) {
       schedule.hastenExchange(now);
     }
     hearGeneration(message, outbox);
--- a/membership/src/main/java/org/agatefield/membership/Schedule.java
+++ b/membership/src/main/java/org/agatefield/membership/Schedule.java
@@ -50,7 +50,7 @@
     return true;
   }
 
-  /** Brings the next exchange forward, as the last one found many unknown members. */
+  /** Brings the next exchange forward, as the last one found unknown members. */
   void hastenExchange(long now) {
     nextExchange = Math.min(nextExchange, now + jittered(HASTENED_EXCHANGE_MILLISECONDS));
   }
