--- a/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
+++ b/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
@@ -50,7 +50,8 @@
   private final Map<String, ManagedProcess> processes = new LinkedHashMap<>();
   private final Map<String, List<String>> daemonOptions = new LinkedHashMap<>();
   private String daemonMain = DAEMON_MAIN;
-  private String moreSettings = "";
+  private String limitKeys = "";
+  private String moreTables = "";
   private Optional<Address> storeForDaemons = Optional.empty();
 
   /**
@@ -91,9 +92,15 @@
     return this;
   }
 
-  /** Adds TOML text to the settings of each daemon; it replaces the table {@code [limits]}. */
+  /** Adds keys to the table {@code [limits]} of each daemon's settings. */
   public LocalFleet withLimits(String keys) {
-    moreSettings = keys;
+    limitKeys = keys;
+    return this;
+  }
+
+  /** Adds tables to each daemon's settings, as TOML text. */
+  public LocalFleet withTables(String tables) {
+    moreTables = tables;
     return this;
   }
 
@@ -252,6 +259,7 @@
 
         [limits]
         %s
+        %s
         """;
     return template.formatted(
         name,
@@ -262,7 +270,8 @@
         storeForDaemons.orElse(address(STORE)),
         seeds,
         DigestUtils.sha256Hex(OPERATOR_TOKEN),
-        moreSettings);
+        limitKeys,
+        moreTables);
   }
 
   private void registerEntry(FleetPlan.Entry entry) {
--- a/peer/src/main/java/org/agatefield/peer/NettyPeerTransport.java
+++ b/peer/src/main/java/org/agatefield/peer/NettyPeerTransport.java
@@ -68,7 +68,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
-            .childHandler(new PeerPipeline(this, settings, tls.map(PeerTls::server)))
+            .childHandler(PeerPipeline.incoming(this, settings, tls.map(PeerTls::server)))
             .bind(listener.host(), listener.port())
             .awaitUninterruptibly();
     if (!future.isSuccess()) {
@@ -145,7 +145,7 @@
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) settings.connectTimeout().toMillis())
-        .handler(new PeerPipeline(this, settings, tls.map(PeerTls::client)))
+        .handler(PeerPipeline.outgoing(this, settings, tls.map(PeerTls::client), peer))
         .connect(peer.host(), peer.port())
         .addListener(future -> opened(peer, created, (ChannelFuture) future));
   }
--- a/peer/src/main/java/org/agatefield/peer/PeerPipeline.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerPipeline.java
@@ -9,11 +9,14 @@
 import io.netty.handler.codec.MessageToByteEncoder;
 import io.netty.handler.codec.MessageToMessageDecoder;
 import io.netty.handler.ssl.SslContext;
+import io.netty.handler.ssl.SslHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.agatefield.model.Address;
 import org.agatefield.peer.generated.PeerProtocol.Envelope;
 
 /** Sets up the handlers of a new connection. Safe for use by any thread. */
@@ -22,19 +25,41 @@
 
   private final NettyPeerTransport transport;
   private final PeerTransportSettings settings;
-  private final Optional<SslContext> tls;
+  private final Function<SocketChannel, Optional<SslHandler>> tls;
 
-  PeerPipeline(
-      NettyPeerTransport transport, PeerTransportSettings settings, Optional<SslContext> tls) {
+  private PeerPipeline(
+      NettyPeerTransport transport,
+      PeerTransportSettings settings,
+      Function<SocketChannel, Optional<SslHandler>> tls) {
     this.transport = transport;
     this.settings = settings;
     this.tls = tls;
   }
 
+  /** Returns the set-up of connections that come in. */
+  static PeerPipeline incoming(
+      NettyPeerTransport transport, PeerTransportSettings settings, Optional<SslContext> tls) {
+    return new PeerPipeline(
+        transport, settings, channel -> tls.map(context -> context.newHandler(channel.alloc())));
+  }
+
+  /** Returns the set-up of a connection that goes out; the certificate must be for its address. */
+  static PeerPipeline outgoing(
+      NettyPeerTransport transport,
+      PeerTransportSettings settings,
+      Optional<SslContext> tls,
+      Address peer) {
+    return new PeerPipeline(
+        transport,
+        settings,
+        channel ->
+            tls.map(context -> context.newHandler(channel.alloc(), peer.host(), peer.port())));
+  }
+
   @Override
   protected void initChannel(SocketChannel channel) {
     ChannelPipeline pipeline = channel.pipeline();
-    tls.ifPresent(context -> pipeline.addLast(context.newHandler(channel.alloc())));
+    tls.apply(channel).ifPresent(pipeline::addLast);
     pipeline.addLast(
         new LengthFieldBasedFrameDecoder(settings.frameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES));
     pipeline.addLast(new Decoder(transport.traffic()));
--- a/settings/src/main/java/org/agatefield/settings/SettingsReader.java
+++ b/settings/src/main/java/org/agatefield/settings/SettingsReader.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -31,8 +30,6 @@
   private static final String NAME_RULE = "1 to 63 lower-case letters, digits and inner hyphens";
   private static final Pattern SHA256 = Pattern.compile("[0-9a-f]{64}");
   private static final String SHA256_RULE = "a SHA-256 as 64 lower-case hexadecimal digits";
-  private static final Pattern FILE = Pattern.compile(".+");
-  private static final String FILE_RULE = "the name of a PEM file";
   private static final long MEBIBYTE = 1_048_576;
   private static final long DAY_SECONDS = 86_400;
 
@@ -131,9 +128,9 @@
     }
     Tls tls =
         new Tls(
-            Path.of(table.text("certificate", FILE, FILE_RULE)),
-            Path.of(table.text("key", FILE, FILE_RULE)),
-            Path.of(table.text("authority", FILE, FILE_RULE)));
+            table.readableFile("certificate"),
+            table.readableFile("key"),
+            table.readableFile("authority"));
     table.rejectUnknownKeys();
     return Optional.of(tls);
   }
--- a/settings/src/main/java/org/agatefield/settings/SettingsTable.java
+++ b/settings/src/main/java/org/agatefield/settings/SettingsTable.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -21,6 +24,8 @@
   private static final Pattern IP_ADDRESS =
       Pattern.compile("(\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9A-Fa-f:.]+]):\\d{1,5}");
   private static final Address PLACEHOLDER_ADDRESS = new Address("0.0.0.0", 1);
+  private static final Path PLACEHOLDER_FILE = Path.of("");
+  private static final String FILE_RULE = "the name of a readable PEM file";
   private static final String ADDRESS_RULE = "\"IP:port\" with an IP number and a port 1 to 65535";
 
   private final String file;
@@ -104,6 +109,27 @@
     return parseAddress(key, value).orElse(PLACEHOLDER_ADDRESS);
   }
 
+  Path readableFile(String key) {
+    JsonNode value = value(key);
+    if (value.isMissingNode()) {
+      missing(key, FILE_RULE);
+      return PLACEHOLDER_FILE;
+    }
+    if (!value.isTextual() || !isReadable(value.textValue())) {
+      fault(key, value.toString(), FILE_RULE);
+      return PLACEHOLDER_FILE;
+    }
+    return Path.of(value.textValue());
+  }
+
+  private static boolean isReadable(String file) {
+    try {
+      return Files.isReadable(Path.of(file));
+    } catch (InvalidPathException exception) {
+      return false;
+    }
+  }
+
   List<Address> addresses(String key) {
     JsonNode value = value(key);
     if (value.isMissingNode()) {
--- a/settings/src/test/java/org/agatefield/settings/SettingsReaderTest.java
+++ b/settings/src/test/java/org/agatefield/settings/SettingsReaderTest.java
@@ -70,6 +70,17 @@
     assertEquals(List.of(key), exception.faults().stream().map(SettingsFault::key).toList());
   }
 
+  @Test
+  void certificateFilesThatCannotBeReadAreFaults() {
+    String text =
+        MINIMAL + "[tls]\ncertificate = \"no-such-file\"\nkey = 4\nauthority = \"\\u0000\"\n";
+    SettingsException exception =
+        assertThrows(SettingsException.class, () -> reader.read("a.toml", text));
+    assertEquals(
+        List.of("tls.certificate", "tls.key", "tls.authority"),
+        exception.faults().stream().map(SettingsFault::key).toList());
+  }
+
   @Test
   void textThatIsNotTomlIsReportedWithItsLine() {
     SettingsException exception =
