--- a/daemon/src/main/java/org/agatefield/daemon/http/LingeringClose.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/LingeringClose.java
@@ -12,7 +12,7 @@
  * since other requests use it. Stateless.
  */
 final class LingeringClose {
-  private static final long LINGER_MILLISECONDS = 1_000;
+  private static final long LINGER_MILLISECONDS = 10_000;
 
   private LingeringClose() {}
 
--- a/fleet/src/main/java/org/agatefield/fleet/InstanceObjects.java
+++ b/fleet/src/main/java/org/agatefield/fleet/InstanceObjects.java
@@ -42,6 +42,9 @@
   private void writeState(String name, String state) {
     String path = COLLECTION + "/" + name;
     FleetHttp.Answer found = FleetHttp.await(http.get(store, path), CALL_LIMIT);
+    if (found.status() >= 300) {
+      throw new FleetException("the instance list does not show " + name + ": " + found.text());
+    }
     try {
       ObjectNode object = (ObjectNode) MAPPER.readTree(found.text());
       ((ObjectNode) object.path("spec")).put("state", state);
--- a/fleet/src/main/java/org/agatefield/fleet/soak/SoakRun.java
+++ b/fleet/src/main/java/org/agatefield/fleet/soak/SoakRun.java
@@ -46,9 +46,12 @@
     startCallers(callers);
     ConfigurationOperators operators =
         new ConfigurationOperators(fleet, generator(3), counts, violations);
-    drive(operators);
-    loading.set(false);
-    awaitCallers(callers);
+    try {
+      drive(operators);
+    } finally {
+      loading.set(false);
+      awaitCallers(callers);
+    }
     checks.checkHealed(operators.lastAccepted());
     List<BookingRecord> records = new ArrayList<>();
     bookingCallers.forEach(caller -> records.addAll(caller.records()));
