--- /dev/null
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/CallCostTest.java
@@ -0,0 +1,137 @@
+package org.agatefield.fleet.calls;
+
+import static org.agatefield.fleet.calls.CallsBench.exchange;
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.agatefield.daemon.calls.CallLimits;
+import org.agatefield.daemon.calls.ClaimSweeper;
+import org.agatefield.daemon.calls.OutcomeQuery;
+import org.agatefield.daemon.calls.StoreBackedCalls;
+import org.agatefield.daemon.core.ServiceExchange;
+import org.agatefield.daemon.core.StepHook;
+import org.agatefield.daemon.leases.LeaseDuty;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.PlainService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What calls that must not repeat cost the store, and how long they are kept there. */
+class CallCostTest {
+  private static final Duration LONG = Duration.ofSeconds(60);
+  private static final Duration GENEROUS = Duration.ofSeconds(60);
+
+  private final CallsBench bench = new CallsBench();
+
+  @AfterEach
+  void close() {
+    bench.close();
+    assertEquals(List.of(), bench.violations);
+  }
+
+  private StoreBackedCalls instance(String id) {
+    return bench.newInstance(id, StepHook.NONE, OutcomeQuery.NONE);
+  }
+
+  private CompletableFuture<ServiceExchange> book(StoreBackedCalls instance, String key) {
+    return bench.call(instance, key, "body", LONG, bench.sender(key, this::answerAtOnce));
+  }
+
+  private CompletableFuture<ServiceExchange> answerAtOnce(int execution) {
+    return CompletableFuture.completedFuture(exchange("execution " + execution));
+  }
+
+  private static AgatefieldException failureOf(CompletableFuture<?> future) {
+    return AgatefieldException.from(assertThrows(CompletionException.class, future::join));
+  }
+
+  @Test
+  void expiredKeyIsRefused() {
+    String old = "018bcfe5-6800-7000-8000-000000000000";
+    AgatefieldException failure = failureOf(book(instance("a"), old));
+    assertEquals(ErrorKind.KEY_EXPIRED, failure.kind());
+    assertEquals(Map.of(), bench.executions);
+  }
+
+  @Test
+  void bookingTakesTwoWritesAndOneRead() {
+    StoreBackedCalls first = instance("a");
+    for (int index = 0; index < 100; index++) {
+      book(first, "key-" + index).join();
+    }
+    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
+    assertEquals(
+        "{\"calls\":{\"create\":{\"claims\":100},\"get\":{\"claims\":100},"
+            + "\"update\":{\"claims\":100}},\"total\":300,\"waitingWatches\":0}",
+        bench.storeCounts().trim());
+  }
+
+  @Test
+  void claimIsSweptAfterItsRetentionByTheHolderOfTheLease() {
+    CallLimits limits = CallsBench.shortLimits(Duration.ofMillis(1));
+    StoreBackedCalls first = bench.newInstance("a", StepHook.NONE, OutcomeQuery.NONE, limits);
+    PlainService quick = new PlainService("booking", List.of(), Optional.empty(), 1);
+    for (int index = 0; index < 30; index++) {
+      String key = "key-" + index;
+      bench
+          .call(
+              first,
+              quick,
+              key,
+              "body",
+              LONG,
+              new CallsBench.FreeDispatcher(),
+              bench.sender(key, this::answerAtOnce))
+          .join();
+    }
+    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
+    for (String holder : List.of("x", "y")) {
+      LeaseDuty lease =
+          bench.closer.register(
+              new LeaseDuty(
+                  bench.vertx, bench.newStore(), "sweeper", holder, Duration.ofSeconds(2)));
+      bench.closer.register(
+          new ClaimSweeper(
+              bench.vertx,
+              bench.newStore(),
+              lease,
+              limits,
+              Duration.ofMillis(50),
+              new MetricRegistry()));
+    }
+    await()
+        .atMost(GENEROUS)
+        .until(() -> bench.storeCounts().contains("\"delete\":{\"claims\":30}"));
+  }
+
+  @Test
+  void retriesOfFinishedCallDoNotReadTheStoreEachTime() {
+    StoreBackedCalls first = instance("a");
+    for (int retry = 0; retry < 100; retry++) {
+      assertEquals(exchange("execution 1"), book(first, "key").join());
+    }
+    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
+    assertEquals(
+        "{\"calls\":{\"create\":{\"claims\":1},\"get\":{\"claims\":1},"
+            + "\"update\":{\"claims\":1}},\"total\":3,\"waitingWatches\":0}",
+        bench.storeCounts().trim());
+  }
+
+  @Test
+  void keptAnswerIsNotGivenToAnotherBody() {
+    StoreBackedCalls first = instance("a");
+    book(first, "key").join();
+    AgatefieldException failure =
+        failureOf(bench.call(first, "key", "other", LONG, bench.sender("key", this::answerAtOnce)));
+    assertEquals(ErrorKind.KEY_REUSED, failure.kind());
+  }
+}
--- a/fleet/src/test/java/org/agatefield/fleet/calls/StoreBackedCallsTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/StoreBackedCallsTest.java
@@ -6,7 +6,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.buffer.Buffer;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -16,14 +15,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
-import org.agatefield.daemon.calls.CallLimits;
-import org.agatefield.daemon.calls.ClaimSweeper;
 import org.agatefield.daemon.calls.OutcomeQuery;
 import org.agatefield.daemon.calls.StoreBackedCalls;
 import org.agatefield.daemon.core.ServiceExchange;
 import org.agatefield.daemon.core.Step;
 import org.agatefield.daemon.core.StepHook;
-import org.agatefield.daemon.leases.LeaseDuty;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.ErrorKind;
 import org.agatefield.model.PlainService;
@@ -327,85 +323,4 @@
     assertEquals(Map.of(), bench.executions);
     assertEquals(exchange("execution 1"), book(instance("b"), "key").join());
   }
-
-  @Test
-  void expiredKeyIsRefused() {
-    String old = "018bcfe5-6800-7000-8000-000000000000";
-    AgatefieldException failure = failureOf(book(instance("a"), old));
-    assertEquals(ErrorKind.KEY_EXPIRED, failure.kind());
-    assertEquals(Map.of(), bench.executions);
-  }
-
-  @Test
-  void bookingTakesTwoWritesAndOneRead() {
-    StoreBackedCalls first = instance("a");
-    for (int index = 0; index < 100; index++) {
-      book(first, "key-" + index).join();
-    }
-    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
-    assertEquals(
-        "{\"calls\":{\"create\":{\"claims\":100},\"get\":{\"claims\":100},"
-            + "\"update\":{\"claims\":100}},\"total\":300,\"waitingWatches\":0}",
-        bench.storeCounts().trim());
-  }
-
-  @Test
-  void claimIsSweptAfterItsRetentionByTheHolderOfTheLease() {
-    CallLimits limits = CallsBench.shortLimits(Duration.ofMillis(1));
-    StoreBackedCalls first = bench.newInstance("a", StepHook.NONE, OutcomeQuery.NONE, limits);
-    PlainService quick = new PlainService("booking", List.of(), Optional.empty(), 1);
-    for (int index = 0; index < 30; index++) {
-      String key = "key-" + index;
-      bench
-          .call(
-              first,
-              quick,
-              key,
-              "body",
-              LONG,
-              new CallsBench.FreeDispatcher(),
-              bench.sender(key, this::answerAtOnce))
-          .join();
-    }
-    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
-    for (String holder : List.of("x", "y")) {
-      LeaseDuty lease =
-          bench.closer.register(
-              new LeaseDuty(
-                  bench.vertx, bench.newStore(), "sweeper", holder, Duration.ofSeconds(2)));
-      bench.closer.register(
-          new ClaimSweeper(
-              bench.vertx,
-              bench.newStore(),
-              lease,
-              limits,
-              Duration.ofMillis(50),
-              new MetricRegistry()));
-    }
-    await()
-        .atMost(GENEROUS)
-        .until(() -> bench.storeCounts().contains("\"delete\":{\"claims\":30}"));
-  }
-
-  @Test
-  void retriesOfFinishedCallDoNotReadTheStoreEachTime() {
-    StoreBackedCalls first = instance("a");
-    for (int retry = 0; retry < 100; retry++) {
-      assertEquals(exchange("execution 1"), book(first, "key").join());
-    }
-    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
-    assertEquals(
-        "{\"calls\":{\"create\":{\"claims\":1},\"get\":{\"claims\":1},"
-            + "\"update\":{\"claims\":1}},\"total\":3,\"waitingWatches\":0}",
-        bench.storeCounts().trim());
-  }
-
-  @Test
-  void keptAnswerIsNotGivenToAnotherBody() {
-    StoreBackedCalls first = instance("a");
-    book(first, "key").join();
-    AgatefieldException failure =
-        failureOf(bench.call(first, "key", "other", LONG, bench.sender("key", this::answerAtOnce)));
-    assertEquals(ErrorKind.KEY_REUSED, failure.kind());
-  }
 }
