--- a/fleet/src/test/java/org/agatefield/fleet/platform/HttpObjectStoreTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/platform/HttpObjectStoreTest.java
@@ -143,6 +143,13 @@
         Optional.of(StoreFailure.UNAVAILABLE), failureOf(unreachable.create(KEY, "w", content(1))));
   }
 
+  @Test
+  void closedClientHasNoEffect() {
+    store.close();
+    assertEquals(
+        Optional.of(StoreFailure.UNAVAILABLE), failureOf(store.create(KEY, "w", content(1))));
+  }
+
   @Test
   void storeThatHangsLeavesWriteUnknownAndReadUnavailable() {
     bench.faults("{\"hang\":true}");
