Wait until both replicas are known before an engine is killed in the test

Cause: a run of WholeAnswerProcessTest right after the fleet's start failed: a daemon learns of a replica up to its poll interval after it is loaded, so a stream had nowhere to go on when the only runner it knew was killed; it ended with the explicit error (upstream_failed, 8 tokens), as it should. Change: the fleet waits until each daemon has used both replicas; the test restarts the engine before it asserts, so that one failure does not bring the others down.

--- a/fleet/src/test/java/org/agatefield/fleet/answers/AnswerFleet.java
+++ b/fleet/src/test/java/org/agatefield/fleet/answers/AnswerFleet.java
@@ -28,6 +28,7 @@
   static final List<String> ENGINES = List.of("engine-1", "engine-2");
 
   private static final String VERSION = MODEL + "@v1";
+  private static final int PROBES = 16;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   final LocalFleet fleet;
@@ -36,6 +37,26 @@
     fleet = new LocalFleet(plan(daemons), directory);
     fleet.startAll();
     ENGINES.forEach(this::awaitHolding);
+    fleet.plan().instances().forEach(entry -> awaitBothReplicasUsed(entry.name()));
+  }
+
+  /** Waits until a daemon knows both replicas, which it learns a while after they are loaded. */
+  void awaitBothReplicasUsed(String daemon) {
+    LocalFleet.await(daemon + " uses both replicas", GENEROUS, () -> usesBothReplicas(daemon));
+  }
+
+  private boolean usesBothReplicas(String daemon) {
+    List<StreamConnection> streams =
+        IntStream.range(0, PROBES)
+            .mapToObj(number -> stream(daemon, "probe-" + number, 5).startReading())
+            .toList();
+    List<String> requests = streams.stream().map(stream -> stream.readToEnd().requestId()).toList();
+    return ENGINES.stream().allMatch(engine -> executedAny(engine, requests));
+  }
+
+  private boolean executedAny(String engine, List<String> requests) {
+    String executions = read(engine, "/violations").path("executions").toString();
+    return requests.stream().anyMatch(request -> executions.contains("\"" + request + "."));
   }
 
   private static FleetPlan plan(int daemons) {
@@ -117,13 +138,7 @@
 
   /** Returns whether any engine began a generation for a request. */
   boolean wasExecuted(String requestId) {
-    return ENGINES.stream()
-        .anyMatch(
-            name ->
-                read(name, "/violations")
-                    .path("executions")
-                    .toString()
-                    .contains("\"" + requestId + "."));
+    return ENGINES.stream().anyMatch(engine -> executedAny(engine, List.of(requestId)));
   }
 
   long violations() {
--- a/fleet/src/test/java/org/agatefield/fleet/answers/WholeAnswerProcessTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/answers/WholeAnswerProcessTest.java
@@ -55,13 +55,15 @@
         GENEROUS,
         () -> streams.stream().noneMatch(stream -> stream.answer().text().isEmpty()));
     answers.fleet.process("engine-1").kill();
-    for (int number = 0; number < streams.size(); number++) {
-      ReadAnswer read = streams.get(number).readToEnd();
-      assertEquals(AnswerFleet.expected(read.requestId(), "killed-" + number, 500), read);
-    }
+    final List<ReadAnswer> read = streams.stream().map(StreamConnection::readToEnd).toList();
     answers.fleet.startEngine("engine-1");
     answers.fleet.awaitAnswering("engine-1");
     answers.awaitHolding("engine-1");
+    AnswerFleet.DAEMONS.forEach(answers::awaitBothReplicasUsed);
+    for (int number = 0; number < read.size(); number++) {
+      String requestId = read.get(number).requestId();
+      assertEquals(AnswerFleet.expected(requestId, "killed-" + number, 500), read.get(number));
+    }
   }
 
   @Test
