--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/KnownLedger.java
@@ -0,0 +1,20 @@
+package org.agatefield.daemon.placing;
+
+import org.agatefield.placement.RunnerLedger;
+import org.agatefield.platform.StoredObject;
+
+/**
+ * A ledger as the store holds it. Immutable.
+ *
+ * @param object the stored object
+ * @param ledger what it holds
+ */
+record KnownLedger(StoredObject object, RunnerLedger ledger) {
+  static KnownLedger of(StoredObject object) {
+    return new KnownLedger(object, LedgerCodec.decode(object));
+  }
+
+  boolean isOf(StoredObject other) {
+    return object.resourceVersion().equals(other.resourceVersion());
+  }
+}
--- a/daemon/src/main/java/org/agatefield/daemon/placing/LedgerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/LedgerDirectory.java
@@ -50,7 +50,7 @@
   private final Map<String, LoadReport> reports = new ConcurrentHashMap<>();
   private final Map<String, Long> askedAtNanoseconds = new ConcurrentHashMap<>();
   private final Set<String> polled = ConcurrentHashMap.newKeySet();
-  private Map<String, RunnerLedger> ledgers = Map.of();
+  private Map<String, KnownLedger> ledgers = Map.of();
   private volatile List<Replica> replicas = List.of();
 
   /** Creates a directory; {@link #start()} starts it. */
@@ -95,7 +95,9 @@
 
   /** Returns the ledgers as this instance knows them, by runner. */
   public synchronized Map<String, RunnerLedger> ledgers() {
-    return ledgers;
+    Map<String, RunnerLedger> copy = new TreeMap<>();
+    ledgers.forEach((name, known) -> copy.put(name, known.ledger()));
+    return copy;
   }
 
   @Override
@@ -104,8 +106,12 @@
   }
 
   private synchronized void learn(Map<String, StoredObject> objects) {
-    Map<String, RunnerLedger> learnt = new TreeMap<>();
-    objects.forEach((name, object) -> learnt.put(name, LedgerCodec.decode(object)));
+    Map<String, KnownLedger> learnt = new TreeMap<>();
+    for (StoredObject object : objects.values()) {
+      KnownLedger known = ledgers.get(object.key().name());
+      boolean same = known != null && known.isOf(object);
+      learnt.put(object.key().name(), same ? known : KnownLedger.of(object));
+    }
     ledgers = learnt;
     rebuild();
   }
@@ -116,7 +122,8 @@
         document.adapters().stream()
             .collect(Collectors.toMap(Adapter::name, Adapter::memoryMegabytes));
     List<Replica> rebuilt = new ArrayList<>();
-    for (RunnerLedger ledger : ledgers.values()) {
+    for (KnownLedger known : ledgers.values()) {
+      RunnerLedger ledger = known.ledger();
       if (document.upstream(ledger.upstream()).isEmpty() || isRestarted(ledger)) {
         continue;
       }
--- a/daemon/src/main/java/org/agatefield/daemon/placing/LedgerTable.java
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/LedgerTable.java
@@ -23,7 +23,7 @@
  */
 final class LedgerTable {
   private final ObjectStore store;
-  private final Map<String, StoredObject> objects = new HashMap<>();
+  private final Map<String, KnownLedger> ledgers = new HashMap<>();
   private final Set<String> doubtful = new HashSet<>();
 
   LedgerTable(ObjectStore store) {
@@ -31,16 +31,16 @@
   }
 
   synchronized Optional<RunnerLedger> get(String upstream) {
-    return Optional.ofNullable(objects.get(upstream)).map(LedgerCodec::decode);
+    return Optional.ofNullable(ledgers.get(upstream)).map(KnownLedger::ledger);
   }
 
   /** Returns whether the ledger is known and no failed write has put it in doubt. */
   synchronized boolean isCertain(String upstream) {
-    return objects.containsKey(upstream) && !doubtful.contains(upstream);
+    return ledgers.containsKey(upstream) && !doubtful.contains(upstream);
   }
 
   synchronized void clear() {
-    objects.clear();
+    ledgers.clear();
     doubtful.clear();
   }
 
@@ -52,7 +52,7 @@
             list -> {
               synchronized (this) {
                 clear();
-                list.objects().forEach(each -> objects.put(each.key().name(), each));
+                list.objects().forEach(this::put);
               }
             });
   }
@@ -95,16 +95,16 @@
 
   private synchronized Optional<StoredObject> beginWrite(String upstream) {
     doubtful.add(upstream);
-    return Optional.ofNullable(objects.get(upstream));
+    return Optional.ofNullable(ledgers.get(upstream)).map(KnownLedger::object);
   }
 
   private synchronized void put(StoredObject object) {
-    objects.put(object.key().name(), object);
+    ledgers.put(object.key().name(), KnownLedger.of(object));
     doubtful.remove(object.key().name());
   }
 
   private synchronized void forget(String upstream) {
-    objects.remove(upstream);
+    ledgers.remove(upstream);
     doubtful.remove(upstream);
   }
 
