Spend less on each routing decision

Change: no search for waiting requests while none wait, no streams where no holder is draining, ejected or tried, no format string for the reason.

--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/DispatchCore.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/DispatchCore.java
@@ -179,7 +179,7 @@
   /** Sends waiting requests to an upstream until it has no place or nothing waits for it. */
   private void fill(String upstream, long now) {
     boolean sent = true;
-    while (sent && upstreams.state(upstream).hasPlace(now)) {
+    while (sent && queue.size() > 0 && upstreams.state(upstream).hasPlace(now)) {
       sent = sendNext(upstream, now);
     }
   }
@@ -248,13 +248,20 @@
     List<Candidate> eligible =
         upstreams.eligible(
             pending.target, index.holders(pending.target), pending.failedUpstreams, now);
-    List<Candidate> withPlace = eligible.stream().filter(Candidate::hasPlace).toList();
     String region = pending.routing.region();
-    boolean heldHere = eligible.stream().anyMatch(each -> each.region().equals(region));
-    if (!heldHere || crossing.isWorth(queue.expectedDrainNanoseconds(pending.target.name()))) {
-      return withPlace;
+    boolean heldHere = false;
+    for (Candidate candidate : eligible) {
+      heldHere |= candidate.region().equals(region);
     }
-    return withPlace.stream().filter(each -> each.region().equals(region)).toList();
+    boolean mayCross =
+        !heldHere || crossing.isWorth(queue.expectedDrainNanoseconds(pending.target.name()));
+    List<Candidate> placeable = new ArrayList<>(eligible.size());
+    for (Candidate candidate : eligible) {
+      if (candidate.hasPlace() && (mayCross || candidate.region().equals(region))) {
+        placeable.add(candidate);
+      }
+    }
+    return placeable;
   }
 
   private Map<String, PendingRequest> oneOfEachTarget() {
--- a/routing/src/main/java/org/agatefield/routing/EligibleUpstreams.java
+++ b/routing/src/main/java/org/agatefield/routing/EligibleUpstreams.java
@@ -23,6 +23,9 @@
    * @param failed names of upstreams that failed this request before
    */
   public List<Candidate> of(List<Candidate> holders, Set<String> failed, long nowNanoseconds) {
+    if (failed.isEmpty() && allOrdinary(holders, nowNanoseconds)) {
+      return holders;
+    }
     List<Candidate> staying = holders.stream().filter(each -> !each.draining()).toList();
     List<Candidate> usable = staying.isEmpty() ? holders : staying;
     List<Candidate> healthy = outliers.admitted(usable, Candidate::upstream, nowNanoseconds);
@@ -35,4 +38,13 @@
         usable.stream().filter(each -> !failed.contains(each.upstream())).toList();
     return others.isEmpty() ? healthy : others;
   }
+
+  private boolean allOrdinary(List<Candidate> holders, long nowNanoseconds) {
+    for (Candidate holder : holders) {
+      if (holder.draining() || outliers.isEjected(holder.upstream(), nowNanoseconds)) {
+        return false;
+      }
+    }
+    return true;
+  }
 }
--- a/routing/src/main/java/org/agatefield/routing/ExpectedTimeChooser.java
+++ b/routing/src/main/java/org/agatefield/routing/ExpectedTimeChooser.java
@@ -56,9 +56,14 @@
     }
 
     private String describe() {
-      return String.format(
-          "policy=expected-time load_us=%d prefill_us=%d adapter_us=%d crossing_us=%d",
-          load / 1_000, prefill / 1_000, adapter / 1_000, crossing / 1_000);
+      return "policy=expected-time load_us="
+          + load / 1_000
+          + " prefill_us="
+          + prefill / 1_000
+          + " adapter_us="
+          + adapter / 1_000
+          + " crossing_us="
+          + crossing / 1_000;
     }
   }
 
