Ask another peer for the configuration after one second

A request that is not answered kept the one open place for 5 s. Change: the request for a document is given up after 1 s.

--- a/daemon/src/main/java/org/agatefield/daemon/peers/ConfigurationSpread.java
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/ConfigurationSpread.java
@@ -26,6 +26,7 @@
 final class ConfigurationSpread {
   static final int GATEWAYS = 2;
   private static final long REMOTE_DELAY_MILLISECONDS = 1_000;
+  private static final long REQUEST_MILLISECONDS = 1_000;
   private static final Logger LOGGER = LogManager.getLogger(ConfigurationSpread.class);
 
   private final Instance self;
@@ -121,6 +122,7 @@
     long generation = source.current().generation();
     transport
         .request(holder.peerAddress(), new PeerMessage.ConfigurationRequest(generation))
+        .orTimeout(REQUEST_MILLISECONDS, TimeUnit.MILLISECONDS)
         .whenCompleteAsync((answer, failure) -> fetched(holder, answer, failure), loop);
   }
 
--- a/measure/src/main/java/org/agatefield/measure/slopes/DaemonsCommand.java
+++ b/measure/src/main/java/org/agatefield/measure/slopes/DaemonsCommand.java
@@ -124,9 +124,7 @@
   /** Prints the store's calls in each second after it stood still. */
   private void reportRecovery(LocalFleet fleet) throws InterruptedException {
     long before = counts(fleet).path("total").asLong();
-    fleet.process("store").pause();
-    Thread.sleep(storePauseSeconds * 1_000L);
-    fleet.process("store").resume();
+    letStoreStandStill(fleet);
     for (int second = 1; second <= RECOVERY_SECONDS; second++) {
       Thread.sleep(1_000);
       long total = counts(fleet).path("total").asLong();
@@ -135,6 +133,12 @@
     }
   }
 
+  private void letStoreStandStill(LocalFleet fleet) throws InterruptedException {
+    fleet.process("store").pause();
+    Thread.sleep(storePauseSeconds * 1_000L);
+    fleet.process("store").resume();
+  }
+
   private FleetPlan plan(int count) {
     List<FleetPlan.Entry> entries = new ArrayList<>();
     for (int each = 0; each < count; each++) {
