--- a/fleet/src/test/java/org/agatefield/fleet/placing/ConfigurationFailureTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/placing/ConfigurationFailureTest.java
@@ -68,7 +68,8 @@
       assertEquals(200, fleet.apply("entry-1", document(fleet, 0, 2)).status());
       FleetStatus.await("both have generation 1", () -> bothHave(status, 1));
       fleet.process("entry-2").pause();
-      CompletableFuture<FleetHttp.Answer> answer = send(fleet, "entry-1", document(fleet, 1, 3));
+      final CompletableFuture<FleetHttp.Answer> answer =
+          send(fleet, "entry-1", document(fleet, 1, 3));
       fault.awaitReached();
       status.faults("store", "{\"down\":true}");
       fault.goOn();
