Fetch a configuration across regions after half a second at most

Cause: at 128 peer duties over loopback a change took 3.2, 5.2 and 4.2 s to be in force everywhere; most of it was the wait of 1 to 2 s before an instance that is no gateway asks another region. Change: it waits 250 to 500 ms.

--- a/daemon/src/main/java/org/agatefield/daemon/peers/ConfigurationSpread.java
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/ConfigurationSpread.java
@@ -25,7 +25,7 @@
  */
 final class ConfigurationSpread {
   static final int GATEWAYS = 2;
-  private static final long REMOTE_DELAY_MILLISECONDS = 1_000;
+  private static final long REMOTE_DELAY_MILLISECONDS = 250;
   private static final long REQUEST_MILLISECONDS = 1_000;
   private static final Logger LOGGER = LogManager.getLogger(ConfigurationSpread.class);
 
