Answer malformed HTTP in our error shape; show crossed answers as a metric

Cause: the handler for requests that are not HTTP or whose headers are too large was built and tested, but the daemon did not install it; crossed answers were counted and shown nowhere. Change: Daemon installs InvalidRequestHandler and registers the gauge agatefield.engines.crossed-answers. Ruled out: nothing else; the http lane reported both.

--- a/daemon/src/main/java/org/agatefield/daemon/Daemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/Daemon.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon;
 
+import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxOptions;
@@ -23,6 +24,7 @@
 import org.agatefield.daemon.http.CallerApi;
 import org.agatefield.daemon.http.CallerApiParts;
 import org.agatefield.daemon.http.HttpOutcomeQuery;
+import org.agatefield.daemon.http.InvalidRequestHandler;
 import org.agatefield.daemon.http.ShutdownCoordinator;
 import org.agatefield.daemon.leases.LeaseDuty;
 import org.agatefield.daemon.operate.OperatorApi;
@@ -96,7 +98,11 @@
             new VertxOptions().setEventLoopPoolSize(EVENT_LOOPS).setWorkerPoolSize(WORKERS));
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
     store = closer.register(new HttpObjectStore(vertx, platform.store(), platform.storeTimeout()));
-    engines = closer.register(new HttpEngineClient(vertx, EngineClientOptions.standard()));
+    HttpEngineClient engineClient =
+        closer.register(new HttpEngineClient(vertx, EngineClientOptions.standard()));
+    metrics.gauge(
+        "agatefield.engines.crossed-answers", () -> (Gauge<Long>) engineClient::crossedAnswers);
+    engines = engineClient;
     configuration =
         closer.register(
             new ConfigurationKeeper(vertx, store, platform.pollInterval(), metrics, monitor, hook));
@@ -253,6 +259,7 @@
       vertx
           .createHttpServer(options)
           .requestHandler(router)
+          .invalidRequestHandler(new InvalidRequestHandler())
           .listen(address.port(), address.host())
           .toCompletionStage()
           .toCompletableFuture()
