--- a/fleet/src/main/java/org/agatefield/fleet/soak/FailureInjector.java
+++ b/fleet/src/main/java/org/agatefield/fleet/soak/FailureInjector.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.agatefield.fleet.FleetException;
 import org.agatefield.fleet.FleetPlan;
 import org.agatefield.fleet.LocalFleet;
@@ -25,6 +26,7 @@
   private final SoakCounts counts;
   private final SoakChecks checks;
   private final Set<String> failing = new HashSet<>();
+  private CompletableFuture<Void> listChanges = CompletableFuture.completedFuture(null);
 
   FailureInjector(LocalFleet fleet, SoakCounts counts, SoakChecks checks) {
     this.fleet = fleet;
@@ -51,7 +53,7 @@
       }
       case PAUSE_DAEMON, PAUSE_ENGINE -> fleet.process(target).pause();
       case RESTART_DAEMON -> fleet.process(target).terminate();
-      case ENGINE_LEAVES -> fleet.markLeaving(target);
+      case ENGINE_LEAVES -> changeList(() -> fleet.markLeaving(target));
       default -> setFaults(target, faultsOf(failure.kind()));
     }
   }
@@ -66,7 +68,7 @@
       case KILL_ENGINE -> fleet.startEngine(target);
       case PAUSE_DAEMON, PAUSE_ENGINE -> fleet.process(target).resume();
       case RESTART_DAEMON -> restart(target);
-      case ENGINE_LEAVES -> fleet.markLive(target);
+      case ENGINE_LEAVES -> changeList(() -> fleet.markLive(target));
       default -> setFaults(target, NO_FAULTS);
     }
   }
@@ -80,6 +82,18 @@
     fleet.startDaemon(daemon);
   }
 
+  /** Does not wait: the store may be down until a later event of the schedule. */
+  private void changeList(Runnable change) {
+    listChanges =
+        listChanges
+            .thenRunAsync(change)
+            .exceptionally(
+                failure -> {
+                  checks.report("the soak itself failed: " + failure.getMessage());
+                  return null;
+                });
+  }
+
   private void setFaults(String target, String faults) {
     try {
       fleet.call(HttpMethod.POST, fleet.address(target), "/faults", Map.of(), faults);
