Route to a version that still serves while the configured one is being loaded

Cause: after a change of versions, requests were refused (503, 'no upstream holds it') until the new version was loaded, although the earlier one still served. Change: TargetIndex.target falls back to any held version of the deployment.

--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/TargetIndex.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/TargetIndex.java
@@ -130,9 +130,19 @@
     return targets.stream()
         .filter(target -> !holders(target).isEmpty())
         .findFirst()
+        .or(() -> heldVersion(deployment, adapter))
         .orElse(targets.get(0));
   }
 
+  /** Returns a version that still serves although the configuration gives it no more requests. */
+  private Optional<Target> heldVersion(Deployment deployment, Optional<String> adapter) {
+    return holders.keySet().stream()
+        .filter(version -> version.deployment().equals(deployment.name()))
+        .map(version -> Target.of(version, adapter))
+        .filter(target -> !holders(target).isEmpty())
+        .findFirst();
+  }
+
   /** Returns whether the replica has the version and memory for the adapter. */
   private static boolean serves(Replica replica, Target target) {
     return target.adapter().isEmpty() || replica.adapters().contains(target.adapter().get());
