Go on with answers that had begun, whatever the retry budget says

A resume repeats no work that was answered, and attempts without progress are bounded already. Ruled out: a larger reserve, which only moves the number.

--- a/daemon/src/test/java/org/agatefield/daemon/dispatch/RoutingDispatcherTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/dispatch/RoutingDispatcherTest.java
@@ -133,6 +133,23 @@
     }
   }
 
+  @Test
+  void answersThatHadBegunGoOnElsewhereHoweverManyOneRunnerTookWithIt() {
+    try (DispatchFixture fixture = new DispatchFixture(HOME, HOME);
+        RoutingDispatcher dispatcher = fixture.dispatcher(100)) {
+      List<Dispatch> running = new ArrayList<>();
+      for (int number = 0; number < 40; number++) {
+        running.add(dispatcher.acquire(request("r" + number, "quotes")).join());
+      }
+      running.forEach(Dispatch::firstAnswerPart);
+      for (Dispatch dispatch : running) {
+        CompletableFuture<Dispatch> resumed =
+            dispatcher.reacquire(dispatch, DispatchOutcome.FAILED);
+        assertFalse(resumed.isCompletedExceptionally());
+      }
+    }
+  }
+
   @Test
   void unreachableRunnersAreEachTriedOnceAndTheRefusalSaysNotRun() {
     try (DispatchFixture fixture = new DispatchFixture(HOME, HOME);
