--- a/admission/src/main/java/org/agatefield/admission/LearntLimit.java
+++ b/admission/src/main/java/org/agatefield/admission/LearntLimit.java
@@ -14,6 +14,7 @@
  */
 public final class LearntLimit implements ConcurrencyLimit {
   private static final double DECREASE_FACTOR = 0.8;
+  private static final int MINIMUM_WAITING = 4;
   private static final double WAITING_SHARE = 0.25;
   private static final double LATE_FACTOR = 0.95;
   private static final double LATE_SHARE = 0.8;
@@ -58,7 +59,7 @@
   public void reported(int running, int waiting) {
     lastRunning[reports % KEPT_REPORTS] = running;
     reports++;
-    if (waiting <= running * WAITING_SHARE) {
+    if (waiting < Math.max(MINIMUM_WAITING, running * WAITING_SHARE)) {
       return;
     }
     int mostRunning = Arrays.stream(lastRunning).max().orElse(running);
