--- a/measurement/src/main/java/org/agatefield/measure/slopes/DaemonsCommand.java
+++ b/measurement/src/main/java/org/agatefield/measure/slopes/DaemonsCommand.java
@@ -121,10 +121,15 @@
     }
   }
 
+  private long countThenStandStill(LocalFleet fleet) throws InterruptedException {
+    final long total = counts(fleet).path("total").asLong();
+    letStoreStandStill(fleet);
+    return total;
+  }
+
   /** Prints the store's calls in each second after it stood still. */
   private void reportRecovery(LocalFleet fleet) throws InterruptedException {
-    long before = counts(fleet).path("total").asLong();
-    letStoreStandStill(fleet);
+    long before = countThenStandStill(fleet);
     for (int second = 1; second <= RECOVERY_SECONDS; second++) {
       Thread.sleep(1_000);
       long total = counts(fleet).path("total").asLong();
