Keep adapters within their places, trust busy runners, warm copies before demand

Change: AdapterSlots holds a place until it is confirmed; the planner announces drops and loads to all instances; a runner that still sends to others is not taken for lost; a load follows its unload at once; copies are spread over disks while nobody asks for anything.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineControl.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineControl.java
@@ -9,11 +9,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.agatefield.daemon.forward.wire.OrderOutcome;
 import org.agatefield.daemon.forward.wire.RunnerDialect;
 import org.agatefield.daemon.forward.wire.RunnerOrder;
@@ -40,7 +39,7 @@
   private static final long REPORT_LAG_MILLISECONDS = 350; // reports are some hundred ms old
   private static final long POLL_MILLISECONDS = 250;
   private static final long IDLE_POLL_MILLISECONDS = 2_000;
-  private static final long ADAPTER_KEEP_MILLISECONDS = 4_000; // instances trust a confirmation
+  private static final long UNLOAD_RETRY_MILLISECONDS = 80; // an idle model is dropped at once
   private static final long ADAPTER_LOAD_MILLISECONDS = 20; // the sheets say 7 to 13
   private static final int MAXIMUM_TRIES = 8;
   private static final int SUCCESS = 200;
@@ -51,7 +50,7 @@
   private final Orders orders;
   private RunnerEntry runner;
   private final Deque<Task> tasks = new ArrayDeque<>();
-  private final Map<String, Long> adaptersUsedAt = new TreeMap<>();
+  private final AdapterSlots adapters = new AdapterSlots();
   private Set<String> models = new HashSet<>();
   private Set<String> inHostMemory = Set.of();
   private Set<String> onDisk = Set.of();
@@ -62,7 +61,7 @@
   private boolean busy;
   private boolean reading;
   private boolean sending;
-  private int adapterSlots;
+  private boolean unloading;
 
   /** What orders need of the planner. */
   interface Orders {
@@ -74,6 +73,9 @@
 
     /** A runner finished loading a model. */
     void loaded(String runner, String model);
+
+    /** A runner is about to drop a model. */
+    void dropping(String runner, String model);
   }
 
   /** A step towards what a runner is to hold. */
@@ -90,6 +92,12 @@
       this.model = model;
       this.adapter = adapter;
     }
+
+    boolean isLoadOf(String wantedModel, String wantedAdapter) {
+      return action == Action.LOAD
+          && model.equals(wantedModel)
+          && adapter.equals(Optional.of(wantedAdapter));
+    }
   }
 
   EngineControl(Vertx vertx, HttpClient client, RunnerDialect dialect, Orders orders) {
@@ -101,11 +109,11 @@
 
   void update(RunnerEntry entry, boolean newLife, int slots) {
     runner = entry;
-    adapterSlots = slots;
+    adapters.setSlots(slots);
     if (newLife) {
       abandonAll();
       acceptedOrders = -1;
-      adaptersUsedAt.clear();
+      adapters.clear();
       busy = false;
       entry.models().ifPresent(this::holdOnly);
     }
@@ -146,6 +154,7 @@
   /** Begins a move. */
   void begin(ReplicaMove move) {
     for (String model : move.unload()) {
+      orders.dropping(runner.id(), model);
       tasks.add(new Task(Action.UNLOAD, model, Optional.empty()));
     }
     tasks.add(new Task(Action.LOAD, move.load(), Optional.empty()));
@@ -159,13 +168,12 @@
     if (!models.contains(model) || acceptedOrders < 0) {
       return CompletableFuture.completedFuture(false);
     }
-    if (adaptersUsedAt.containsKey(key)) {
-      adaptersUsedAt.put(key, now);
+    if (adapters.use(key, now)) {
       return CompletableFuture.completedFuture(true);
     }
     Optional<Task> pending =
-        tasks.stream()
-            .filter(task -> task.model.equals(model) && task.adapter.equals(Optional.of(adapter)))
+        Stream.concat(current.stream(), tasks.stream())
+            .filter(task -> task.isLoadOf(model, adapter))
             .findFirst();
     if (pending.isPresent()) {
       return pending.get().done;
@@ -201,17 +209,18 @@
   }
 
   private boolean makeRoom(long now) {
-    long pending = tasks.stream().filter(task -> task.adapter.isPresent()).count();
-    if (adaptersUsedAt.size() + pending < adapterSlots) {
+    long pending =
+        Stream.concat(current.stream(), tasks.stream())
+            .filter(task -> task.adapter.isPresent() && task.action == Action.LOAD)
+            .count();
+    if (adapters.taken() + pending < adapters.slots()) {
       return true;
     }
-    Optional<Map.Entry<String, Long>> oldest =
-        adaptersUsedAt.entrySet().stream().min(Map.Entry.comparingByValue());
-    if (oldest.isEmpty() || now - oldest.get().getValue() < ADAPTER_KEEP_MILLISECONDS) {
+    Optional<String> victim = adapters.release(now);
+    if (victim.isEmpty()) {
       return false;
     }
-    String[] names = oldest.get().getKey().split("/", 2);
-    adaptersUsedAt.remove(oldest.get().getKey());
+    String[] names = victim.get().split("/", 2);
     tasks.add(new Task(Action.UNLOAD, names[0], Optional.of(names[1])));
     return true;
   }
@@ -230,6 +239,14 @@
       abandonAll();
       return;
     }
+    boolean adapterWithoutSlot =
+        task.adapter.isPresent()
+            && task.action == Action.LOAD
+            && adapters.taken() >= adapters.slots();
+    if (adapterWithoutSlot) {
+      complete(task, false);
+      return;
+    }
     task.tries++;
     if (task.tries > MAXIMUM_TRIES) {
       LOGGER.warn("runner={} {} {} given up", runner.id(), task.action, task.model);
@@ -271,40 +288,62 @@
     if (current.isEmpty() || current.get() != task) {
       return;
     }
+    boolean afterUnload = task.action == Action.LOAD && unloading;
     switch (outcome) {
       case ACCEPTED, FULFILLED -> accepted(task, outcome);
-      case CONFLICT, UNKNOWN -> readAgainLater();
+      case CONFLICT -> {
+        if (afterUnload && task.tries < MAXIMUM_TRIES / 2) {
+          vertx.setTimer(UNLOAD_RETRY_MILLISECONDS, fired -> sendAgain(task));
+        } else {
+          readAgainLater();
+        }
+      }
+      case UNKNOWN -> readAgainLater();
       default -> complete(task, false);
     }
   }
 
+  private void sendAgain(Task task) {
+    if (current.isPresent() && current.get() == task && !sending) {
+      send(task);
+    }
+  }
+
   private void accepted(Task task, OrderOutcome outcome) {
     acceptedOrders++;
     task.accepted = true;
-    if (outcome == OrderOutcome.FULFILLED) {
-      complete(task, true);
-      return;
-    }
+    unloading = task.action == Action.UNLOAD && task.adapter.isEmpty();
     if (task.adapter.isPresent()) {
-      adapterComing(task);
+      adapterOrdered(task, outcome);
       return;
     }
-    busy = true;
     if (task.action == Action.UNLOAD) {
       models.remove(task.model);
+      adapters.forgetModel(task.model);
+    }
+    boolean moreToCome = unloading && !tasks.isEmpty();
+    if (outcome == OrderOutcome.FULFILLED || moreToCome) {
+      // The runner refuses the next order until the unload is done.
+      complete(task, true);
+      return;
     }
+    busy = true;
     readAgainLater();
   }
 
   /** Lets the next order follow at once; requests for the adapter wait until it is there. */
-  private void adapterComing(Task task) {
+  private void adapterOrdered(Task task, OrderOutcome outcome) {
+    String key = task.model + '/' + task.adapter.orElseThrow();
     current = Optional.empty();
-    if (task.action == Action.UNLOAD) {
-      task.done.complete(true);
+    if (task.action == Action.LOAD) {
+      adapters.loaded(key, MonotonicClock.milliseconds());
+      long wait = outcome == OrderOutcome.FULFILLED ? 1 : ADAPTER_LOAD_MILLISECONDS;
+      vertx.setTimer(wait, fired -> task.done.complete(true));
     } else {
-      adaptersUsedAt.put(
-          task.model + '/' + task.adapter.orElseThrow(), MonotonicClock.milliseconds());
-      vertx.setTimer(ADAPTER_LOAD_MILLISECONDS, fired -> task.done.complete(true));
+      if (outcome == OrderOutcome.FULFILLED) {
+        adapters.gone(key);
+      }
+      task.done.complete(true);
     }
     proceed();
   }
@@ -363,7 +402,7 @@
 
   private boolean isFulfilled(Task task) {
     if (task.adapter.isPresent()) {
-      boolean present = adaptersUsedAt.containsKey(task.model + '/' + task.adapter.get());
+      boolean present = adapters.holds(task.model + '/' + task.adapter.get());
       return present == (task.action == Action.LOAD);
     }
     return models.contains(task.model) == (task.action == Action.LOAD);
@@ -373,13 +412,15 @@
     current = Optional.empty();
     if (success && task.action == Action.LOAD) {
       if (task.adapter.isPresent()) {
-        adaptersUsedAt.put(
-            task.model + '/' + task.adapter.get(), MonotonicClock.milliseconds());
+        adapters.loaded(task.model + '/' + task.adapter.get(), MonotonicClock.milliseconds());
       } else {
         models.add(task.model);
         orders.loaded(runner.id(), task.model);
       }
     }
+    if (!success && task.adapter.isPresent() && task.action == Action.UNLOAD) {
+      adapters.keep(task.model + '/' + task.adapter.get());
+    }
     if (!success && task.adapter.isEmpty()) {
       tasks.forEach(each -> each.done.complete(false));
       tasks.clear();
@@ -398,8 +439,7 @@
     for (HeldModel model : report.models()) {
       model.adapters().forEach(adapter -> present.add(model.name() + '/' + adapter));
     }
-    adaptersUsedAt.keySet().retainAll(present);
-    present.forEach(key -> adaptersUsedAt.putIfAbsent(key, 0L));
+    adapters.reported(present);
   }
 
   private record Answer(int status, Buffer body) {}
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -34,6 +34,7 @@
 import org.agatefield.model.ModelDemand;
 import org.agatefield.peer.PeerMessage;
 import org.agatefield.placement.DemandReplicaPolicy;
+import org.agatefield.placement.WarmCopyPolicy;
 import org.agatefield.settings.ForwardingSettings;
 import org.agatefield.store.HttpObjectStore;
 import org.agatefield.store.ObjectInformer;
@@ -82,6 +83,7 @@
   private final RunnerLoads loads = new RunnerLoads();
   private final ModelPresence presence = new ModelPresence();
   private final DemandMeter demand = new DemandMeter();
+  private final WaitingRequests waiting;
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
   private final KnowledgeExchange knowledge;
@@ -105,6 +107,7 @@
                 .setInternalBlockingPoolSize(1));
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
     this.context = vertx.getOrCreateContext();
+    this.waiting = new WaitingRequests(vertx);
     this.configuration = new ConfigurationTracker(dialect.knowledge());
     this.runners = new RunnerDirectory(dialect.knowledge());
     this.knowledge = new KnowledgeExchange(vertx, configuration, runners);
@@ -194,7 +197,6 @@
             loads,
             presence,
             new EarliestBeginChoice());
-    WaitingRequests waiting = new WaitingRequests(vertx);
     ingress =
         new IngressServer(
             new ForwardingParts(
@@ -238,6 +240,7 @@
             runners,
             configuration,
             new DemandReplicaPolicy(),
+            new WarmCopyPolicy(),
             new PlannerNews(id));
     planner.start();
   }
@@ -432,6 +435,17 @@
         planner.demandReported(report.instance(), report.demands());
       } else if (message instanceof PeerMessage.PlannerNotice notice) {
         heardPlanner(notice, now);
+      } else if (message instanceof PeerMessage.ModelNotice notice) {
+        heardModel(notice, now);
+      }
+    }
+
+    private void heardModel(PeerMessage.ModelNotice notice, long now) {
+      if (notice.present()) {
+        presence.announceModel(notice.runner(), notice.model());
+        waiting.wake();
+      } else {
+        presence.withdrawModel(notice.runner(), notice.model(), now);
       }
     }
 
@@ -474,6 +488,13 @@
     @Override
     public void loaded(String runner, String model) {
       presence.announceModel(runner, model);
+      peers.broadcast(new PeerMessage.ModelNotice(runner, model, true));
+    }
+
+    @Override
+    public void dropping(String runner, String model) {
+      presence.withdrawModel(runner, model, MonotonicClock.milliseconds());
+      peers.broadcast(new PeerMessage.ModelNotice(runner, model, false));
     }
 
     @Override
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPresence.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPresence.java
@@ -18,6 +18,9 @@
   private static final long ADAPTER_CONFIRMATION_MILLISECONDS = 2_500;
   private static final long MODEL_DOUBT_MILLISECONDS = 700; // entries follow within a heartbeat
 
+  // An unload waits for the model's requests; the entry follows when it is done.
+  private static final long WITHDRAWAL_MILLISECONDS = 5_000;
+
   private final Map<String, Map<String, Long>> adaptersConfirmedAt = new HashMap<>();
   private final Map<String, Map<String, Long>> modelsDoubtedAt = new HashMap<>();
   private final Map<String, Set<String>> modelsAnnounced = new HashMap<>();
@@ -48,6 +51,14 @@
     modelsDoubtedAt.getOrDefault(runner, new HashMap<>()).remove(model);
   }
 
+  /** The planner said that a runner is about to drop a model. */
+  void withdrawModel(String runner, String model, long now) {
+    modelsDoubtedAt
+        .computeIfAbsent(runner, ignored -> new HashMap<>())
+        .put(model, now + WITHDRAWAL_MILLISECONDS - MODEL_DOUBT_MILLISECONDS);
+    modelsAnnounced.getOrDefault(runner, new HashSet<>()).remove(model);
+  }
+
   boolean hasModel(RunnerEntry entry, String model, long now) {
     boolean said =
         entry.holds(model)
@@ -56,9 +67,13 @@
     return said && (doubted == null || now - doubted >= MODEL_DOUBT_MILLISECONDS);
   }
 
-  void entryChanged(String runner) {
-    modelsDoubtedAt.remove(runner);
-    modelsAnnounced.remove(runner);
+  /** Forgets what an entry that names the models itself makes needless. */
+  void entryChanged(RunnerEntry entry, long now) {
+    modelsDoubtedAt
+        .getOrDefault(entry.id(), new HashMap<>())
+        .values()
+        .removeIf(at -> now - at >= MODEL_DOUBT_MILLISECONDS);
+    modelsAnnounced.getOrDefault(entry.id(), new HashSet<>()).removeIf(entry::holds);
   }
 
   void forget(String runner) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
@@ -38,6 +38,8 @@
   private static final Logger LOGGER = LogManager.getLogger(PlannerDuty.class);
   private static final long TICK_MILLISECONDS = 200; // a fraction of the shortest load
   private static final double CONCURRENT_LOADS_PER_RATE = 3; // as the sheets' weight stores allow
+  private static final long IDLE_MILLISECONDS = 10_000;
+  private static final long SETTLING_MILLISECONDS = 1_500; // several reports of demand
   private static final int ADAPTER_LOADS = 24; // the smaller of the sheets' weight stores
   private static final double MAXIMUM_ADAPTER_MEGABYTES = 64;
 
@@ -49,11 +51,13 @@
   private final RunnerDirectory runners;
   private final ConfigurationTracker configuration;
   private final ReplicaPolicy policy;
+  private final ReplicaPolicy idlePolicy;
   private final Announcements announcements;
   private final DemandBook demand = new DemandBook();
   private final Map<String, EngineControl> engines = new HashMap<>();
   private final Map<String, LoadBudget> budgets = new HashMap<>();
   private boolean holding;
+  private long heldSince;
   private long timer = -1;
 
   /** What the planner tells the other instances. */
@@ -61,6 +65,9 @@
     /** A runner has a model now. */
     void loaded(String runner, String model);
 
+    /** A runner is about to drop a model. */
+    void dropping(String runner, String model);
+
     /** This instance has become the planner. */
     void tookOver(long fencingToken);
   }
@@ -74,6 +81,7 @@
       RunnerDirectory runners,
       ConfigurationTracker configuration,
       ReplicaPolicy policy,
+      ReplicaPolicy idlePolicy,
       Announcements announcements) {
     this.vertx = vertx;
     this.client = client;
@@ -83,6 +91,7 @@
     this.runners = runners;
     this.configuration = configuration;
     this.policy = policy;
+    this.idlePolicy = idlePolicy;
     this.announcements = announcements;
     runners.listen(this);
   }
@@ -137,6 +146,7 @@
     }
     if (!holding) {
       holding = true;
+      heldSince = MonotonicClock.milliseconds();
       LOGGER.info("planner={} token={}", instance, grant.get().fencingToken());
       announcements.tookOver(grant.get().fencingToken());
       List.copyOf(runners.all()).forEach(entry -> take(entry, true));
@@ -204,9 +214,10 @@
             .computeIfAbsent(service, ignored -> LoadBudget.startingAt(now))
             .refill(new WeightStoreLimits(pool.loadsPerSecond(), concurrent, ADAPTER_LOADS), now);
     int allowed = Math.min(budget.available(), Math.max(0, concurrent - loading));
-    List<ReplicaMove> moves =
-        policy.plan(
-            views, sizes(pool), demand.demands(MonotonicClock.milliseconds()), allowed);
+    long clock = MonotonicClock.milliseconds();
+    Map<String, DemandBook.Demand> demands = demand.demands(clock);
+    ReplicaPolicy inForce = isIdle(demands, clock) ? idlePolicy : policy;
+    List<ReplicaMove> moves = inForce.plan(views, sizes(pool), demands, allowed);
     for (ReplicaMove move : moves) {
       if (move.fromStore()) {
         budget = budget.take();
@@ -217,12 +228,18 @@
           move.load(),
           move.unload(),
           move.fromStore(),
-          demand.demands(MonotonicClock.milliseconds()).get(move.load()));
+          demands.get(move.load()));
       engines.get(move.runner()).begin(move);
     }
     budgets.put(service, budget);
   }
 
+  private boolean isIdle(Map<String, DemandBook.Demand> demands, long now) {
+    boolean asked =
+        demands.values().stream().anyMatch(each -> each.idleMilliseconds() < IDLE_MILLISECONDS);
+    return !asked && now - heldSince >= SETTLING_MILLISECONDS;
+  }
+
   private EngineView view(RunnerEntry entry, EngineControl engine, EnginePool pool) {
     double adapters = pool.adapterSlots() * largestAdapter(pool);
     return new EngineView(
@@ -230,6 +247,7 @@
         entry.failureDomain(),
         pool.weightsMegabytes(),
         adapters,
+        pool.diskMegabytes(),
         engine.possiblyHeld(),
         engine.inHostMemory(),
         engine.onDisk(),
@@ -277,5 +295,10 @@
     public void loaded(String runner, String model) {
       announcements.loaded(runner, model);
     }
+
+    @Override
+    public void dropping(String runner, String model) {
+      announcements.dropping(runner, model);
+    }
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -32,6 +32,7 @@
   private static final long SHORTEST_SEND_MILLISECONDS = 20; // less is no use to a runner
   private static final long REFUSAL_RETURN_MILLISECONDS = 400; // about one load from host memory
   private static final long ADAPTER_PAUSE_MILLISECONDS = 80; // several loads of an adapter
+  private static final long STALL_CHECK_MILLISECONDS = 100; // a fraction of the shortest limit
   private static final int MOST_URGENT = 0;
   private static final int LEAST_URGENT = 9;
 
@@ -345,9 +346,7 @@
     @Override
     public void rejected(AnswerKind kind, UpstreamAnswer rejection) {
       release();
-      if (kind == AnswerKind.MISDIRECTED) {
-        doubtPresence();
-      }
+      doubtPresence(kind);
       LOGGER.info(
           "request={} attempt={} runner={} rejected={} status={}",
           terms.id(),
@@ -385,6 +384,7 @@
     @Override
     public void event(UpstreamAnswer streamHead, EventStreamSplitter.Event next) {
       lastActivity = MonotonicClock.milliseconds();
+      parts.selector().heard(runner.id(), lastActivity);
       begin();
       head = streamHead;
       event = next.bytes();
@@ -428,12 +428,13 @@
       terms.prompt().ifPresent(prompt -> parts.demand().running(service, prompt, -1));
     }
 
-    private void doubtPresence() {
+    /** A runner also turns requests away for a model that it is loading or dropping. */
+    private void doubtPresence(AnswerKind kind) {
       terms
           .prompt()
           .ifPresent(
               prompt -> {
-                if (prompt.adapter().isPresent()) {
+                if (kind == AnswerKind.MISDIRECTED && prompt.adapter().isPresent()) {
                   parts
                       .presence()
                       .denyAdapter(runner.id(), prompt.model(), prompt.adapter().get());
@@ -446,19 +447,18 @@
     }
 
     private void watchForSilence() {
-      long limit = StallLimits.milliseconds(route, began, deadline - lastActivity);
-      long due = lastActivity + limit - MonotonicClock.milliseconds();
+      long due = lastActivity + stallLimit() - MonotonicClock.milliseconds();
       stallTimer =
           parts
               .vertx()
               .setTimer(
-                  Math.max(1, due),
+                  Math.max(STALL_CHECK_MILLISECONDS, due),
                   fired -> {
                     if (released) {
                       return;
                     }
                     long silent = MonotonicClock.milliseconds() - lastActivity;
-                    if (silent < StallLimits.milliseconds(route, began, deadline - lastActivity)) {
+                    if (silent < stallLimit()) {
                       watchForSilence();
                       return;
                     }
@@ -466,6 +466,11 @@
                   });
     }
 
+    private long stallLimit() {
+      long runnerSilent = parts.selector().silentMilliseconds(runner.id());
+      return StallLimits.milliseconds(route, began, deadline - lastActivity, runnerSilent);
+    }
+
     private void stalled(long silent) {
       List<RequestAction> actions = state.stalled(number);
       if (actions.isEmpty()) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -1,6 +1,7 @@
 package org.agatefield.daemon.forward;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +33,8 @@
   private final RunnerChoice choice;
   private final OutlierDetector outliers = new OutlierDetector(EJECTION_NANOSECONDS);
 
+  private final Map<String, Long> heardAt = new HashMap<>();
+
   /** What came of a selection. */
   sealed interface Selection {
     /** A runner was found. Immutable. */
@@ -86,6 +89,16 @@
     return new Selection.Found(directory.entry(chosen.id()).orElseThrow(), chosen);
   }
 
+  /** A runner sent something. */
+  void heard(String runner, long now) {
+    heardAt.put(runner, now);
+  }
+
+  /** Returns how long a runner has sent nothing to this instance. */
+  long silentMilliseconds(String runner) {
+    return MonotonicClock.milliseconds() - heardAt.getOrDefault(runner, Long.MIN_VALUE / 2);
+  }
+
   void succeeded(String runner) {
     outliers.succeeded(runner);
   }
@@ -104,7 +117,7 @@
 
   @Override
   public void runnerChanged(RunnerEntry entry, boolean newLife) {
-    presence.entryChanged(entry.id());
+    presence.entryChanged(entry, MonotonicClock.milliseconds());
     if (newLife) {
       presence.forget(entry.id());
       loads.forgetKeptParts(entry.id());
@@ -115,6 +128,7 @@
   @Override
   public void runnerGone(String id) {
     presence.forget(id);
+    heardAt.remove(id);
     outliers.forget(id);
   }
 
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -20,6 +20,12 @@
               .setFencingToken(notice.fencingToken()));
     } else if (message instanceof PeerMessage.ModelDemandReport report) {
       envelope.setModelDemandReport(encodeDemand(report));
+    } else if (message instanceof PeerMessage.ModelNotice notice) {
+      envelope.setModelNotice(
+          PeerProtocol.ModelNotice.newBuilder()
+              .setRunner(notice.runner())
+              .setModel(notice.model())
+              .setPresent(notice.present()));
     } else if (message instanceof PeerMessage.AdapterRequest request) {
       envelope.setAdapterRequest(
           PeerProtocol.AdapterRequest.newBuilder()
@@ -52,6 +58,12 @@
                   envelope.getPlannerNotice().getInstance(),
                   envelope.getPlannerNotice().getFencingToken()));
       case MODEL_DEMAND_REPORT -> Optional.of(decodeDemand(envelope.getModelDemandReport()));
+      case MODEL_NOTICE ->
+          Optional.of(
+              new PeerMessage.ModelNotice(
+                  envelope.getModelNotice().getRunner(),
+                  envelope.getModelNotice().getModel(),
+                  envelope.getModelNotice().getPresent()));
       case ADAPTER_REQUEST ->
           Optional.of(
               new PeerMessage.AdapterRequest(
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -92,6 +92,15 @@
     }
   }
 
+  /**
+   * Tells what the planner did at a runner, before the runner's entry does. Immutable.
+   *
+   * @param runner the runner's identifier
+   * @param model the model's name
+   * @param present whether the runner has it from now on; otherwise it is about to drop it
+   */
+  record ModelNotice(String runner, String model, boolean present) implements PeerMessage {}
+
   /**
    * Asks the planner to have an adapter loaded. Immutable.
    *
