Hold back what cannot begin in time, time-share rare models, tell loads to all instances

Change: BeginInTime (SendAlways as the baseline); models idle for a second may make way; a minimum gain; 350 ms for orders; loads told to all instances; what is unsent is refused as not run when an instance leaves.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineControl.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineControl.java
@@ -35,7 +35,7 @@
  */
 final class EngineControl {
   private static final Logger LOGGER = LogManager.getLogger(EngineControl.class);
-  private static final long CALL_MILLISECONDS = 900; // many times the way to the other region
+  private static final long CALL_MILLISECONDS = 350; // five times the way to the other region
   private static final long REPORT_LAG_MILLISECONDS = 350; // reports are some hundred ms old
   private static final long POLL_MILLISECONDS = 250;
   private static final long IDLE_POLL_MILLISECONDS = 2_000;
@@ -304,7 +304,11 @@
           readAgainLater();
         }
       }
-      case UNKNOWN -> readAgainLater();
+      case UNKNOWN -> sendAgain(task);
+      case INVALID -> {
+        acceptedOrders = -1; // read again before any further order
+        complete(task, false);
+      }
       default -> complete(task, false);
     }
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -14,15 +14,20 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.agatefield.daemon.forward.wire.CallerDialect;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
 import org.agatefield.daemon.leases.LeaseDuty;
+import org.agatefield.forwarding.BeginInTime;
 import org.agatefield.forwarding.EarliestBeginChoice;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.model.Address;
@@ -60,7 +65,8 @@
   private static final int CONNECTIONS_PER_RUNNER = 400;
   private static final int CALLER_IDLE_SECONDS = 120; // beyond any idle time that callers use
   private static final long DEMAND_MILLISECONDS = 250;
-  private static final long NEIGHBOUR_MILLISECONDS = 150;
+  private static final long NEIGHBOUR_MILLISECONDS = 120;
+  private static final int REPORTS_PER_DISTANT_REPORT = 2; // bytes between domains are paid for
   private static final long NOTICE_MILLISECONDS = 1_000;
   private static final long LAPSE_CHECK_MILLISECONDS = 200;
   private static final long ADAPTER_ANSWER_MILLISECONDS = 1_200;
@@ -83,6 +89,7 @@
   private final ModelPresence presence = new ModelPresence();
   private final DemandMeter demand = new DemandMeter();
   private final WaitingRequests waiting;
+  private final Set<RequestExchange> exchanges = new HashSet<>();
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
   private final KnowledgeExchange knowledge;
@@ -91,6 +98,7 @@
   private IngressServer ingress;
   private Optional<PeerMessage.PlannerNotice> plannerNotice = Optional.empty();
   private long plannerHeardAt;
+  private int neighbourReports;
   private volatile boolean leaving;
   private volatile boolean refusing;
 
@@ -205,12 +213,14 @@
                 new HeaderRules(dialect.callers().reservedHeaders()),
                 configuration::table,
                 selector,
+                new BeginInTime(),
                 loads,
                 presence,
                 this::ensureAdapter,
                 new RetryBudgets(settings.terms(), () -> peers.alive().size()),
                 demand,
                 waiting,
+                exchanges,
                 new ForwardingMetrics(metrics),
                 () -> leaving,
                 () -> refusing));
@@ -359,9 +369,10 @@
             shares.add(
                 new PeerMessage.RunnerShare(runner, share.running(), share.unreadTokens())));
     PeerMessage report = new PeerMessage.RunnerLoadReport(id, shares);
+    boolean tellAll = ++neighbourReports % REPORTS_PER_DISTANT_REPORT == 0;
     for (Instance instance : peers.alive()) {
       boolean neighbour = instance.failureDomain().equals(settings.failureDomain());
-      if (neighbour && !instance.id().equals(id)) {
+      if ((neighbour || tellAll) && !instance.id().equals(id)) {
         peers.send(instance, report);
       }
     }
@@ -392,7 +403,11 @@
     long end = begun + settings.terms().grace().toMillis() - GRACE_MARGIN_MILLISECONDS;
     while (MonotonicClock.milliseconds() < end) {
       long elapsed = MonotonicClock.milliseconds() - begun;
-      refusing = elapsed >= LEAVING_MILLISECONDS;
+      if (elapsed >= LEAVING_MILLISECONDS && !refusing) {
+        refusing = true;
+        context.runOnContext(
+            run -> List.copyOf(exchanges).forEach(RequestExchange::refuseUnsent));
+      }
       if (elapsed >= SHORTEST_LEAVING_MILLISECONDS && ingress.open() == 0) {
         break;
       }
@@ -404,11 +419,29 @@
       }
     }
     boolean complete = ingress.open() == 0;
+    answerTheRest();
     LOGGER.info("leaving ended complete={} open={}", complete, ingress.open());
     closer.close();
     return complete;
   }
 
+  /** Answers what is still open, so that no connection closes without an answer. */
+  private void answerTheRest() {
+    CompletableFuture<Void> answered = new CompletableFuture<>();
+    context.runOnContext(
+        run -> {
+          List.copyOf(exchanges).forEach(RequestExchange::giveUp);
+          vertx.setTimer(SHUTDOWN_CHECK_MILLISECONDS, fired -> answered.complete(null));
+        });
+    try {
+      answered.get(GRACE_MARGIN_MILLISECONDS, TimeUnit.MILLISECONDS);
+    } catch (InterruptedException exception) {
+      Thread.currentThread().interrupt();
+    } catch (ExecutionException | TimeoutException exception) {
+      LOGGER.warn("open requests were not answered at the end", exception);
+    }
+  }
+
   /** Takes what peers say; called on the event loop. */
   private final class PeerListener implements ForwardingPeers.Listener {
     @Override
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingParts.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingParts.java
@@ -3,11 +3,13 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpClient;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.RunnerLoads;
+import org.agatefield.forwarding.SendPolicy;
 
 /**
  * What every request needs. Immutable.
@@ -18,12 +20,14 @@
  * @param headers which headers are passed on
  * @param table the configuration in force; empty before any is known
  * @param selector finds runners
+ * @param sending decides whether a request is sent, waits or is refused
  * @param loads what is known of the work at runners
  * @param presence what is known of models and adapters at runners
  * @param adapters has adapters loaded
  * @param budgets grants repeated requests
  * @param demand counts demand for models
  * @param waiting requests that wait for a runner
+ * @param exchanges requests that are not answered yet
  * @param metrics counts outcomes
  * @param leaving whether new connections are to go elsewhere
  * @param refusing whether new requests are refused, since the process ends soon
@@ -35,12 +39,14 @@
     HeaderRules headers,
     Supplier<Optional<ForwardingTable>> table,
     RunnerSelector selector,
+    SendPolicy sending,
     RunnerLoads loads,
     ModelPresence presence,
     AdapterSource adapters,
     RetryBudgets budgets,
     DemandMeter demand,
     WaitingRequests waiting,
+    Set<RequestExchange> exchanges,
     ForwardingMetrics metrics,
     BooleanSupplier leaving,
     BooleanSupplier refusing) {}
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -18,6 +18,7 @@
 import org.agatefield.forwarding.Route;
 import org.agatefield.forwarding.RouteKind;
 import org.agatefield.forwarding.RunnerEntry;
+import org.agatefield.forwarding.SendPolicy;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -86,7 +87,19 @@
             () -> parts.budgets().tryTake(service));
   }
 
+  /** Refuses the request if nothing was sent yet, since this instance ends soon. */
+  void refuseUnsent() {
+    stopWaiting();
+    perform(state.notChosen(RefusalReason.SHUTTING_DOWN));
+  }
+
+  /** Answers the request now, since this instance ends. */
+  void giveUp() {
+    perform(state.expired());
+  }
+
   void start() {
+    parts.exchanges().add(this);
     request.response().closeHandler(closed -> perform(state.callerGone()));
     request.response().exceptionHandler(cause -> perform(state.callerGone()));
     deadlineTimer =
@@ -149,7 +162,7 @@
     RunnerSelector.Selection selection =
         parts.selector().select(service, terms.prompt(), excluded, now);
     if (selection instanceof RunnerSelector.Selection.Found found) {
-      take(found.runner(), now);
+      sendOrWait(found, now);
     } else if (selection instanceof RunnerSelector.Selection.NoRunner) {
       refuseOrWait(RefusalReason.NO_RUNNER);
     } else if (selection instanceof RunnerSelector.Selection.ModelAbsent) {
@@ -160,6 +173,23 @@
     }
   }
 
+  private void sendOrWait(RunnerSelector.Selection.Found found, long now) {
+    SendPolicy.Decision decision =
+        terms.prompt().isEmpty()
+            ? SendPolicy.Decision.SEND
+            : parts
+                .sending()
+                .decide(
+                    found.candidate(),
+                    Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
+                    deadline - now);
+    switch (decision) {
+      case SEND -> take(found.runner(), now);
+      case WAIT -> startWaiting();
+      case REFUSE -> perform(state.notChosen(RefusalReason.OVERLOADED));
+    }
+  }
+
   private void refuseOrWait(RefusalReason reason) {
     boolean servesModels =
         parts
@@ -252,6 +282,7 @@
 
   private void finish(RequestAction.Final last) {
     parts.vertx().cancelTimer(deadlineTimer);
+    parts.exchanges().remove(this);
     stopWaiting();
     String outcome = deliver(last);
     long elapsed = MonotonicClock.milliseconds() - arrivedAt;
--- a/forwarding/src/main/java/org/agatefield/forwarding/EarliestBeginChoice.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/EarliestBeginChoice.java
@@ -26,19 +26,15 @@
     return candidates.stream().min(Comparator.comparingDouble(this::expectedMilliseconds));
   }
 
-  /** Returns when an answer is expected to begin, with the margins for crossings. */
-  public double expectedMilliseconds(RunnerCandidate candidate) {
+  private double expectedMilliseconds(RunnerCandidate candidate) {
     double crossing =
         switch (candidate.distance()) {
           case SAME_DOMAIN -> 0;
           case SAME_REGION -> DOMAIN_CROSSING_MILLISECONDS;
           case OTHER_REGION -> REGION_CROSSING_MILLISECONDS;
         };
-    double reading =
-        (candidate.unreadPromptTokens() + candidate.newPromptTokens())
-            * candidate.millisecondsPerToken();
     double adapter = candidate.adapterPresent() ? 0 : ADAPTER_LOAD_MILLISECONDS;
-    return crossing + reading + adapter + occupancy(candidate);
+    return crossing + candidate.readingMilliseconds() + adapter + occupancy(candidate);
   }
 
   private static double occupancy(RunnerCandidate candidate) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
@@ -23,6 +23,11 @@
     double millisecondsPerRequest,
     double newPromptTokens,
     boolean adapterPresent) {
+  /** Returns how long the prompts that stand before the answer, this one's included, take. */
+  public double readingMilliseconds() {
+    return (unreadPromptTokens + newPromptTokens) * millisecondsPerToken;
+  }
+
   /** Where a runner lies, seen from an instance. */
   public enum Distance {
     /** In the instance's failure domain. */
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
@@ -19,6 +19,9 @@
   private static final double SMOOTHING = 0.15;
   // An H100 reads a prompt of a 32-billion model at some 19 tokens a millisecond.
   private static final double INITIAL_MILLISECONDS_PER_TOKEN = 0.06;
+  private static final double MAXIMUM_MILLISECONDS_PER_TOKEN = 0.3; // five times the usual
+  private static final double MINIMUM_TOKENS = 500; // fewer say little about the rate
+  private static final double FIRST_STEP_MILLISECONDS = 90; // the step after the last piece
   private static final double INITIAL_MILLISECONDS_PER_REQUEST = 80;
   private static final int KEPT_PARTS_PER_RUNNER = 512;
 
@@ -77,7 +80,10 @@
    */
   public void measuredReading(String runner, double tokensAhead, double milliseconds) {
     OwnLoad load = load(runner);
-    double sample = milliseconds / Math.max(1, tokensAhead);
+    double reading = Math.max(0, milliseconds - FIRST_STEP_MILLISECONDS);
+    double sample =
+        Math.min(
+            MAXIMUM_MILLISECONDS_PER_TOKEN, reading / Math.max(MINIMUM_TOKENS, tokensAhead));
     load.millisecondsPerToken += SMOOTHING * (sample - load.millisecondsPerToken);
   }
 
--- /dev/null
+++ b/forwarding/src/main/java/org/agatefield/forwarding/SendAlways.java
@@ -0,0 +1,10 @@
+package org.agatefield.forwarding;
+
+/** The baseline: every request is sent at once. Stateless. */
+public final class SendAlways implements SendPolicy {
+  @Override
+  public Decision decide(
+      RunnerCandidate candidate, long objectiveMilliseconds, long remainingMilliseconds) {
+    return Decision.SEND;
+  }
+}
--- a/placement/src/main/java/org/agatefield/placement/DemandReplicaPolicy.java
+++ b/placement/src/main/java/org/agatefield/placement/DemandReplicaPolicy.java
@@ -14,8 +14,8 @@
  *
  * <p>Answers the load pattern of a few models with most of the demand and many with little, where
  * the few change within seconds: demand that moves finds more replicas within a load's time, and
- * models that nobody asks for make way. Invariants: the last replica of a model that is asked for
- * is never given up; an engine is never filled beyond its memory; each engine gets at most one
+ * models that nobody asks for make way. Invariants: the last replica of a model with requests that
+ * wait or run, or that was asked for in the last second, is never given up; an engine is never filled beyond its memory; each engine gets at most one
  * move, and only if it can take an order. Stateless.
  */
 public final class DemandReplicaPolicy implements ReplicaPolicy {
@@ -25,7 +25,8 @@
   // Work without a replica is lost whole; work on full engines is lost in part.
   private static final double UNSERVED_COST_PER_ENGINE = 4;
   private static final double UNSERVED_COST_PER_WAITING = 0.08;
-  private static final double MINIMUM_GAIN = 0.04;
+  private static final double MINIMUM_GAIN = 0.12; // an engine takes one order at a time
+  private static final long IDLE_MILLISECONDS = 1_000; // several reports of demand
   private static final double DEMAND_LASTS_MILLISECONDS = 9_000; // busy models change this often
   private static final double STORE_LOAD_PRICE = 0.03; // the store's rate is shared and paid for
   private static final int STORE_LOADS_KEPT = 1; // for models without any replica
@@ -169,8 +170,14 @@
       return free >= model.weightsMegabytes() ? Optional.of(victims) : Optional.empty();
     }
 
+    /** A model that nobody has asked for just now can come back from disk before its deadline. */
     private boolean mayGiveUp(String model) {
-      return !isAskedFor(model) || holders.getOrDefault(model, List.of()).size() > 1;
+      DemandBook.Demand demand = demandFor(model);
+      boolean idle =
+          demand.waiting() == 0
+              && demand.running() == 0
+              && demand.idleMilliseconds() >= IDLE_MILLISECONDS;
+      return idle || holders.getOrDefault(model, List.of()).size() > 1;
     }
 
     private double lossOfGivingUp(String model) {
