--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -67,7 +67,7 @@
   private static final long DEMAND_MILLISECONDS = 250;
   private static final long NEIGHBOUR_MILLISECONDS = 120;
   private static final int REPORTS_PER_DISTANT_REPORT = 2; // bytes between domains are paid for
-  private static final long NOTICE_MILLISECONDS = 1_000;
+  private static final long NOTICE_MILLISECONDS = 500; // a fraction of a takeover
   private static final long LAPSE_CHECK_MILLISECONDS = 200;
   private static final long ADAPTER_ANSWER_MILLISECONDS = 1_200;
   private static final long PLANNER_SILENCE_MILLISECONDS = 4_000;
@@ -95,6 +95,7 @@
   private final KnowledgeExchange knowledge;
   private ForwardingPeers peers;
   private PlannerDuty planner;
+  private LeaseDuty lease;
   private IngressServer ingress;
   private Optional<PeerMessage.PlannerNotice> plannerNotice = Optional.empty();
   private long plannerHeardAt;
@@ -225,6 +226,9 @@
                 () -> refusing));
     metrics.registerGauge("agatefield.forwarding.waiting", (Gauge<Integer>) waiting::size);
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
+    metrics.registerGauge("agatefield.configuration.version", (Gauge<Long>) configuration::version);
+    metrics.registerGauge(
+        "agatefield.runners.age-milliseconds", (Gauge<Long>) runners::ageMilliseconds);
   }
 
   private void startPlanner(HttpObjectStore store, String id) {
@@ -236,8 +240,15 @@
                 .setTcpNoDelay(true),
             new PoolOptions().setHttp1MaxSize(2));
     closer.register(client::close);
-    LeaseDuty lease =
-        closer.register(new LeaseDuty(vertx, store, PLANNER_LEASE, id, LEASE_DURATION));
+    lease =
+        closer.register(
+            new LeaseDuty(
+                vertx,
+                store,
+                PLANNER_LEASE,
+                id,
+                LEASE_DURATION,
+                this::isEarlierLifeOfThisInstance));
     planner =
         new PlannerDuty(
             vertx,
@@ -252,6 +263,13 @@
     planner.start();
   }
 
+  /** Two processes of one instance never live at once, as both listen on its addresses. */
+  private boolean isEarlierLifeOfThisInstance(String holder) {
+    String prefix = settings.instanceName() + "-";
+    boolean sameInstance = holder.startsWith(prefix) && holder.indexOf('-', prefix.length()) < 0;
+    return sameInstance && !holder.equals(peers.self().id());
+  }
+
   private void startTimers(String id) {
     vertx.setPeriodic(DEMAND_MILLISECONDS, fired -> reportDemand(id));
     vertx.setPeriodic(NEIGHBOUR_MILLISECONDS, fired -> tellNeighbours(id));
@@ -266,6 +284,9 @@
     listening.add(listen(listeners.callers(), ingress::handle));
     listening.add(listen(listeners.readiness(), this::answerReadiness));
     listening.add(listen(listeners.directory(), this::answerDirectory));
+    listeners
+        .metrics()
+        .ifPresent(address -> listening.add(listen(address, new MetricsServer(metrics))));
     CompletableFuture.allOf(listening.toArray(CompletableFuture[]::new))
         .whenComplete(
             (done, failure) -> {
@@ -309,7 +330,7 @@
       return;
     }
     List<Address> addresses =
-        EntryDirectory.addressesFor(callers.whereabouts(request.params()), peers.alive());
+        EntryDirectory.addressesFor(callers.whereabouts(request.params()), peers.answering());
     request
         .response()
         .putHeader("Content-Type", "application/json")
@@ -378,6 +399,17 @@
     planner
         .fencingToken()
         .ifPresent(token -> peers.broadcast(new PeerMessage.PlannerNotice(id, token)));
+    boolean plannerLeft =
+        plannerNotice.isPresent()
+            && peers
+                .member(plannerNotice.get().instance())
+                .filter(member -> member.state() == InstanceState.LIVE)
+                .isEmpty();
+    if (plannerLeft) {
+      LOGGER.info("planner={} left=true", plannerNotice.get().instance());
+      plannerNotice = Optional.empty();
+      lease.refresh();
+    }
     long silent = MonotonicClock.milliseconds() - plannerHeardAt;
     if (plannerNotice.isPresent() && silent > PLANNER_SILENCE_MILLISECONDS) {
       LOGGER.info("planner={} silent_ms={}", plannerNotice.get().instance(), silent);
@@ -385,6 +417,17 @@
     }
   }
 
+  /** Stops talking to other instances, as a process does that dies; for tests of the others. */
+  public void stopPeers() {
+    peers.close();
+  }
+
+  /** Takes settings that changed while the daemon runs; only the seeds can change. */
+  public void reload(ForwardingSettings changed) {
+    LOGGER.info("settings reloaded seeds={} before={}", changed.peers(), settings.peers());
+    peers.seedsChanged(changed.peers());
+  }
+
   /**
    * Finishes what runs, then closes everything.
    *
@@ -395,7 +438,11 @@
     LOGGER.info("leaving begun open={}", ingress.open());
     leaving = true;
     peers.leave();
-    context.runOnContext(run -> planner.stop());
+    context.runOnContext(
+        run -> {
+          planner.stop();
+          lease.close();
+        });
     long end = begun + settings.terms().grace().toMillis() - GRACE_MARGIN_MILLISECONDS;
     while (MonotonicClock.milliseconds() < end) {
       long elapsed = MonotonicClock.milliseconds() - begun;
@@ -467,11 +514,15 @@
     }
 
     private void heardModel(PeerMessage.ModelNotice notice, long now) {
-      if (notice.present()) {
-        presence.announceModel(notice.runner(), notice.model());
-        waiting.wake();
-      } else {
-        presence.withdrawModel(notice.runner(), notice.model(), now);
+      switch (notice.change()) {
+        case LOADED -> {
+          presence.announceModel(notice.runner(), notice.model());
+          waiting.wake();
+        }
+        case DROPPING -> presence.withdrawModel(notice.runner(), notice.model(), now);
+        case LOADING ->
+            presence.expectModel(
+                notice.runner(), notice.model(), now + notice.expectedMilliseconds());
       }
     }
 
@@ -514,13 +565,24 @@
     @Override
     public void loaded(String runner, String model) {
       presence.announceModel(runner, model);
-      peers.broadcast(new PeerMessage.ModelNotice(runner, model, true));
+      peers.broadcast(
+          new PeerMessage.ModelNotice(runner, model, PeerMessage.ModelChange.LOADED, 0));
+      waiting.wake();
     }
 
     @Override
     public void dropping(String runner, String model) {
       presence.withdrawModel(runner, model, MonotonicClock.milliseconds());
-      peers.broadcast(new PeerMessage.ModelNotice(runner, model, false));
+      peers.broadcast(
+          new PeerMessage.ModelNotice(runner, model, PeerMessage.ModelChange.DROPPING, 0));
+    }
+
+    @Override
+    public void loading(String runner, String model, long expectedMilliseconds) {
+      presence.expectModel(runner, model, MonotonicClock.milliseconds() + expectedMilliseconds);
+      peers.broadcast(
+          new PeerMessage.ModelNotice(
+              runner, model, PeerMessage.ModelChange.LOADING, expectedMilliseconds));
     }
 
     @Override
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -33,6 +33,11 @@
  */
 final class ForwardingPeers implements AutoCloseable {
   private static final long SHUTDOWN_MILLISECONDS = 500;
+  // Callers keep an answer that names a dead instance for seconds, so the dead are found in about
+  // two.
+  private static final long PROBE_MILLISECONDS = 600;
+  private static final long PROBE_TIMEOUT_MILLISECONDS = 250; // four times the way between regions
+  private static final int SUSPICION_PROBES = 3;
 
   private final Closer closer = new Closer();
   private final Context context;
@@ -63,7 +68,9 @@
       UniformRandomProvider random) {
     this.context = context;
     this.listener = listener;
-    this.settings = MembershipSettings.defaults();
+    this.settings =
+        MembershipSettings.defaults()
+            .withProbes(PROBE_MILLISECONDS, PROBE_TIMEOUT_MILLISECONDS, SUSPICION_PROBES);
     MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(
             1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
@@ -106,6 +113,16 @@
     return members.alive();
   }
 
+  /** Returns every instance that is alive and not suspected, this one first. */
+  List<Instance> answering() {
+    return members.answering();
+  }
+
+  /** Takes other addresses to look for instances at. */
+  void seedsChanged(List<Address> seeds) {
+    loop.execute(() -> members.handle(new MembershipEvent.SeedsChanged(seeds)));
+  }
+
   Optional<Instance> member(String id) {
     return alive().stream().filter(instance -> instance.id().equals(id)).findFirst();
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPresence.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPresence.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.agatefield.forwarding.RunnerEntry;
 
@@ -21,6 +22,9 @@
   // An unload waits for the model's requests; the entry follows when it is done.
   private static final long WITHDRAWAL_MILLISECONDS = 5_000;
 
+  private static final long LATE_LOAD_MILLISECONDS = 2_000; // loads slow down when many run
+
+  private final Map<String, Map<String, Long>> modelsExpectedAt = new HashMap<>();
   private final Map<String, Map<String, Long>> adaptersConfirmedAt = new HashMap<>();
   private final Map<String, Map<String, Long>> modelsDoubtedAt = new HashMap<>();
   private final Map<String, Set<String>> modelsAnnounced = new HashMap<>();
@@ -49,6 +53,19 @@
   void announceModel(String runner, String model) {
     modelsAnnounced.computeIfAbsent(runner, ignored -> new HashSet<>()).add(model);
     modelsDoubtedAt.getOrDefault(runner, new HashMap<>()).remove(model);
+    modelsExpectedAt.getOrDefault(model, new HashMap<>()).remove(runner);
+  }
+
+  /** The planner said that a runner is loading a model. */
+  void expectModel(String runner, String model, long readyAt) {
+    modelsExpectedAt.computeIfAbsent(model, ignored -> new HashMap<>()).put(runner, readyAt);
+  }
+
+  /** Returns when some runner is expected to have a model; empty if none is loading it. */
+  OptionalLong expectedAt(String model, long now) {
+    Map<String, Long> expected = modelsExpectedAt.getOrDefault(model, new HashMap<>());
+    expected.values().removeIf(at -> now - at > LATE_LOAD_MILLISECONDS);
+    return expected.values().stream().mapToLong(Long::longValue).min();
   }
 
   /** The planner said that a runner is about to drop a model. */
@@ -76,6 +93,7 @@
   }
 
   void forget(String runner) {
+    modelsExpectedAt.values().forEach(expected -> expected.remove(runner));
     adaptersConfirmedAt.remove(runner);
     modelsDoubtedAt.remove(runner);
     modelsAnnounced.remove(runner);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
@@ -67,6 +67,9 @@
     /** A runner is about to drop a model. */
     void dropping(String runner, String model);
 
+    /** A runner begins to load a model. */
+    void loading(String runner, String model, long expectedMilliseconds);
+
     /** This instance has become the planner. */
     void tookOver(long fencingToken);
   }
@@ -226,6 +229,7 @@
           move.fromStore(),
           demands.get(move.load()));
       engines.get(move.runner()).begin(move);
+      announcements.loading(move.runner(), move.load(), (long) move.loadMilliseconds());
     }
     budgets.put(service, budget);
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -5,6 +5,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.agatefield.daemon.forward.wire.AnswerKind;
 import org.agatefield.daemon.forward.wire.SendTerms;
@@ -31,6 +32,8 @@
   private static final long ANSWER_MARGIN_MILLISECONDS = 15; // the way back to the caller
   private static final long SHORTEST_SEND_MILLISECONDS = 20; // less is no use to a runner
   private static final long REFUSAL_RETURN_MILLISECONDS = 400; // about one load from host memory
+  private static final long PLANNING_MILLISECONDS = 1_500; // a report, a plan and a load from disk
+  private static final long FIRST_EVENT_MILLISECONDS = 250;
   private static final long ADAPTER_PAUSE_MILLISECONDS = 80; // several loads of an adapter
   private static final long STALL_CHECK_MILLISECONDS = 100; // a fraction of the shortest limit
   private static final int MOST_URGENT = 0;
@@ -45,6 +48,7 @@
   private final Buffer content;
   private final long arrivedAt;
   private final long deadline;
+  private final long beginBy;
   private final long tableVersion;
   private final ForwardedRequest state;
   private Set<String> excluded = Set.of();
@@ -52,6 +56,7 @@
   private RunnerEntry chosenRunner;
   private boolean waiting;
   private long deadlineTimer = -1;
+  private long returnAfter = REFUSAL_RETURN_MILLISECONDS;
   private int sends;
   private long firstEventAt = -1;
 
@@ -78,6 +83,7 @@
             route.timeoutMilliseconds(),
             terms.deadlineMilliseconds().orElse(route.timeoutMilliseconds()));
     this.deadline = arrivedAt + Math.max(1, allowed - ANSWER_MARGIN_MILLISECONDS);
+    this.beginBy = Math.min(deadline, arrivedAt + CallerPatience.milliseconds(route));
     this.state =
         new ForwardedRequest(
             route.repetition(),
@@ -163,13 +169,28 @@
     } else if (selection instanceof RunnerSelector.Selection.NoRunner) {
       refuseOrWait(RefusalReason.NO_RUNNER);
     } else if (selection instanceof RunnerSelector.Selection.ModelAbsent) {
-      refuseOrWait(RefusalReason.MODEL_ABSENT);
+      waitForModel(now);
     } else {
       excluded = Set.of();
       startWaiting();
     }
   }
 
+  /** Waits only for a model that will be there in time, or whose load may still be planned. */
+  private void waitForModel(long now) {
+    String model = terms.prompt().orElseThrow().model();
+    OptionalLong expectedAt = parts.presence().expectedAt(model, now);
+    long readyAt = expectedAt.orElse(arrivedAt + PLANNING_MILLISECONDS);
+    boolean inTime = readyAt + FIRST_EVENT_MILLISECONDS <= beginBy && readyAt > now;
+    boolean overdue = expectedAt.isPresent() && readyAt <= now;
+    if (inTime || overdue) {
+      startWaiting();
+      return;
+    }
+    returnAfter = Math.max(REFUSAL_RETURN_MILLISECONDS, readyAt - now);
+    perform(state.notChosen(RefusalReason.MODEL_ABSENT));
+  }
+
   private void sendOrWait(RunnerSelector.Selection.Found found, long now) {
     SendPolicy.Decision decision =
         terms.prompt().isEmpty()
@@ -179,7 +200,7 @@
                 .decide(
                     found.candidate(),
                     Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
-                    deadline - now);
+                    beginBy - now);
     switch (decision) {
       case SEND -> take(found.runner(), now);
       case WAIT -> startWaiting();
@@ -248,6 +269,10 @@
   }
 
   private void sendTo(RunnerEntry runner) {
+    if (!parts.selector().isUsable(runner)) {
+      startWaiting(); // the runner began to leave while its adapter was loaded
+      return;
+    }
     if (deadline - MonotonicClock.milliseconds() < SHORTEST_SEND_MILLISECONDS) {
       perform(state.notChosen(RefusalReason.DEADLINE));
       return;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -89,6 +89,15 @@
     return new Selection.Found(directory.entry(chosen.id()).orElseThrow(), chosen);
   }
 
+  /** Returns whether a runner that was chosen before may still get work. */
+  boolean isUsable(RunnerEntry runner) {
+    return directory
+        .entry(runner.id())
+        .filter(entry -> !entry.draining())
+        .filter(entry -> entry.bornMilliseconds() == runner.bornMilliseconds())
+        .isPresent();
+  }
+
   /** A runner sent something. */
   void heard(String runner, long now) {
     heardAt.put(runner, now);
--- a/daemon/src/main/java/org/agatefield/daemon/leases/LeaseDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/leases/LeaseDuty.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Predicate;
 import org.agatefield.daemon.core.LeaseView;
 import org.agatefield.lease.LeaseDecision;
 import org.agatefield.lease.LeaseGrant;
@@ -62,6 +63,24 @@
    */
   public LeaseDuty(
       Vertx vertx, ObjectStore store, String leaseName, String holder, Duration duration) {
+    this(vertx, store, leaseName, holder, duration, other -> false);
+  }
+
+  /**
+   * Starts to acquire a lease, knowing of some holders that they have ended.
+   *
+   * @param leaseName the object's name
+   * @param holder unique to the process
+   * @param duration how long a grant lasts after a write
+   * @param dead true only for holders that are proved to have ended
+   */
+  public LeaseDuty(
+      Vertx vertx,
+      ObjectStore store,
+      String leaseName,
+      String holder,
+      Duration duration,
+      Predicate<String> dead) {
     this.vertx = vertx;
     this.store = new ResolvingObjectStore(store);
     this.key = new ObjectKey(ObjectKind.LEASE, leaseName);
@@ -71,7 +90,8 @@
         new LeaseProtocol(
             holder,
             new LeaseTerms(
-                nanoseconds, nanoseconds / RENEWALS_PER_DURATION, CLOCK_DRIFT_PER_MILLION));
+                nanoseconds, nanoseconds / RENEWALS_PER_DURATION, CLOCK_DRIFT_PER_MILLION),
+            dead);
     read();
   }
 
@@ -80,6 +100,14 @@
     return closed ? Optional.empty() : state.grantAt(System.nanoTime());
   }
 
+  /** Reads the lease soon, for a caller that has reason to think that its holder gave it up. */
+  public synchronized void refresh() {
+    if (!closed && state.grantAt(System.nanoTime()).isEmpty()) {
+      vertx.cancelTimer(timer);
+      later(0);
+    }
+  }
+
   /** Stops acting as the holder, then gives the lease up in the store, if it can be reached. */
   @Override
   public void close() {
--- a/daemon/src/main/java/org/agatefield/daemon/peers/MembershipDriver.java
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/MembershipDriver.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.agatefield.membership.Liveness;
 import org.agatefield.membership.MemberUpdate;
 import org.agatefield.membership.Membership;
 import org.agatefield.membership.MembershipAction;
@@ -31,6 +32,7 @@
   private final GenerationListener generations;
   private volatile Instance self;
   private volatile List<Instance> alive;
+  private volatile List<Instance> answering;
 
   /** Told of configuration generations that members mention. */
   @FunctionalInterface
@@ -53,6 +55,7 @@
       GenerationListener generations) {
     this.self = self;
     this.alive = List.of(self);
+    this.answering = List.of(self);
     this.transport = transport;
     this.attachments = attachments;
     this.generations = generations;
@@ -69,6 +72,11 @@
     return alive;
   }
 
+  /** Returns every instance that is alive and not suspected, this one first. */
+  public List<Instance> answering() {
+    return answering;
+  }
+
   /** Takes one event and carries out what follows. */
   public void handle(MembershipEvent event) {
     try {
@@ -104,10 +112,16 @@
         update.instance().state(),
         update.incarnation());
     self = membership.self().instance();
-    List<Instance> instances = new ArrayList<>();
-    instances.add(self);
-    membership.present().forEach(member -> instances.add(member.instance()));
+    List<Instance> instances = new ArrayList<>(List.of(self));
+    List<Instance> unsuspected = new ArrayList<>(List.of(self));
+    for (MemberUpdate member : membership.present()) {
+      instances.add(member.instance());
+      if (member.liveness() == Liveness.ALIVE) {
+        unsuspected.add(member.instance());
+      }
+    }
     alive = List.copyOf(instances);
+    answering = List.copyOf(unsuspected);
   }
 
   private static long now() {
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -1,17 +1,23 @@
 package org.agatefield.daemon.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.agatefield.daemon.forward.wire.KnowledgeDialect;
+import org.agatefield.forwarding.FewestRunningChoice;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.RunnerEntry;
+import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.model.Address;
+import org.agatefield.model.FailureDomain;
 import org.agatefield.store.ObjectKey;
 import org.agatefield.store.ObjectKind;
 import org.agatefield.store.StoredObject;
@@ -101,6 +107,23 @@
     assertEquals(1, usable());
   }
 
+  @Test
+  void aRunnerThatBeganToLeaveAfterItWasChosenIsNotUsable() {
+    RunnerSelector selector =
+        new RunnerSelector(
+            new FailureDomain("r", "d"),
+            Map.of("d", "r"),
+            directory,
+            new RunnerLoads(),
+            new ModelPresence(),
+            new FewestRunningChoice());
+    directory.changed(entry("a", "ready"));
+    RunnerEntry chosen = directory.entry("a").orElseThrow();
+    assertTrue(selector.isUsable(chosen));
+    directory.changed(entry("a", "draining"));
+    assertFalse(selector.isUsable(chosen));
+  }
+
   @Test
   void anUnreadableEntryNamesNoRunner() {
     directory.changed(entry("a", "ready"));
--- a/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
@@ -22,6 +22,7 @@
     "org.agatefield.idempotency..",
     "org.agatefield.admission..",
     "org.agatefield.routing..",
+    "org.agatefield.forwarding..",
     "org.agatefield.placement.."
   };
 
@@ -43,15 +44,19 @@
                 "org.agatefield.configuration..")
             .layer("Binaries")
             .definedBy("org.agatefield.daemon..", "org.agatefield.command..")
+            .layer("Adapters")
+            .definedBy("org.agatefield.platform..")
             .layer("Tools")
             .definedBy(
                 "org.agatefield.standin..", "org.agatefield.measure..", "org.agatefield.fleet..")
             .whereLayer("Decisions")
-            .mayOnlyBeAccessedByLayers("Binaries", "Tools")
+            .mayOnlyBeAccessedByLayers("Binaries", "Adapters", "Tools")
             .whereLayer("Clients")
-            .mayOnlyBeAccessedByLayers("Binaries", "Tools")
+            .mayOnlyBeAccessedByLayers("Binaries", "Adapters", "Tools")
             .whereLayer("Binaries")
-            .mayOnlyBeAccessedByLayers("Tools")
+            .mayOnlyBeAccessedByLayers("Adapters", "Tools")
+            .whereLayer("Adapters")
+            .mayNotBeAccessedByAnyLayer()
             .whereLayer("Tools")
             .mayNotBeAccessedByAnyLayer();
     rule.check(CLASSES);
--- a/lease/src/main/java/org/agatefield/lease/LeaseProtocol.java
+++ b/lease/src/main/java/org/agatefield/lease/LeaseProtocol.java
@@ -1,6 +1,7 @@
 package org.agatefield.lease;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * Decides how a process acquires, renews and releases a lease by conditional writes.
@@ -25,6 +26,7 @@
 
   private final String holder;
   private final LeaseTerms terms;
+  private final Predicate<String> dead;
 
   /**
    * Creates the protocol of one process.
@@ -32,11 +34,22 @@
    * @param holder unique to the process, not empty
    */
   public LeaseProtocol(String holder, LeaseTerms terms) {
+    this(holder, terms, other -> false);
+  }
+
+  /**
+   * Creates the protocol of one process that knows of some holders that they have ended.
+   *
+   * @param holder unique to the process, not empty
+   * @param dead true only for holders that are proved to have ended and will never act again
+   */
+  public LeaseProtocol(String holder, LeaseTerms terms, Predicate<String> dead) {
     if (holder.isEmpty()) {
       throw new IllegalArgumentException("holder: must not be empty");
     }
     this.holder = holder;
     this.terms = terms;
+    this.dead = dead;
   }
 
   /**
@@ -75,7 +88,8 @@
     }
     long waited = nowNanoseconds - seen.unchangedSinceNanoseconds();
     long patience = terms.patienceNanoseconds(lease.durationNanoseconds());
-    if (!lease.holder().isEmpty() && waited < patience) {
+    boolean mayStillAct = !lease.holder().isEmpty() && !dead.test(lease.holder());
+    if (mayStillAct && waited < patience) {
       return new LeaseDecision.Wait(patience - waited);
     }
     return new LeaseDecision.Update(seen.version(), record(lease.fencingToken() + 1));
--- a/lease/src/test/java/org/agatefield/lease/LeaseProtocolTest.java
+++ b/lease/src/test/java/org/agatefield/lease/LeaseProtocolTest.java
@@ -65,6 +65,18 @@
     assertEquals(false, overlapsAtWorstDrift(10_000));
   }
 
+  @Test
+  void aLeaseOfAHolderThatIsProvedDeadIsTakenAtOnceAndOneOfAnotherIsNot() {
+    LeaseProtocol protocol = new LeaseProtocol("b-2", TERMS, "b-1"::equals);
+    LeaseRecord ofEarlierLife = new LeaseRecord("b-1", 7, TERMS.durationNanoseconds());
+    LeaseState state = protocol.observe(LeaseState.unknown(), "v", ofEarlierLife, 0);
+    LeaseDecision.Update update = (LeaseDecision.Update) protocol.decide(state, 1);
+    assertEquals(8, update.lease().fencingToken());
+    LeaseRecord ofAnother = new LeaseRecord("c-1", 7, TERMS.durationNanoseconds());
+    LeaseState other = protocol.observe(LeaseState.unknown(), "v", ofAnother, 0);
+    assertTrue(protocol.decide(other, 1) instanceof LeaseDecision.Wait);
+  }
+
   @Test
   void releasedLeaseIsTakenAtOnce() {
     LeaseProtocol protocol = new LeaseProtocol("b", TERMS);
--- a/membership/src/main/java/org/agatefield/membership/MembershipSettings.java
+++ b/membership/src/main/java/org/agatefield/membership/MembershipSettings.java
@@ -67,6 +67,35 @@
         0.125);
   }
 
+  /**
+   * Returns these settings with other bounds for finding the dead.
+   *
+   * @param probeInterval milliseconds between probes
+   * @param probeTimeout milliseconds that a direct probe may take
+   * @param suspicion probe intervals that a suspicion lasts, at ten members or fewer
+   */
+  public MembershipSettings withProbes(long probeInterval, long probeTimeout, int suspicion) {
+    return new MembershipSettings(
+        tickMilliseconds,
+        probeInterval,
+        probeTimeout,
+        indirectProbes,
+        maximumRelays,
+        suspicion,
+        gossipIntervalMilliseconds,
+        gossipFanout,
+        transmitMultiplier,
+        updatesPerMessage,
+        updatesPerPage,
+        exchangeIntervalMilliseconds,
+        deadContactIntervalMilliseconds,
+        deadRetentionMilliseconds,
+        maximumDead,
+        pauseMilliseconds,
+        maximumHealthScore,
+        remoteShare);
+  }
+
   /** Returns how long a suspicion lasts among {@code members}. */
   long suspicionMilliseconds(int members) {
     double scale = Math.max(1.0, Math.log10(Math.max(1, members)));
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -25,7 +25,8 @@
           PeerProtocol.ModelNotice.newBuilder()
               .setRunner(notice.runner())
               .setModel(notice.model())
-              .setPresent(notice.present()));
+              .setChange(encodeChange(notice.change()))
+              .setExpectedMilliseconds((int) notice.expectedMilliseconds()));
     } else if (message instanceof PeerMessage.AdapterRequest request) {
       envelope.setAdapterRequest(
           PeerProtocol.AdapterRequest.newBuilder()
@@ -58,12 +59,7 @@
                   envelope.getPlannerNotice().getInstance(),
                   envelope.getPlannerNotice().getFencingToken()));
       case MODEL_DEMAND_REPORT -> Optional.of(decodeDemand(envelope.getModelDemandReport()));
-      case MODEL_NOTICE ->
-          Optional.of(
-              new PeerMessage.ModelNotice(
-                  envelope.getModelNotice().getRunner(),
-                  envelope.getModelNotice().getModel(),
-                  envelope.getModelNotice().getPresent()));
+      case MODEL_NOTICE -> decodeNotice(envelope.getModelNotice());
       case ADAPTER_REQUEST ->
           Optional.of(
               new PeerMessage.AdapterRequest(
@@ -82,6 +78,28 @@
     };
   }
 
+  private static PeerProtocol.ModelChange encodeChange(PeerMessage.ModelChange change) {
+    return switch (change) {
+      case LOADED -> PeerProtocol.ModelChange.MODEL_CHANGE_LOADED;
+      case DROPPING -> PeerProtocol.ModelChange.MODEL_CHANGE_DROPPING;
+      case LOADING -> PeerProtocol.ModelChange.MODEL_CHANGE_LOADING;
+    };
+  }
+
+  private static Optional<PeerMessage> decodeNotice(PeerProtocol.ModelNotice notice) {
+    Optional<PeerMessage.ModelChange> change =
+        switch (notice.getChange()) {
+          case MODEL_CHANGE_LOADED -> Optional.of(PeerMessage.ModelChange.LOADED);
+          case MODEL_CHANGE_DROPPING -> Optional.of(PeerMessage.ModelChange.DROPPING);
+          case MODEL_CHANGE_LOADING -> Optional.of(PeerMessage.ModelChange.LOADING);
+          case MODEL_CHANGE_UNSPECIFIED, UNRECOGNIZED -> Optional.empty();
+        };
+    return change.map(
+        known ->
+            new PeerMessage.ModelNotice(
+                notice.getRunner(), notice.getModel(), known, notice.getExpectedMilliseconds()));
+  }
+
   private static PeerProtocol.ModelDemandReport encodeDemand(PeerMessage.ModelDemandReport report) {
     PeerProtocol.ModelDemandReport.Builder builder =
         PeerProtocol.ModelDemandReport.newBuilder().setInstance(report.instance());
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -97,9 +97,21 @@
    *
    * @param runner the runner's identifier
    * @param model the model's name
-   * @param present whether the runner has it from now on; otherwise it is about to drop it
+   * @param change what happens to it
+   * @param expectedMilliseconds how long until it is there, while it is being loaded
    */
-  record ModelNotice(String runner, String model, boolean present) implements PeerMessage {}
+  record ModelNotice(String runner, String model, ModelChange change, long expectedMilliseconds)
+      implements PeerMessage {}
+
+  /** What the planner does with a model at a runner. */
+  enum ModelChange {
+    /** The runner has it from now on. */
+    LOADED,
+    /** The runner is about to drop it. */
+    DROPPING,
+    /** The runner is loading it. */
+    LOADING
+  }
 
   /**
    * Asks the planner to have an adapter loaded. Immutable.
--- a/placement/src/main/java/org/agatefield/placement/DemandReplicaPolicy.java
+++ b/placement/src/main/java/org/agatefield/placement/DemandReplicaPolicy.java
@@ -148,7 +148,7 @@
       if (gain - price < MINIMUM_GAIN) {
         return Optional.empty();
       }
-      ReplicaMove move = new ReplicaMove(engine.id(), victims.get(), model.name(), fromStore);
+      ReplicaMove move = new ReplicaMove(engine.id(), victims.get(), model.name(), fromStore, time);
       return Optional.of(new Scored(move, index, gain - price));
     }
 
--- a/placement/src/main/java/org/agatefield/placement/ReplicaMove.java
+++ b/placement/src/main/java/org/agatefield/placement/ReplicaMove.java
@@ -9,8 +9,10 @@
  * @param unload models that make way, in order
  * @param load the model to load afterwards
  * @param fromStore whether it is loaded from the weight store
+ * @param loadMilliseconds how long that is expected to take
  */
-public record ReplicaMove(String runner, List<String> unload, String load, boolean fromStore) {
+public record ReplicaMove(
+    String runner, List<String> unload, String load, boolean fromStore, double loadMilliseconds) {
   /** Copies the list. */
   public ReplicaMove {
     unload = List.copyOf(unload);
--- a/placement/src/test/java/org/agatefield/placement/DemandReplicaPolicyTest.java
+++ b/placement/src/test/java/org/agatefield/placement/DemandReplicaPolicyTest.java
@@ -58,7 +58,7 @@
     Map<String, Demand> demands =
         Map.of("a", demand(5_000, 0, 3, 10), "c", demand(4_000, 6, 0, 10));
     List<ReplicaMove> moves = policy.plan(engines, List.of(BIG_A, BIG_B, BIG_C), demands, 2);
-    assertEquals(new ReplicaMove("two", List.of(), "c", false), moves.get(0));
+    assertEquals(new ReplicaMove("two", List.of(), "c", false, 1_100), moves.get(0));
   }
 
   @Test
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.agatefield.model.Address;
 import org.agatefield.model.FailureDomain;
 
@@ -40,8 +41,14 @@
    * @param readiness the platform's checks
    * @param directory callers that ask which instance to use
    * @param peers other instances
+   * @param metrics whoever reads metrics; nobody if empty
    */
-  public record Listeners(Address callers, Address readiness, Address directory, Address peers) {}
+  public record Listeners(
+      Address callers,
+      Address readiness,
+      Address directory,
+      Address peers,
+      Optional<Address> metrics) {}
 
   /**
    * What the operators promise. Immutable.
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
@@ -69,7 +69,8 @@
             table.address("callers"),
             table.address("readiness"),
             table.address("directory"),
-            table.address("peers"));
+            table.address("peers"),
+            table.optionalAddress("metrics"));
     table.rejectUnknownKeys();
     return listeners;
   }
--- a/settings/src/main/java/org/agatefield/settings/SettingsTable.java
+++ b/settings/src/main/java/org/agatefield/settings/SettingsTable.java
@@ -133,6 +133,11 @@
     return parseAddress(key, value).orElse(PLACEHOLDER_ADDRESS);
   }
 
+  Optional<Address> optionalAddress(String key) {
+    JsonNode value = value(key);
+    return value.isMissingNode() ? Optional.empty() : parseAddress(key, value);
+  }
+
   Path readableFile(String key) {
     JsonNode value = value(key);
     if (value.isMissingNode()) {
--- a/store/src/main/java/org/agatefield/store/LongPollWatch.java
+++ b/store/src/main/java/org/agatefield/store/LongPollWatch.java
@@ -22,21 +22,25 @@
   private final WatchCall call;
   private final Dialect dialect;
   private final Duration limit;
+  private final long pauseMilliseconds;
   private final AtomicBoolean over = new AtomicBoolean();
 
-  private LongPollWatch(WatchCall call, Dialect dialect, Duration limit) {
+  private LongPollWatch(WatchCall call, Dialect dialect, Duration limit, Duration pause) {
     this.call = call;
     this.dialect = dialect;
     this.limit = limit;
+    this.pauseMilliseconds = Math.max(1, pause.toMillis());
   }
 
   /**
    * Starts a watch.
    *
    * @param limit how long one call may take, its wait included
+   * @param pause how long to wait after changes, so that one call brings several
    */
-  public static AutoCloseable start(WatchCall call, Dialect dialect, Duration limit) {
-    LongPollWatch watch = new LongPollWatch(call, dialect, limit);
+  public static AutoCloseable start(
+      WatchCall call, Dialect dialect, Duration limit, Duration pause) {
+    LongPollWatch watch = new LongPollWatch(call, dialect, limit, pause);
     watch.poll(call.fromVersion());
     return watch;
   }
@@ -110,7 +114,11 @@
       return;
     }
     report(batch.get());
-    poll(batch.get().version());
+    if (batch.get().changes().isEmpty()) {
+      poll(batch.get().version());
+    } else {
+      call.vertx().setTimer(pauseMilliseconds, fired -> poll(batch.get().version()));
+    }
   }
 
   private void report(Batch batch) {
