--- a/admission/src/test/java/org/agatefield/admission/WindowedRetryBudgetTest.java
+++ b/admission/src/test/java/org/agatefield/admission/WindowedRetryBudgetTest.java
@@ -17,7 +17,7 @@
   private static final double RESERVE = 3;
 
   @Property(tries = 500, seed = "99")
-  void aRepeatIsGrantedOnlyWithinWhatTheRequestsOfItsWindowAllow(
+  void repeatIsGrantedOnlyWithinWhatTheRequestsOfItsWindowAllow(
       @ForAll @Size(max = 300) List<@IntRange(min = 0, max = 400) Integer> pauses,
       @ForAll @IntRange(min = 1, max = 5) int triesPerRequest) {
     WindowedRetryBudget budget = new WindowedRetryBudget(SHARE, WINDOW);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineControl.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineControl.java
@@ -399,7 +399,7 @@
     if (!settled || sending) {
       return;
     }
-    boolean moved = acceptedOrders >= 0 && report.acceptedOrders() > acceptedOrders;
+    final boolean moved = acceptedOrders >= 0 && report.acceptedOrders() > acceptedOrders;
     acceptedOrders = report.acceptedOrders();
     busy = report.busy();
     holdOnly(report.models());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -434,7 +434,7 @@
    * @return whether every request was answered
    */
   public boolean shutDown() {
-    long begun = MonotonicClock.milliseconds();
+    final long begun = MonotonicClock.milliseconds();
     LOGGER.info("leaving begun open={}", ingress.open());
     leaving = true;
     peers.leave();
@@ -523,6 +523,7 @@
         case LOADING ->
             presence.expectModel(
                 notice.runner(), notice.model(), now + notice.expectedMilliseconds());
+        default -> throw new IllegalStateException("unknown change " + notice.change());
       }
     }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -205,6 +205,7 @@
       case SEND -> take(found.runner(), now);
       case WAIT -> startWaiting();
       case REFUSE -> perform(state.notChosen(RefusalReason.OVERLOADED));
+      default -> throw new IllegalStateException("unknown decision " + decision);
     }
   }
 
--- a/daemon/src/test/java/org/agatefield/daemon/forward/AdapterSlotsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/AdapterSlotsTest.java
@@ -41,7 +41,7 @@
   }
 
   @Test
-  void whatTheRunnerReportsTakesAPlaceAndWhatItLacksDoesNot() {
+  void whatTheRunnerReportsTakesPlaceAndWhatItLacksDoesNot() {
     slots.loaded("m/a1", 0);
     slots.reported(Set.of("m/a2", "n/a1"));
     assertEquals(2, slots.taken());
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -70,7 +70,7 @@
   }
 
   @Test
-  void aDrainingRunnerGetsNoFurtherRequest() {
+  void drainingRunnerGetsNoFurtherRequest() {
     directory.changed(entry("a", "ready"));
     assertEquals(1, usable());
     directory.changed(entry("a", "draining"));
@@ -108,7 +108,7 @@
   }
 
   @Test
-  void aRunnerThatBeganToLeaveAfterItWasChosenIsNotUsable() {
+  void runnerThatBeganToLeaveAfterItWasChosenIsNotUsable() {
     RunnerSelector selector =
         new RunnerSelector(
             new FailureDomain("r", "d"),
@@ -132,7 +132,7 @@
   }
 
   @Test
-  void whatAPeerTellsDoesNotReplaceWhatTheStoreSaid() {
+  void whatPeerTellsDoesNotReplaceWhatTheStoreSaid() {
     directory.changed(entry("a", "draining"));
     directory.learnFromPeer("a", JsonNodeFactory.instance.textNode("ready"), 10);
     assertEquals(0, usable());
--- a/daemon/src/test/java/org/agatefield/daemon/forward/StallLimitsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/StallLimitsTest.java
@@ -24,19 +24,19 @@
           List.of(new WeightedService("s", 1)));
 
   @Test
-  void aRunnerThatStillSendsToOthersIsGivenMoreTime() {
+  void runnerThatStillSendsToOthersIsGivenMoreTime() {
     long busy = StallLimits.milliseconds(STREAM, false, 5_000, 100);
     long lost = StallLimits.milliseconds(STREAM, false, 5_000, 2_000);
     assertTrue(busy > lost, busy + " and " + lost);
   }
 
   @Test
-  void aLostRunnerLeavesTimeForAnotherAttempt() {
+  void lostRunnerLeavesTimeForAnotherAttempt() {
     assertTrue(StallLimits.milliseconds(STREAM, false, 5_000, 2_000) <= 2_500);
   }
 
   @Test
-  void aBrokenPauseIsNoticedBeforeTheCallerLeaves() {
+  void brokenPauseIsNoticedBeforeTheCallerLeaves() {
     assertTrue(StallLimits.milliseconds(STREAM, true, 5_000, 2_000) < 2_000);
   }
 }
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
@@ -148,7 +148,7 @@
   }
 
   @Test
-  void theOnlyRunOfABookingIsNotRepeatedAfterAReset() {
+  void theOnlyRunOfBookingIsNotRepeatedAfterReset() {
     ForwardedRequest request =
         new ForwardedRequest(Repetition.NEVER, 2, Optional.empty(), () -> true);
     request.start();
@@ -158,7 +158,7 @@
   }
 
   @Test
-  void aRejectedBookingGoesToAnotherRunner() {
+  void rejectedBookingGoesToAnotherRunner() {
     ForwardedRequest request =
         new ForwardedRequest(Repetition.NEVER, 1, Optional.empty(), () -> true);
     request.start();
@@ -167,7 +167,7 @@
   }
 
   @Test
-  void aBrokenStreamGoesOnAfterItsLastEvent() {
+  void brokenStreamGoesOnAfterItsLastEvent() {
     ForwardedRequest request =
         new ForwardedRequest(Repetition.RESUME, 2, Optional.empty(), () -> true);
     request.start();
@@ -179,7 +179,7 @@
   }
 
   @Test
-  void aStreamThatCannotGoOnIsBrokenOffRatherThanEnded() {
+  void streamThatCannotGoOnIsBrokenOffRatherThanEnded() {
     ForwardedRequest request =
         new ForwardedRequest(Repetition.NEVER, 1, Optional.empty(), () -> true);
     request.start();
@@ -197,7 +197,7 @@
   }
 
   @Test
-  void withoutBudgetARejectionIsPassedOnAsARefusal() {
+  void withoutBudgetRejectionIsPassedOnAsRefusal() {
     List<RequestAction> actions = new ArrayList<>();
     ForwardedRequest request =
         new ForwardedRequest(Repetition.WHOLE, 2, Optional.empty(), () -> false);
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardingTableTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardingTableTest.java
@@ -41,7 +41,7 @@
   }
 
   @Test
-  void aPathThatOnlyLooksLikeThePrefixHasNoRoute() {
+  void pathThatOnlyLooksLikeThePrefixHasNoRoute() {
     assertTrue(table.match("spares.example", "/ab").isEmpty());
     assertTrue(table.match("other.example", "/a/").isEmpty());
   }
--- a/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
@@ -41,7 +41,7 @@
   }
 
   @Test
-  void sharedPartsThatARunnerHasReadAreNotReadAgain() {
+  void sharedPartsThatRunnerHasReadAreNotReadAgain() {
     assertEquals(1_000, loads.newTokens("r", PROMPT));
     loads.keptParts("r", PROMPT);
     assertEquals(500, loads.newTokens("r", PROMPT));
@@ -66,7 +66,7 @@
   }
 
   @Test
-  void aRunnerNearbyIsPreferredWhileItIsNotMuchLater() {
+  void runnerNearbyIsPreferredWhileItIsNotMuchLater() {
     RunnerCandidate near =
         new RunnerCandidate("near", Distance.SAME_DOMAIN, 1, 96, 1_000, 0.06, 0, 500, true);
     RunnerCandidate far =
--- a/lease/src/test/java/org/agatefield/lease/LeaseProtocolTest.java
+++ b/lease/src/test/java/org/agatefield/lease/LeaseProtocolTest.java
@@ -66,7 +66,7 @@
   }
 
   @Test
-  void aLeaseOfAHolderThatIsProvedDeadIsTakenAtOnceAndOneOfAnotherIsNot() {
+  void leaseOfHolderThatIsProvedDeadIsTakenAtOnceAndOneOfAnotherIsNot() {
     LeaseProtocol protocol = new LeaseProtocol("b-2", TERMS, "b-1"::equals);
     LeaseRecord ofEarlierLife = new LeaseRecord("b-1", 7, TERMS.durationNanoseconds());
     LeaseState state = protocol.observe(LeaseState.unknown(), "v", ofEarlierLife, 0);
--- a/placement/src/test/java/org/agatefield/placement/DemandReplicaPolicyTest.java
+++ b/placement/src/test/java/org/agatefield/placement/DemandReplicaPolicyTest.java
@@ -38,7 +38,7 @@
   }
 
   @Test
-  void aModelWithMostOfTheDemandGetsASecondReplicaInPlaceOfAnIdleOne() {
+  void modelWithMostOfTheDemandGetsSecondReplicaInPlaceOfAnIdleOne() {
     List<EngineView> engines =
         List.of(
             engine("one", Set.of("a", "b"), Set.of()),
@@ -52,7 +52,7 @@
   }
 
   @Test
-  void aModelThatRequestsWaitForIsLoadedBeforeReplicasAreAdded() {
+  void modelThatRequestsWaitForIsLoadedBeforeReplicasAreAdded() {
     List<EngineView> engines =
         List.of(engine("one", Set.of("a"), Set.of()), engine("two", Set.of("b"), Set.of("c", "b")));
     Map<String, Demand> demands =
@@ -68,7 +68,7 @@
   }
 
   @Test
-  void theLastStoreLoadIsKeptForAModelWithoutAReplica() {
+  void theLastStoreLoadIsKeptForModelWithoutReplica() {
     List<EngineView> engines =
         List.of(engine("one", Set.of("a"), Set.of()), engine("two", Set.of(), Set.of()));
     Map<String, Demand> demands = Map.of("a", demand(40_000, 0, 40, 10));
