Take headers up to 64 KiB

Cause: found while reading the diff: the configuration's bound for headers is 16,384 bytes, the HTTP server's default 8,192, so that a proper request could get 431. Change: the listener's bound is 65,536 bytes.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -64,6 +64,8 @@
   private static final int CONNECT_MILLISECONDS = 400; // several times the way between regions
   private static final int CONNECTIONS_PER_RUNNER = 400;
   private static final int CALLER_IDLE_SECONDS = 120; // beyond any idle time that callers use
+  // The configuration's bound is not known when the listener opens; the usual one is a quarter.
+  private static final int HEADER_BYTES = 65_536;
   private static final long DEMAND_MILLISECONDS = 250;
   private static final long NEIGHBOUR_MILLISECONDS = 120;
   private static final int REPORTS_PER_DISTANT_REPORT = 2; // bytes between domains are paid for
@@ -305,6 +307,8 @@
             .setHttp2ClearTextEnabled(false)
             .setHandle100ContinueAutomatically(true)
             .setIdleTimeout(CALLER_IDLE_SECONDS)
+            .setMaxHeaderSize(HEADER_BYTES)
+            .setMaxInitialLineLength(HEADER_BYTES)
             .setTcpNoDelay(true);
     return vertx
         .createHttpServer(options)
