Trust no grant after a standstill; let a closed membership be left

Change: StandstillDetector compares both clocks before each order; LeaseDuty.distrust drops the grant until the store confirms the lease with a larger token, and the answer to a write that was under way grants nothing. A step of the time of day costs one read. Ruled out: a shorter lease, which only shortens the span.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -257,6 +257,7 @@
             client,
             dialect.runners(),
             lease,
+            lease::distrust,
             id,
             runners,
             configuration,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -104,6 +104,13 @@
         () -> members.handle(new MembershipEvent.Tick()), tick, tick, TimeUnit.MILLISECONDS);
   }
 
+  /** Hands an event to the membership, unless it has been closed. */
+  private void handle(MembershipEvent event) {
+    if (!loop.isShuttingDown()) {
+      loop.execute(() -> members.handle(event));
+    }
+  }
+
   Instance self() {
     return members.self();
   }
@@ -120,7 +127,7 @@
 
   /** Takes other addresses to look for instances at. */
   void seedsChanged(List<Address> seeds) {
-    loop.execute(() -> members.handle(new MembershipEvent.SeedsChanged(seeds)));
+    handle(new MembershipEvent.SeedsChanged(seeds));
   }
 
   Optional<Instance> member(String id) {
@@ -129,12 +136,12 @@
 
   /** Tells the others which configuration this instance has. */
   void raiseVersion(long version) {
-    loop.execute(() -> members.handle(new MembershipEvent.GenerationRaised(version)));
+    handle(new MembershipEvent.GenerationRaised(version));
   }
 
   /** Marks this instance as leaving, for good, and tells the others. */
   void leave() {
-    loop.execute(() -> members.handle(new MembershipEvent.LeaveRequested()));
+    handle(new MembershipEvent.LeaveRequested());
   }
 
   /** Sends a message that may be lost to every other instance that is alive. */
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
@@ -47,6 +47,9 @@
   private final HttpClient client;
   private final RunnerDialect dialect;
   private final LeaseView lease;
+  private final Runnable distrustLease;
+  private final StandstillDetector standstill =
+      new StandstillDetector(MonotonicClock.milliseconds(), System.currentTimeMillis());
   private final String instance;
   private final RunnerDirectory runners;
   private final ConfigurationTracker configuration;
@@ -79,6 +82,7 @@
       HttpClient client,
       RunnerDialect dialect,
       LeaseView lease,
+      Runnable distrustLease,
       String instance,
       RunnerDirectory runners,
       ConfigurationTracker configuration,
@@ -88,6 +92,7 @@
     this.client = client;
     this.dialect = dialect;
     this.lease = lease;
+    this.distrustLease = distrustLease;
     this.instance = instance;
     this.runners = runners;
     this.configuration = configuration;
@@ -138,8 +143,19 @@
     }
   }
 
+  /** Returns the grant, unless this process stood still and another may hold the lease by now. */
+  private Optional<LeaseGrant> trustedGrant() {
+    boolean stoodStill =
+        standstill.stoodStill(MonotonicClock.milliseconds(), System.currentTimeMillis());
+    if (stoodStill) {
+      LOGGER.info("planner={} clocks=apart lease=distrusted", instance);
+      distrustLease.run();
+    }
+    return lease.currentGrant();
+  }
+
   private void tick() {
-    Optional<LeaseGrant> grant = lease.currentGrant();
+    Optional<LeaseGrant> grant = trustedGrant();
     if (grant.isEmpty()) {
       release();
       return;
@@ -312,8 +328,7 @@
 
     @Override
     public Optional<LeaseGrant> grant() {
-      return lease
-          .currentGrant()
+      return trustedGrant()
           .filter(grant -> grant.validUntilNanoseconds() - System.nanoTime() > CALL_NANOSECONDS);
     }
 
--- a/daemon/src/main/java/org/agatefield/daemon/leases/LeaseDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/leases/LeaseDuty.java
@@ -52,6 +52,7 @@
   private Optional<StoredObject> lastSeen = Optional.empty();
   private long timer = -1;
   private boolean holding;
+  private int trustEpoch;
   private boolean closed;
 
   /**
@@ -108,6 +109,19 @@
     }
   }
 
+  /**
+   * Drops the grant until the store has confirmed the lease again, for a caller that has reason to
+   * think that this process stood still. The answer to a write that is under way grants nothing.
+   */
+  public synchronized void distrust() {
+    if (closed) {
+      return;
+    }
+    trustEpoch++;
+    state = new LeaseState(state.observed(), Optional.empty());
+    noteHolding(System.nanoTime());
+  }
+
   /** Stops acting as the holder, then gives the lease up in the store, if it can be reached. */
   @Override
   public void close() {
@@ -168,6 +182,7 @@
   private void act() {
     LeaseDecision decision;
     Optional<StoredObject> previous;
+    int epoch;
     long now = System.nanoTime();
     synchronized (this) {
       if (closed) {
@@ -175,28 +190,33 @@
       }
       decision = protocol.decide(state, now);
       previous = lastSeen;
+      epoch = trustEpoch;
       noteHolding(now);
     }
     if (decision instanceof LeaseDecision.Wait wait) {
       later(Math.min(wait.nanoseconds(), patienceNanoseconds()));
       return;
     }
-    write(decision, previous, now);
+    write(decision, previous, now, epoch);
   }
 
-  private void write(LeaseDecision decision, Optional<StoredObject> previous, long sentAt) {
+  private void write(
+      LeaseDecision decision, Optional<StoredObject> previous, long sentAt, int epoch) {
     if (decision instanceof LeaseDecision.Update update) {
       store
           .update(previous.orElseThrow(), newIdentifier(), encode(update.lease()))
-          .whenComplete((object, failure) -> written(update.lease(), object, failure, sentAt));
+          .whenComplete(
+              (object, failure) -> written(update.lease(), object, failure, sentAt, epoch));
     } else if (decision instanceof LeaseDecision.Create create) {
       store
           .create(key, newIdentifier(), encode(create.lease()))
-          .whenComplete((object, failure) -> written(create.lease(), object, failure, sentAt));
+          .whenComplete(
+              (object, failure) -> written(create.lease(), object, failure, sentAt, epoch));
     }
   }
 
-  private void written(LeaseRecord lease, StoredObject object, Throwable failure, long sentAt) {
+  private void written(
+      LeaseRecord lease, StoredObject object, Throwable failure, long sentAt, int epoch) {
     if (failure != null) {
       LOGGER.debug("lease write failed lease={} cause={}", key.name(), failure.getMessage());
       later(protocol.renewIntervalNanoseconds() / RENEWALS_PER_DURATION);
@@ -204,6 +224,10 @@
     }
     synchronized (this) {
       long now = System.nanoTime();
+      if (epoch != trustEpoch) {
+        later(0);
+        return;
+      }
       lastSeen = Optional.of(object);
       state = protocol.written(lease, object.resourceVersion(), sentAt, now);
       noteHolding(now);
--- a/fleet/src/test/java/org/agatefield/fleet/platform/LeaseDutyTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/platform/LeaseDutyTest.java
@@ -62,6 +62,15 @@
     assertTrue(first.currentGrant().isEmpty());
   }
 
+  @Test
+  void distrustedGrantComesBackOnlyWithLargerToken() {
+    LeaseDuty first = holders().get(0);
+    final long token = token();
+    first.distrust();
+    assertTrue(first.currentGrant().isEmpty());
+    await().atMost(GENEROUS).until(() -> token() > token);
+  }
+
   @Test
   void grantEndsByItselfWhileTheStoreIsDown() {
     final long token = token();
