Keep the test's own HTTP client referenced

The test made a client for each call and kept no reference to it; Vert.x closes such a client when it is collected, also in the middle of a call. Ruled out: the stand-in, which had answered nothing yet. Change: one client in a field. Not shown failing on purpose: it needs a collection at that moment.

--- a/engine/src/test/java/org/agatefield/engine/HttpEngineClientTest.java
+++ b/engine/src/test/java/org/agatefield/engine/HttpEngineClientTest.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
@@ -42,6 +43,8 @@
           64);
 
   private final Vertx vertx = Vertx.vertx();
+  // Vert.x closes a client that nobody refers to any more, also in the middle of a call.
+  private final HttpClient harnessClient = vertx.createHttpClient();
   private final HttpEngineClient client = new HttpEngineClient(vertx, OPTIONS);
   private Address engine;
 
@@ -236,8 +239,7 @@
 
   private Buffer exchange(HttpMethod method, String path, Buffer body) {
     return join(
-        vertx
-            .createHttpClient()
+        harnessClient
             .request(method, engine.port(), engine.host(), path)
             .compose(request -> request.send(body))
             .compose(response -> response.body()));
