--- a/placement/src/main/java/org/agatefield/placement/DemandBook.java
+++ b/placement/src/main/java/org/agatefield/placement/DemandBook.java
@@ -1,10 +1,8 @@
 package org.agatefield.placement;
 
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.agatefield.model.ModelDemand;
 
 /**
@@ -83,35 +81,42 @@
     reports
         .values()
         .removeIf(report -> nowMilliseconds - report.atMilliseconds() > REPORT_AGE_MILLISECONDS);
-    Set<String> models = new HashSet<>(rates.keySet());
-    Map<String, Demand> demands = new HashMap<>();
-    for (String model : models) {
-      demands.put(model, demand(model, nowMilliseconds));
+    Map<String, Presence> presences = new HashMap<>();
+    for (InstanceReport report : reports.values()) {
+      for (ModelDemand each : report.demands()) {
+        presences.computeIfAbsent(each.model(), ignored -> new Presence()).add(each);
+      }
     }
+    Map<String, Demand> demands = new HashMap<>();
+    rates.forEach(
+        (model, rate) ->
+            demands.put(
+                model,
+                demand(rate, presences.getOrDefault(model, new Presence()), nowMilliseconds)));
     return demands;
   }
 
-  private Demand demand(String model, long now) {
-    ModelRate rate = rates.get(model);
-    rate.decayTo(now);
-    int waiting = 0;
-    int running = 0;
-    Map<String, Integer> runningAt = new HashMap<>();
-    for (InstanceReport report : reports.values()) {
-      for (ModelDemand each : report.demands()) {
-        if (each.model().equals(model)) {
-          waiting += each.waitingRequests();
-          running += each.runningRequests();
-          each.runningAt().forEach((id, count) -> runningAt.merge(id, count, Integer::sum));
-        }
-      }
+  /** What all instances have of a model. */
+  private static final class Presence {
+    private int waiting;
+    private int running;
+    private final Map<String, Integer> runningAt = new HashMap<>();
+
+    void add(ModelDemand demand) {
+      waiting += demand.waitingRequests();
+      running += demand.runningRequests();
+      demand.runningAt().forEach((id, count) -> runningAt.merge(id, count, Integer::sum));
     }
+  }
+
+  private static Demand demand(ModelRate rate, Presence presence, long now) {
+    rate.decayTo(now);
     return new Demand(
         rate.tokensPerSecond,
         rate.requestsPerSecond,
-        waiting,
-        running,
+        presence.waiting,
+        presence.running,
         now - rate.askedAt,
-        runningAt);
+        presence.runningAt);
   }
 }
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
@@ -66,7 +66,7 @@
       Duration grace,
       Duration configurationApply,
       double retryShare,
-      int retryReserve,
+      double retryReserve,
       Duration retryWindow,
       Duration answerTimeToLive) {}
 }
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
@@ -78,11 +78,11 @@
   private static Terms readTerms(SettingsTable table) {
     Terms terms =
         new Terms(
-            table.milliseconds("drain_milliseconds", 100, 600_000, 3_000),
+            milliseconds(table.fraction("drain_milliseconds", 100, 600_000, 3_000)),
             seconds(table.fraction("grace_seconds", 1, 3_600, 8)),
-            table.milliseconds("configuration_apply_milliseconds", 100, 600_000, 3_000),
+            milliseconds(table.fraction("configuration_apply_milliseconds", 100, 600_000, 3_000)),
             table.fraction("retry_share", 0, 1, 0.2),
-            (int) table.integer("retry_reserve", 0, 1_000_000, 50),
+            table.fraction("retry_reserve", 0, 1_000_000, 50),
             seconds(table.fraction("retry_window_seconds", 1, 3_600, 10)),
             seconds(table.fraction("answer_time_to_live_seconds", 1, 3_600, 2)));
     table.rejectUnknownKeys();
@@ -90,6 +90,10 @@
   }
 
   private static Duration seconds(double value) {
-    return Duration.ofMillis(Math.round(value * MILLISECONDS_PER_SECOND));
+    return milliseconds(value * MILLISECONDS_PER_SECOND);
+  }
+
+  private static Duration milliseconds(double value) {
+    return Duration.ofMillis(Math.round(value));
   }
 }
