Let one instance of a failure domain watch the store and speak for it

Change: DomainRelays names the first answering instance of a failure domain of more than three its relay. Broadcasts reach a domain through it; load reports leave a domain as one sum. RelayedObjects makes the informers learn from up to three such instances before the store; KnowledgeRelay answers them. Only instances that speak for themselves or their domain contend for the planner's lease. A request to a peer now times out on the event loop (an adapter's answer that came too late was handled on another thread).

Domains of up to three instances behave as before.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -30,6 +30,7 @@
 import org.agatefield.forwarding.BeginInTime;
 import org.agatefield.forwarding.EarliestBeginChoice;
 import org.agatefield.forwarding.RunnerLoads;
+import org.agatefield.membership.DomainRelays;
 import org.agatefield.model.Address;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.Closer;
@@ -41,8 +42,10 @@
 import org.agatefield.placement.DemandReplicaPolicy;
 import org.agatefield.settings.ForwardingSettings;
 import org.agatefield.store.HttpObjectStore;
+import org.agatefield.store.InformerListener;
 import org.agatefield.store.ObjectInformer;
 import org.agatefield.store.ObjectKind;
+import org.agatefield.store.ObjectSource;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
@@ -69,6 +72,7 @@
   private static final long DEMAND_MILLISECONDS = 250;
   private static final long NEIGHBOUR_MILLISECONDS = 120;
   private static final int REPORTS_PER_DISTANT_REPORT = 2; // bytes between domains are paid for
+  private static final int REPORTS_PER_DOMAIN_REPORT = 4; // a large domain has many neighbours
   private static final long NOTICE_MILLISECONDS = 500; // a fraction of a takeover
   private static final long LAPSE_CHECK_MILLISECONDS = 200;
   private static final long ADAPTER_ANSWER_MILLISECONDS = 1_200;
@@ -95,13 +99,14 @@
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
   private final KnowledgeExchange knowledge;
+  private final Map<String, KnowledgeRelay> relays = new HashMap<>();
   private ForwardingPeers peers;
   private PlannerDuty planner;
   private LeaseDuty lease;
   private IngressServer ingress;
   private Optional<PeerMessage.PlannerNotice> plannerNotice = Optional.empty();
   private long plannerHeardAt;
-  private int neighbourReports;
+  private int loadReports;
   private volatile boolean leaving;
   private volatile boolean refusing;
 
@@ -180,12 +185,18 @@
 
   private void startWatches(HttpObjectStore store) {
     configuration.listen(table -> peers.raiseVersion(table.version()));
-    ObjectInformer configurations =
-        new ObjectInformer(vertx, store, ObjectKind.CONFIGURATION, STORE_POLL, LONGEST_STORE_DELAY);
-    closer.register(configurations.listen(configuration).start());
-    ObjectInformer entries =
-        new ObjectInformer(vertx, store, ObjectKind.RUNNER, STORE_POLL, LONGEST_STORE_DELAY);
-    closer.register(entries.listen(runners).start());
+    ObjectSource source =
+        new RelayedObjects(vertx, store, () -> peers.relays().sources(), peers::request);
+    startWatch(source, ObjectKind.CONFIGURATION, configuration);
+    startWatch(source, ObjectKind.RUNNER, runners);
+  }
+
+  private void startWatch(ObjectSource source, ObjectKind kind, InformerListener listener) {
+    KnowledgeRelay relay = new KnowledgeRelay(vertx, peers.self().id());
+    relays.put(kind.plural(), relay);
+    ObjectInformer informer =
+        new ObjectInformer(vertx, source, kind, STORE_POLL, LONGEST_STORE_DELAY);
+    closer.register(informer.listen(listener).listen(relay).start());
   }
 
   private void startForwarding(UniformRandomProvider random) {
@@ -250,7 +261,8 @@
                 PLANNER_LEASE,
                 id,
                 LEASE_DURATION,
-                this::isEarlierLifeOfThisInstance));
+                this::isEarlierLifeOfThisInstance,
+                () -> peers.relays().speaks()));
     planner =
         new PlannerDuty(
             vertx,
@@ -275,7 +287,7 @@
 
   private void startTimers(String id) {
     vertx.setPeriodic(DEMAND_MILLISECONDS, fired -> reportDemand(id));
-    vertx.setPeriodic(NEIGHBOUR_MILLISECONDS, fired -> tellNeighbours(id));
+    vertx.setPeriodic(NEIGHBOUR_MILLISECONDS, fired -> tellLoads(id));
     vertx.setPeriodic(NOTICE_MILLISECONDS, fired -> announcePlanner(id));
     vertx.setPeriodic(
         LAPSE_CHECK_MILLISECONDS, fired -> runners.dropLapsed(MonotonicClock.milliseconds()));
@@ -351,8 +363,10 @@
       return CompletableFuture.completedFuture(false);
     }
     return peers
-        .request(holder.get(), new PeerMessage.AdapterRequest(runner, model, adapter))
-        .orTimeout(ADAPTER_ANSWER_MILLISECONDS, TimeUnit.MILLISECONDS)
+        .request(
+            holder.get(),
+            new PeerMessage.AdapterRequest(runner, model, adapter),
+            ADAPTER_ANSWER_MILLISECONDS)
         .handle(
             (answer, failure) -> {
               if (failure != null) {
@@ -381,23 +395,32 @@
     }
   }
 
-  private void tellNeighbours(String id) {
+  /** Tells what runs at runners: the own part nearby, the failure domain's far away. */
+  private void tellLoads(String id) {
+    loadReports++;
     Map<String, RunnerLoads.Share> own = loads.ownShares();
-    if (own.isEmpty()) {
-      return;
+    if (!own.isEmpty()) {
+      peers.tellNeighbours(loadReport(id, own));
+    }
+    DomainRelays relays = peers.relays();
+    if (!relays.isDomainLarge()) {
+      if (!own.isEmpty() && loadReports % REPORTS_PER_DISTANT_REPORT == 0) {
+        peers.tellOtherDomains(loadReport(id, own));
+      }
+    } else if (relays.speaks() && loadReports % REPORTS_PER_DOMAIN_REPORT == 0) {
+      List<String> neighbours = relays.neighbours().stream().map(Instance::id).toList();
+      Map<String, RunnerLoads.Share> all =
+          loads.sharesWith(neighbours, MonotonicClock.milliseconds());
+      peers.tellOtherDomains(loadReport("domain/" + settings.failureDomain().name(), all));
     }
+  }
+
+  private static PeerMessage loadReport(String reporter, Map<String, RunnerLoads.Share> reported) {
     List<PeerMessage.RunnerShare> shares = new ArrayList<>();
-    own.forEach(
+    reported.forEach(
         (runner, share) ->
             shares.add(new PeerMessage.RunnerShare(runner, share.running(), share.unreadTokens())));
-    PeerMessage report = new PeerMessage.RunnerLoadReport(id, shares);
-    boolean tellAll = ++neighbourReports % REPORTS_PER_DISTANT_REPORT == 0;
-    for (Instance instance : peers.alive()) {
-      boolean neighbour = instance.failureDomain().equals(settings.failureDomain());
-      if ((neighbour || tellAll) && !instance.id().equals(id)) {
-        peers.send(instance, report);
-      }
-    }
+    return new PeerMessage.RunnerLoadReport(reporter, shares);
   }
 
   private void announcePlanner(String id) {
@@ -550,6 +573,9 @@
       if (request instanceof PeerMessage.SnapshotRequest asked) {
         return CompletableFuture.completedFuture(knowledge.answer(asked));
       }
+      if (request instanceof PeerMessage.ObjectsRequest asked && relays.containsKey(asked.kind())) {
+        return relays.get(asked.kind()).answer(asked);
+      }
       if (request instanceof PeerMessage.AdapterRequest asked) {
         return planner
             .ensureAdapter(asked.runner(), asked.model(), asked.adapter())
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.agatefield.daemon.peers.MembershipDriver;
+import org.agatefield.membership.DomainRelays;
 import org.agatefield.membership.MembershipEvent;
 import org.agatefield.membership.MembershipSettings;
 import org.agatefield.model.Address;
@@ -46,6 +47,9 @@
   private final MembershipDriver members;
   private final MembershipSettings settings;
   private final Listener listener;
+  private volatile RelayView relayView;
+
+  private record RelayView(List<Instance> answering, DomainRelays relays) {}
 
   /** Told of messages, on the daemon's event loop. */
   interface Listener {
@@ -68,6 +72,7 @@
       UniformRandomProvider random) {
     this.context = context;
     this.listener = listener;
+    this.relayView = new RelayView(List.of(), new DomainRelays(self, List.of(self), List.of(self)));
     this.settings =
         MembershipSettings.defaults()
             .withProbes(PROBE_MILLISECONDS, PROBE_TIMEOUT_MILLISECONDS, SUSPICION_PROBES);
@@ -144,14 +149,33 @@
     handle(new MembershipEvent.LeaveRequested());
   }
 
+  /** Returns who speaks for which failure domain. */
+  DomainRelays relays() {
+    List<Instance> answering = answering();
+    RelayView view = relayView;
+    if (view.answering() != answering) {
+      view = new RelayView(answering, new DomainRelays(self(), alive(), answering));
+      relayView = view;
+    }
+    return view.relays();
+  }
+
   /** Sends a message that may be lost to every other instance that is alive. */
   void broadcast(PeerMessage message) {
-    String self = self().id();
-    for (Instance instance : alive()) {
-      if (!instance.id().equals(self)) {
-        transport.send(instance.peerAddress(), message);
-      }
-    }
+    tellNeighbours(message);
+    tellOtherDomains(message);
+  }
+
+  /** Sends a message that may be lost to the other instances of this one's failure domain. */
+  void tellNeighbours(PeerMessage message) {
+    relays().neighbours().forEach(instance -> send(instance, message));
+  }
+
+  /** Sends a message that may be lost to the instances of all other failure domains. */
+  void tellOtherDomains(PeerMessage message) {
+    relays().direct().forEach(instance -> send(instance, message));
+    PeerMessage relayed = new PeerMessage.Relayed(message);
+    relays().relays().forEach(instance -> send(instance, relayed));
   }
 
   /** Sends a message that may be lost. */
@@ -159,11 +183,17 @@
     transport.send(instance.peerAddress(), message);
   }
 
-  /** Sends a request; the future completes on the daemon's event loop. */
-  CompletableFuture<PeerMessage> request(Instance instance, PeerMessage message) {
+  /**
+   * Sends a request; the future completes on the daemon's event loop.
+   *
+   * @param limitMilliseconds how long to wait for the answer
+   */
+  CompletableFuture<PeerMessage> request(
+      Instance instance, PeerMessage message, long limitMilliseconds) {
     CompletableFuture<PeerMessage> answered = new CompletableFuture<>();
     transport
         .request(instance.peerAddress(), message)
+        .orTimeout(limitMilliseconds, TimeUnit.MILLISECONDS)
         .whenComplete(
             (answer, failure) ->
                 context.runOnContext(
@@ -190,6 +220,14 @@
         members.received(step);
         return;
       }
+      if (message instanceof PeerMessage.Relayed relayed) {
+        context.runOnContext(
+            run -> {
+              tellNeighbours(relayed.message());
+              listener.received(relayed.message());
+            });
+        return;
+      }
       context.runOnContext(run -> listener.received(message));
     }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/KnowledgeExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/KnowledgeExchange.java
@@ -4,16 +4,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Vertx;
-import java.io.ByteArrayInputStream;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
-import java.io.OutputStream;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.zip.DeflaterOutputStream;
-import java.util.zip.InflaterInputStream;
 import org.agatefield.model.Instance;
 import org.agatefield.peer.PeerMessage;
 import org.apache.logging.log4j.LogManager;
@@ -29,6 +23,7 @@
   // The own watch usually brings a new version first.
   private static final long PATIENCE_MILLISECONDS = 400;
   private static final long RETRY_MILLISECONDS = 700;
+  private static final long ANSWER_MILLISECONDS = 3_000; // a large configuration on a slow link
   private static final String NAME_FIELD = "name";
   private static final String CONTENT_FIELD = "content";
 
@@ -71,10 +66,12 @@
   PeerMessage.SnapshotAnswer answer(PeerMessage.SnapshotRequest request) {
     Optional<byte[]> newer =
         configuration.version() > request.configurationVersion()
-            ? configuration.content().map(this::compress)
+            ? configuration.content().map(CompressedJson::compress)
             : Optional.empty();
     List<byte[]> entries = new ArrayList<>();
-    runners.contents().forEach((id, content) -> entries.add(compress(named(id, content))));
+    runners
+        .contents()
+        .forEach((id, content) -> entries.add(CompressedJson.compress(named(id, content))));
     return new PeerMessage.SnapshotAnswer(newer, entries, runners.ageMilliseconds());
   }
 
@@ -93,7 +90,8 @@
 
   private void ask(Instance holder) {
     peers
-        .request(holder, new PeerMessage.SnapshotRequest(configuration.version()))
+        .request(
+            holder, new PeerMessage.SnapshotRequest(configuration.version()), ANSWER_MILLISECONDS)
         .whenComplete(
             (answer, failure) -> {
               if (answer instanceof PeerMessage.SnapshotAnswer snapshot) {
@@ -107,10 +105,10 @@
   private void learn(Instance holder, PeerMessage.SnapshotAnswer snapshot) {
     snapshot
         .configuration()
-        .flatMap(this::decompress)
+        .flatMap(CompressedJson::decompress)
         .ifPresent(content -> configuration.learn(content, holder.id()));
     for (byte[] each : snapshot.runners()) {
-      decompress(each)
+      CompressedJson.decompress(each)
           .ifPresent(
               entry ->
                   runners.learnFromPeer(
@@ -125,23 +123,4 @@
     named.set(CONTENT_FIELD, content);
     return named;
   }
-
-  private byte[] compress(JsonNode content) {
-    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    try (OutputStream output = new DeflaterOutputStream(bytes)) {
-      mapper.writeValue(output, content);
-    } catch (IOException exception) {
-      throw new IllegalStateException("content could not be written to memory", exception);
-    }
-    return bytes.toByteArray();
-  }
-
-  private Optional<JsonNode> decompress(byte[] bytes) {
-    try (InflaterInputStream input = new InflaterInputStream(new ByteArrayInputStream(bytes))) {
-      return Optional.of(mapper.readTree(input));
-    } catch (IOException exception) {
-      LOGGER.warn("a peer sent content that is not compressed JSON", exception);
-      return Optional.empty();
-    }
-  }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/leases/LeaseDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/leases/LeaseDuty.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.agatefield.daemon.core.LeaseView;
 import org.agatefield.lease.LeaseDecision;
@@ -48,6 +49,7 @@
   private final ObjectKey key;
   private final String holder;
   private final LeaseProtocol protocol;
+  private final BooleanSupplier contends;
   private LeaseState state = LeaseState.unknown();
   private Optional<StoredObject> lastSeen = Optional.empty();
   private long timer = -1;
@@ -64,7 +66,7 @@
    */
   public LeaseDuty(
       Vertx vertx, ObjectStore store, String leaseName, String holder, Duration duration) {
-    this(vertx, store, leaseName, holder, duration, other -> false);
+    this(vertx, store, leaseName, holder, duration, other -> false, () -> true);
   }
 
   /**
@@ -74,6 +76,7 @@
    * @param holder unique to the process
    * @param duration how long a grant lasts after a write
    * @param dead true only for holders that are proved to have ended
+   * @param contends whether this process is to acquire the lease if it is free
    */
   public LeaseDuty(
       Vertx vertx,
@@ -81,11 +84,13 @@
       String leaseName,
       String holder,
       Duration duration,
-      Predicate<String> dead) {
+      Predicate<String> dead,
+      BooleanSupplier contends) {
     this.vertx = vertx;
     this.store = new ResolvingObjectStore(store);
     this.key = new ObjectKey(ObjectKind.LEASE, leaseName);
     this.holder = holder;
+    this.contends = contends;
     long nanoseconds = duration.toNanos();
     this.protocol =
         new LeaseProtocol(
@@ -156,9 +161,14 @@
   }
 
   private synchronized void read() {
-    if (!closed) {
-      store.get(key).whenComplete(this::readCompleted);
+    if (closed) {
+      return;
+    }
+    if (!contends.getAsBoolean()) {
+      schedule(patienceNanoseconds() / RENEWALS_PER_DURATION, this::read);
+      return;
     }
+    store.get(key).whenComplete(this::readCompleted);
   }
 
   private void readCompleted(StoredObject found, Throwable failure) {
--- /dev/null
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RelayedObjectsTest.java
@@ -0,0 +1,187 @@
+package org.agatefield.daemon.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.vertx.core.Vertx;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.agatefield.model.Address;
+import org.agatefield.model.FailureDomain;
+import org.agatefield.model.Instance;
+import org.agatefield.model.InstanceState;
+import org.agatefield.peer.PeerMessage;
+import org.agatefield.store.ObjectKey;
+import org.agatefield.store.ObjectKind;
+import org.agatefield.store.ObjectList;
+import org.agatefield.store.ObjectSource;
+import org.agatefield.store.StoreException;
+import org.agatefield.store.StoreFailure;
+import org.agatefield.store.StoredObject;
+import org.agatefield.store.WatchListener;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class RelayedObjectsTest {
+  private static final long LIMIT_SECONDS = 10;
+
+  private final Vertx vertx = Vertx.vertx();
+  private final Map<String, KnowledgeRelay> relays = new HashMap<>();
+  private final List<Instance> sources = new ArrayList<>();
+  private final CountingStore store = new CountingStore();
+  private final RelayedObjects objects =
+      new RelayedObjects(vertx, store, () -> List.copyOf(sources), this::send);
+
+  /** A store that answers nothing but counts how often it is asked. */
+  private static final class CountingStore implements ObjectSource {
+    private int lists;
+
+    @Override
+    public CompletableFuture<ObjectList> list(ObjectKind kind) {
+      lists++;
+      return CompletableFuture.completedFuture(new ObjectList("7", List.of()));
+    }
+
+    @Override
+    public AutoCloseable watch(ObjectKind kind, String fromVersion, WatchListener listener) {
+      return () -> {};
+    }
+  }
+
+  private static final class Recorder implements WatchListener {
+    private final BlockingQueue<String> events = new LinkedBlockingQueue<>();
+
+    @Override
+    public void changed(StoredObject object) {
+      events.add("changed " + object.key().name() + ' ' + object.content().asText());
+    }
+
+    @Override
+    public void deleted(ObjectKey key, String resourceVersion) {
+      events.add("deleted " + key.name());
+    }
+
+    @Override
+    public void ended(StoreException failure) {
+      events.add("ended " + failure.failure());
+    }
+
+    String next() throws InterruptedException {
+      return events.poll(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+  }
+
+  private static StoredObject object(String name, String text) {
+    return new StoredObject(
+        new ObjectKey(ObjectKind.RUNNER, name),
+        "5",
+        List.of(),
+        JsonNodeFactory.instance.textNode(text));
+  }
+
+  private KnowledgeRelay addSource(String id) {
+    Address address = new Address("10.0.0.1", 80);
+    sources.add(
+        new Instance(id, address, address, new FailureDomain("r", "d"), InstanceState.LIVE));
+    KnowledgeRelay relay = new KnowledgeRelay(vertx, id);
+    relays.put(id, relay);
+    return relay;
+  }
+
+  private CompletableFuture<PeerMessage> send(
+      Instance instance, PeerMessage request, long limitMilliseconds) {
+    return relays.get(instance.id()).answer((PeerMessage.ObjectsRequest) request);
+  }
+
+  private ObjectList list() throws Exception {
+    return objects.list(ObjectKind.RUNNER).get(LIMIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    vertx.close().toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  @Test
+  void objectsAndTheirChangesComeFromTheSourceWithoutCallToTheStore() throws Exception {
+    KnowledgeRelay relay = addSource("one");
+    relay.changed(object("a", "first"));
+    relay.updated(Map.of());
+    ObjectList listed = list();
+    assertEquals("first", listed.objects().get(0).content().asText());
+    Recorder recorder = new Recorder();
+    try (AutoCloseable watch =
+        objects.watch(ObjectKind.RUNNER, listed.resourceVersion(), recorder)) {
+      relay.changed(object("a", "second"));
+      assertEquals("changed a second", recorder.next());
+      relay.deleted(new ObjectKey(ObjectKind.RUNNER, "a"));
+      assertEquals("deleted a", recorder.next());
+    }
+    assertEquals(0, store.lists);
+  }
+
+  @Test
+  void nothingIsToldBeforeTheSourceKnowsTheObjects() throws Exception {
+    addSource("one");
+    KnowledgeRelay second = addSource("two");
+    second.changed(object("a", "known"));
+    second.updated(Map.of());
+    assertEquals("known", list().objects().get(0).content().asText());
+  }
+
+  @Test
+  void watchEndsAsGoneWhenItsSourceLosesTheStoreAndTheNextListChoosesAgain() throws Exception {
+    KnowledgeRelay first = addSource("one");
+    first.updated(Map.of());
+    final KnowledgeRelay second = addSource("two");
+    Recorder recorder = new Recorder();
+    try (AutoCloseable watch =
+        objects.watch(ObjectKind.RUNNER, list().resourceVersion(), recorder)) {
+      first.availabilityChanged(false);
+      assertEquals("ended VERSION_GONE", recorder.next());
+    }
+    second.changed(object("b", "of the second"));
+    second.updated(Map.of());
+    assertEquals("of the second", list().objects().get(0).content().asText());
+  }
+
+  @Test
+  void theStoreIsAskedSparinglyWhileNoSourceAnswers() throws Exception {
+    addSource("one");
+    assertEquals("7", list().resourceVersion());
+    ExecutionException failure = null;
+    try {
+      list();
+    } catch (ExecutionException exception) {
+      failure = exception;
+    }
+    assertTrue(
+        failure != null
+            && StoreException.failureOf(failure.getCause())
+                .filter(each -> each == StoreFailure.UNAVAILABLE)
+                .isPresent());
+    assertEquals(1, store.lists);
+  }
+
+  @Test
+  void sourceThatStartedAgainGivesAllObjectsAnew() throws Exception {
+    KnowledgeRelay relay = addSource("one");
+    relay.updated(Map.of());
+    String version = list().resourceVersion();
+    KnowledgeRelay later = new KnowledgeRelay(vertx, "one-again");
+    later.updated(Map.of());
+    relays.put("one", later);
+    Recorder recorder = new Recorder();
+    try (AutoCloseable watch = objects.watch(ObjectKind.RUNNER, version, recorder)) {
+      assertEquals("ended VERSION_GONE", recorder.next());
+    }
+  }
+}
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
@@ -1,5 +1,6 @@
 package org.agatefield.forwarding;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -50,7 +51,11 @@
    * @param running requests
    * @param unreadTokens prompt tokens of requests that have not begun
    */
-  public record Share(int running, int unreadTokens) {}
+  public record Share(int running, int unreadTokens) {
+    Share plus(Share other) {
+      return new Share(running + other.running, unreadTokens + other.unreadTokens);
+    }
+  }
 
   private record NeighbourLoad(Map<String, Share> shares, long atMilliseconds) {}
 
@@ -137,6 +142,19 @@
     return shares;
   }
 
+  /** Returns the work of this instance and of some neighbours, for runners that have any. */
+  public Map<String, Share> sharesWith(Collection<String> neighbourIds, long nowMilliseconds) {
+    Map<String, Share> shares = ownShares();
+    for (String id : neighbourIds) {
+      NeighbourLoad load = neighbours.get(id);
+      if (load == null || nowMilliseconds - load.atMilliseconds() > NEIGHBOUR_AGE_MILLISECONDS) {
+        continue;
+      }
+      load.shares().forEach((runner, share) -> shares.merge(runner, share, Share::plus));
+    }
+    return shares;
+  }
+
   /** Returns the work at a runner, of this instance and its neighbours. */
   public Share total(String runner, long nowMilliseconds) {
     neighbours
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -44,6 +44,14 @@
               .setConfigurationVersion(request.configurationVersion()));
     } else if (message instanceof PeerMessage.SnapshotAnswer answer) {
       envelope.setSnapshotAnswer(encodeSnapshot(answer));
+    } else if (message instanceof PeerMessage.ObjectsRequest request) {
+      envelope.setObjectsRequest(
+          PeerProtocol.ObjectsRequest.newBuilder()
+              .setKind(request.kind())
+              .setFromVersion(request.fromVersion())
+              .setWaitMilliseconds(request.waitMilliseconds()));
+    } else if (message instanceof PeerMessage.ObjectsAnswer answer) {
+      envelope.setObjectsAnswer(encodeObjects(answer));
     } else {
       return false;
     }
@@ -74,10 +82,49 @@
               new PeerMessage.SnapshotRequest(
                   envelope.getSnapshotRequest().getConfigurationVersion()));
       case SNAPSHOT_ANSWER -> Optional.of(decodeSnapshot(envelope.getSnapshotAnswer()));
+      case OBJECTS_REQUEST ->
+          Optional.of(
+              new PeerMessage.ObjectsRequest(
+                  envelope.getObjectsRequest().getKind(),
+                  envelope.getObjectsRequest().getFromVersion(),
+                  envelope.getObjectsRequest().getWaitMilliseconds()));
+      case OBJECTS_ANSWER -> Optional.of(decodeObjects(envelope.getObjectsAnswer()));
       default -> Optional.empty();
     };
   }
 
+  private static PeerProtocol.ObjectsAnswer encodeObjects(PeerMessage.ObjectsAnswer answer) {
+    PeerProtocol.ObjectsAnswer.Builder builder =
+        PeerProtocol.ObjectsAnswer.newBuilder()
+            .setVersion(answer.version())
+            .setWhole(answer.whole());
+    for (PeerMessage.ObjectState object : answer.objects()) {
+      PeerProtocol.ObjectState.Builder state =
+          PeerProtocol.ObjectState.newBuilder()
+              .setName(object.name())
+              .setResourceVersion(object.resourceVersion())
+              .setDeleted(object.content().isEmpty());
+      object.content().ifPresent(bytes -> state.setContent(ByteString.copyFrom(bytes)));
+      builder.addObjects(state);
+    }
+    return builder.build();
+  }
+
+  private static PeerMessage decodeObjects(PeerProtocol.ObjectsAnswer answer) {
+    List<PeerMessage.ObjectState> objects =
+        answer.getObjectsList().stream()
+            .map(
+                object ->
+                    new PeerMessage.ObjectState(
+                        object.getName(),
+                        object.getResourceVersion(),
+                        object.getDeleted()
+                            ? Optional.empty()
+                            : Optional.of(object.getContent().toByteArray())))
+            .toList();
+    return new PeerMessage.ObjectsAnswer(answer.getVersion(), answer.getWhole(), objects);
+  }
+
   private static PeerProtocol.ModelChange encodeChange(PeerMessage.ModelChange change) {
     return switch (change) {
       case LOADED -> PeerProtocol.ModelChange.MODEL_CHANGE_LOADED;
--- a/peer/src/main/java/org/agatefield/peer/PeerCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerCodec.java
@@ -12,6 +12,9 @@
   private PeerCodec() {}
 
   static Envelope encode(long requestNumber, boolean answer, PeerMessage message) {
+    if (message instanceof PeerMessage.Relayed relayed) {
+      return encode(requestNumber, answer, relayed.message()).toBuilder().setHandOn(true).build();
+    }
     Envelope.Builder envelope =
         Envelope.newBuilder().setRequestNumber(requestNumber).setAnswer(answer);
     if (message instanceof PeerMessage.Membership membership) {
@@ -42,6 +45,11 @@
 
   /** Returns the message; empty if this version of the protocol does not know its kind. */
   static Optional<PeerMessage> decode(Envelope envelope) {
+    Optional<PeerMessage> message = decodeMessage(envelope);
+    return envelope.getHandOn() ? message.map(PeerMessage.Relayed::new) : message;
+  }
+
+  private static Optional<PeerMessage> decodeMessage(Envelope envelope) {
     return switch (envelope.getMessageCase()) {
       case MEMBERSHIP -> MembershipCodec.decode(envelope.getMembership()).map(each -> each);
       case CONFIGURATION_REQUEST ->
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -151,6 +151,44 @@
    */
   record RunnerShare(String runner, int running, int unreadPromptTokens) {}
 
+  /**
+   * A message that the receiver hands on to the other instances of its failure domain.
+   *
+   * @param message expects no answer
+   */
+  record Relayed(PeerMessage message) implements PeerMessage {}
+
+  /**
+   * Asks an instance that watches the store for its objects of a kind.
+   *
+   * @param fromVersion from the answer before; empty asks for all objects
+   * @param waitMilliseconds how long to wait for a change
+   */
+  record ObjectsRequest(String kind, String fromVersion, int waitMilliseconds)
+      implements PeerMessage {}
+
+  /**
+   * Objects of a kind as another instance knows them.
+   *
+   * @param version to go on from
+   * @param whole whether these are all objects; otherwise they are the changes in their order
+   */
+  record ObjectsAnswer(String version, boolean whole, List<ObjectState> objects)
+      implements PeerMessage {
+    /** Copies the list. */
+    public ObjectsAnswer {
+      objects = List.copyOf(objects);
+    }
+  }
+
+  /**
+   * One object, or that it was deleted. Immutable as long as nobody changes {@code content}.
+   *
+   * @param resourceVersion the store's version of the object
+   * @param content compressed JSON; empty if the object was deleted
+   */
+  record ObjectState(String name, String resourceVersion, Optional<byte[]> content) {}
+
   /**
    * Asks for what an instance knows of the configuration and the runners. Immutable.
    *
--- a/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
+++ b/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
@@ -168,7 +168,7 @@
   private Optional<Scored> candidate(
       ModelSize model, int index, int storeLoads, double costBefore) {
     EngineView engine = engines.get(index);
-    boolean fromStore = model.comesFromStore(engine);
+    final boolean fromStore = model.comesFromStore(engine);
     Optional<List<String>> victims = victims(model, index);
     if (victims.isEmpty()) {
       return Optional.empty();
--- a/store/src/main/java/org/agatefield/store/ObjectInformer.java
+++ b/store/src/main/java/org/agatefield/store/ObjectInformer.java
@@ -27,7 +27,7 @@
   private static final Duration LONGEST_DELAY = Duration.ofSeconds(10);
 
   private final Vertx vertx;
-  private final ObjectStore store;
+  private final ObjectSource store;
   private final ObjectKind kind;
   private final Duration pollInterval;
   private final List<InformerListener> listeners = new CopyOnWriteArrayList<>();
@@ -47,7 +47,7 @@
    *
    * @param pollInterval how often the kind is listed although the watch is quiet
    */
-  public ObjectInformer(Vertx vertx, ObjectStore store, ObjectKind kind, Duration pollInterval) {
+  public ObjectInformer(Vertx vertx, ObjectSource store, ObjectKind kind, Duration pollInterval) {
     this(vertx, store, kind, pollInterval, LONGEST_DELAY);
   }
 
@@ -59,7 +59,7 @@
    */
   public ObjectInformer(
       Vertx vertx,
-      ObjectStore store,
+      ObjectSource store,
       ObjectKind kind,
       Duration pollInterval,
       Duration longestDelay) {
--- a/store/src/main/java/org/agatefield/store/ObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/ObjectStore.java
@@ -11,7 +11,7 @@
  * {@link StoreFailure} other than {@link StoreFailure#UNKNOWN_RESULT} has had no effect and never
  * will. Implementations are safe for use by any thread; futures may complete on any thread.
  */
-public interface ObjectStore {
+public interface ObjectStore extends ObjectSource {
   /** Reads an object; fails with {@link StoreFailure#NOT_FOUND} if there is none. */
   CompletableFuture<StoredObject> get(ObjectKey key);
 
@@ -33,9 +33,6 @@
   /** Deletes an object if its version is still that of {@code previous}. */
   CompletableFuture<Void> delete(StoredObject previous);
 
-  /** Reads all objects of a kind. */
-  CompletableFuture<ObjectList> list(ObjectKind kind);
-
   /**
    * Reads some objects of a kind, for what is too large to be read at once.
    *
@@ -44,12 +41,4 @@
    */
   CompletableFuture<ObjectPage> listPage(
       ObjectKind kind, int limit, Optional<String> continueToken);
-
-  /**
-   * Reports every change of a kind after a version, until closed or failed.
-   *
-   * @param fromVersion a version from {@link ObjectList#resourceVersion()}
-   * @return closes the watch; closing it twice does nothing
-   */
-  AutoCloseable watch(ObjectKind kind, String fromVersion, WatchListener listener);
 }
