Send late requests only where a runner is soon idle

Change: a request is sent if it begins within its objective and the backlog is at most 0.75 of it, or, if it will be late, if the backlog is at most 0.3 of it. It is refused once its prompt would take half of the time that is left.

At three times the capacity long prompts are still refused far more often than short ones: not solved.

Tests: OverloadReplayTest, 14 of 261 answers within their objective before, at least three quarters after; the largest tenth at least half as often as all at 1.4 times the capacity (before and with the first tries: not).

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -199,8 +199,10 @@
                 .sending()
                 .decide(
                     found.candidate(),
-                    Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
-                    beginBy - now);
+                    new SendPolicy.Timing(
+                        route.objectiveMilliseconds(),
+                        Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
+                        beginBy - now));
     switch (decision) {
       case SEND -> take(found.runner(), now);
       case WAIT -> startWaiting();
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
@@ -28,6 +28,11 @@
     return (unreadPromptTokens + newPromptTokens) * millisecondsPerToken;
   }
 
+  /** Returns how long the prompts of requests before this one take. */
+  public double backlogMilliseconds() {
+    return unreadPromptTokens * millisecondsPerToken;
+  }
+
   /** Where a runner lies, seen from an instance. */
   public enum Distance {
     /** In the instance's failure domain. */
--- a/forwarding/src/main/java/org/agatefield/forwarding/SendAlways.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/SendAlways.java
@@ -3,8 +3,7 @@
 /** The baseline: every request is sent at once. Stateless. */
 public final class SendAlways implements SendPolicy {
   @Override
-  public Decision decide(
-      RunnerCandidate candidate, long objectiveMilliseconds, long remainingMilliseconds) {
+  public Decision decide(RunnerCandidate candidate, Timing timing) {
     return Decision.SEND;
   }
 }
--- a/forwarding/src/main/java/org/agatefield/forwarding/SendPolicy.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/SendPolicy.java
@@ -6,11 +6,19 @@
    * Decides about one request.
    *
    * @param candidate the best runner
-   * @param objectiveMilliseconds when the answer should begin
+   * @param timing how urgent the request is now
+   */
+  Decision decide(RunnerCandidate candidate, Timing timing);
+
+  /**
+   * How urgent a request is. Immutable.
+   *
+   * @param objectiveMilliseconds how soon after its arrival the answer should begin
+   * @param objectiveLeftMilliseconds what is left of that; 0 if the answer will be late
    * @param remainingMilliseconds how long the caller still waits
    */
-  Decision decide(
-      RunnerCandidate candidate, long objectiveMilliseconds, long remainingMilliseconds);
+  record Timing(
+      long objectiveMilliseconds, long objectiveLeftMilliseconds, long remainingMilliseconds) {}
 
   /** What to do with a request. */
   enum Decision {
