End a rehearsal that fails; tell callers of a missing model when it will be there

A start that fails left its threads.

Cause, return: the time until a model is there was computed and never sent. Change: ReturnAdvice; 400 ms or that time; 100 ms from an instance that leaves. Ruled out: 1,200 ms for busy models (a load from disk).

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -72,7 +72,8 @@
   private static final long DEMAND_MILLISECONDS = 250;
   private static final long NEIGHBOUR_MILLISECONDS = 120;
   private static final int REPORTS_PER_DISTANT_REPORT = 2; // bytes between domains are paid for
-  private static final int REPORTS_PER_DOMAIN_REPORT = 4; // a large domain has many neighbours
+  private static final int REPORTS_PER_LARGE_DOMAIN_REPORT = 2; // many neighbours, smaller parts
+  private static final int REPORTS_PER_DOMAIN_REPORT = 4;
   private static final long NOTICE_MILLISECONDS = 500; // a fraction of a takeover
   private static final long LAPSE_CHECK_MILLISECONDS = 200;
   private static final long ADAPTER_ANSWER_MILLISECONDS = 1_200;
@@ -129,7 +130,7 @@
   }
 
   /**
-   * Starts everything and returns once all addresses are listened on.
+   * Starts everything and returns once all addresses are listened on; closes all if that fails.
    *
    * @throws AgatefieldException if an address cannot be listened on
    */
@@ -146,6 +147,7 @@
     try {
       started.join();
     } catch (CompletionException exception) {
+      closer.close(); // threads that were started would keep the process alive
       throw new AgatefieldException(
           ErrorKind.INTERNAL, "the daemon did not start", exception.getCause());
     }
@@ -399,10 +401,12 @@
   private void tellLoads(String id) {
     loadReports++;
     Map<String, RunnerLoads.Share> own = loads.ownShares();
-    if (!own.isEmpty()) {
+    DomainRelays relays = peers.relays();
+    boolean tellsNeighbours =
+        !relays.isDomainLarge() || loadReports % REPORTS_PER_LARGE_DOMAIN_REPORT == 0;
+    if (!own.isEmpty() && tellsNeighbours) {
       peers.tellNeighbours(loadReport(id, own));
     }
-    DomainRelays relays = peers.relays();
     if (!relays.isDomainLarge()) {
       if (!own.isEmpty() && loadReports % REPORTS_PER_DISTANT_REPORT == 0) {
         peers.tellOtherDomains(loadReport(id, own));
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
@@ -40,6 +40,7 @@
   private static final long TICK_MILLISECONDS = 200; // a fraction of the shortest load
   private static final double CONCURRENT_LOADS_PER_RATE = 3; // as the sheets' weight stores allow
   private static final long STATE_LOG_MILLISECONDS = 1_000;
+  private static final int RUNNERS_PER_SECOND_OF_LOG = 20; // large fleets are told less often
   private static final int ADAPTER_LOADS = 24; // the smaller of the sheets' weight stores
   private static final double MAXIMUM_ADAPTER_MEGABYTES = 64;
 
@@ -256,7 +257,8 @@
       Map<String, DemandBook.Demand> demands,
       int storeLoads,
       long now) {
-    if (now - loggedAt < STATE_LOG_MILLISECONDS) {
+    long interval = STATE_LOG_MILLISECONDS * (1 + views.size() / RUNNERS_PER_SECOND_OF_LOG);
+    if (now - loggedAt < interval) {
       return;
     }
     loggedAt = now;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -16,6 +16,7 @@
 import org.agatefield.forwarding.RefusalReason;
 import org.agatefield.forwarding.RequestAction;
 import org.agatefield.forwarding.RequestTerms;
+import org.agatefield.forwarding.ReturnAdvice;
 import org.agatefield.forwarding.Route;
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.forwarding.SendPolicy;
@@ -31,7 +32,6 @@
   private static final Logger LOGGER = LogManager.getLogger(RequestExchange.class);
   private static final long ANSWER_MARGIN_MILLISECONDS = 15; // the way back to the caller
   private static final long SHORTEST_SEND_MILLISECONDS = 20; // less is no use to a runner
-  private static final long REFUSAL_RETURN_MILLISECONDS = 400; // about one load from host memory
   private static final long PLANNING_MILLISECONDS = 1_500; // a report, a plan and a load from disk
   private static final long FIRST_EVENT_MILLISECONDS = 250;
   private static final long ADAPTER_PAUSE_MILLISECONDS = 80; // several loads of an adapter
@@ -56,7 +56,7 @@
   private RunnerEntry chosenRunner;
   private boolean waiting;
   private long deadlineTimer = -1;
-  private long returnAfter = REFUSAL_RETURN_MILLISECONDS;
+  private long modelReadyIn;
   private int sends;
   private long firstEventAt = -1;
 
@@ -187,7 +187,7 @@
       startWaiting();
       return;
     }
-    returnAfter = Math.max(REFUSAL_RETURN_MILLISECONDS, readyAt - now);
+    modelReadyIn = Math.max(0, readyAt - now);
     perform(state.notChosen(RefusalReason.MODEL_ABSENT));
   }
 
@@ -340,7 +340,8 @@
       return "stream_aborted";
     } else if (last instanceof RequestAction.Refuse refusal) {
       parts.metrics().refused(refusal.reason().name());
-      response.refuse(refusal.reason(), CallerResponse.spread(REFUSAL_RETURN_MILLISECONDS));
+      long returnIn = ReturnAdvice.milliseconds(refusal.reason(), modelReadyIn);
+      response.refuse(refusal.reason(), CallerResponse.spread(returnIn));
       return "refused_" + refusal.reason();
     } else if (last instanceof RequestAction.Fail failure) {
       response.fail(failure.reason());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
@@ -35,6 +35,7 @@
   private final Map<String, RunnerEntry> entries = new HashMap<>();
   private final Map<String, JsonNode> contents = new HashMap<>();
   private final Map<String, Long> lapsedAt = new HashMap<>();
+  private final Map<String, List<RunnerEntry>> usableByService = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
   private boolean storeAvailable = true;
   private long storeReturnedAt = Long.MIN_VALUE / 2;
@@ -121,9 +122,13 @@
 
   /** Returns the runners of a service that take new work. */
   List<RunnerEntry> usable(String service) {
-    return entries.values().stream()
-        .filter(entry -> entry.service().equals(service) && !entry.draining())
-        .toList();
+    // Every request asks, entries change rarely.
+    return usableByService.computeIfAbsent(
+        service,
+        wanted ->
+            entries.values().stream()
+                .filter(entry -> entry.service().equals(wanted) && !entry.draining())
+                .toList());
   }
 
   /** Returns the entries as they lie in the store, by the runners' identifiers. */
@@ -145,6 +150,7 @@
     }
     RunnerEntry entry = decoded.get();
     RunnerEntry before = entries.put(id, entry);
+    usableByService.clear();
     contents.put(id, content);
     boolean newLife = before == null || before.bornMilliseconds() != entry.bornMilliseconds();
     boolean newState = newLife || before.draining() != entry.draining();
@@ -166,6 +172,7 @@
     if (entries.remove(id) == null) {
       return;
     }
+    usableByService.clear();
     LOGGER.info("runner={} gone=true cause={}", id, cause);
     listeners.forEach(listener -> listener.runnerGone(id));
   }
--- /dev/null
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ReturnAdviceTest.java
@@ -0,0 +1,20 @@
+package org.agatefield.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class ReturnAdviceTest {
+  @Test
+  void callersOfMissingModelReturnWhenItIsThere() {
+    assertEquals(2_700, ReturnAdvice.milliseconds(RefusalReason.MODEL_ABSENT, 2_700));
+  }
+
+  @Test
+  void callersOfBusyModelStayAwayLongerThanThoseOfInstanceThatLeaves() {
+    long busy = ReturnAdvice.milliseconds(RefusalReason.OVERLOADED, 0);
+    long leaving = ReturnAdvice.milliseconds(RefusalReason.SHUTTING_DOWN, 0);
+    assertTrue(busy > leaving);
+  }
+}
--- a/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
@@ -78,4 +78,16 @@
             .orElseThrow()
             .id());
   }
+
+  @Test
+  void theSumForOtherDomainsHoldsTheOwnPartAndFreshPartsOfTheNamedNeighboursOnly() {
+    RunnerLoads loads = new RunnerLoads();
+    loads.sent("r", 100);
+    loads.heard("near", Map.of("r", new RunnerLoads.Share(2, 700)), 5_000);
+    loads.heard("silent", Map.of("r", new RunnerLoads.Share(9, 900)), 1_000);
+    loads.heard("domain/other", Map.of("r", new RunnerLoads.Share(5, 500)), 5_000);
+    assertEquals(
+        Map.of("r", new RunnerLoads.Share(3, 800)),
+        loads.sharesWith(List.of("near", "silent"), 5_100));
+  }
 }
