Notice a relay that lost the store before a leaving runner's bound

Cause, found by reading: a watch that went silent was noticed after 3.5 s. An instance that learns from a relay which alone is cut from the store would hear of a leaving runner after that, a backoff and two lists: some 4.2 s, where 4 s are allowed on the grown sites. A relay that stood still could also hand out what it knew before.

Test: RelayedObjectsTest.sourceThatHasNotHeardFromTheStoreLatelyIsPassedOver (without the check the old list is taken). The cut itself has no test yet.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -194,7 +194,8 @@
   }
 
   private void startWatch(ObjectSource source, ObjectKind kind, InformerListener listener) {
-    KnowledgeRelay relay = new KnowledgeRelay(vertx, peers.self().id());
+    KnowledgeRelay relay =
+        new KnowledgeRelay(vertx, peers.self().id(), MonotonicClock::milliseconds);
     relays.put(kind.plural(), relay);
     ObjectInformer informer =
         new ObjectInformer(vertx, source, kind, STORE_POLL, LONGEST_STORE_DELAY);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/KnowledgeRelay.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/KnowledgeRelay.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.ErrorKind;
 import org.agatefield.peer.PeerMessage;
@@ -20,11 +21,13 @@
  * Tells other instances the objects of one kind, as this instance knows them, and their changes.
  *
  * <p>Invariants: nothing is told before the objects are known, nor while they may be out of date
- * because their source does not answer; an asker that is too far behind gets all objects. Versions
- * are this process's own. Confined to one event loop.
+ * because their source does not answer or has not confirmed them lately; an asker that is too far
+ * behind gets all objects. Versions are this process's own. Confined to one event loop.
  */
 final class KnowledgeRelay implements InformerListener {
   private static final int CHANGES_KEPT = 512; // several seconds of busy runners
+  // Beyond a watch's longest wait; a process that stood still has confirmed nothing meanwhile.
+  private static final long FRESH_MILLISECONDS = 2_500;
   private static final long GATHER_MILLISECONDS = 20; // one answer carries changes that come close
 
   private final Vertx vertx;
@@ -33,6 +36,8 @@
   private final Deque<Change> changes = new ArrayDeque<>();
   private final List<Pending> pending = new ArrayList<>();
   private long lastChange;
+  private final LongSupplier clock;
+  private long confirmedAt;
   private boolean known;
   private boolean available = true;
   private boolean gathering;
@@ -41,9 +46,16 @@
 
   private record Pending(long afterChange, CompletableFuture<PeerMessage> answer, long timer) {}
 
-  KnowledgeRelay(Vertx vertx, String processId) {
+  /**
+   * Creates a relay.
+   *
+   * @param processId unique to this process
+   * @param clock monotonic milliseconds
+   */
+  KnowledgeRelay(Vertx vertx, String processId, LongSupplier clock) {
     this.vertx = vertx;
     this.processId = processId;
+    this.clock = clock;
   }
 
   @Override
@@ -65,8 +77,9 @@
   }
 
   @Override
-  public void updated(Map<String, StoredObject> all) {
+  public void confirmed() {
     known = true;
+    confirmedAt = clock.getAsLong();
   }
 
   @Override
@@ -85,7 +98,8 @@
 
   /** Answers with what changed, as soon as something did, or after the time that the asker gave. */
   CompletableFuture<PeerMessage> answer(PeerMessage.ObjectsRequest request) {
-    if (!known || !available) {
+    boolean fresh = clock.getAsLong() - confirmedAt <= FRESH_MILLISECONDS;
+    if (!known || !available || !fresh) {
       return CompletableFuture.failedFuture(unavailable());
     }
     Optional<Long> after = changeNumber(request.fromVersion());
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RelayedObjectsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RelayedObjectsTest.java
@@ -34,6 +34,7 @@
   private static final long LIMIT_SECONDS = 10;
 
   private final Vertx vertx = Vertx.vertx();
+  private volatile long clock = 10_000;
   private final Map<String, KnowledgeRelay> relays = new HashMap<>();
   private final List<Instance> sources = new ArrayList<>();
   private final CountingStore store = new CountingStore();
@@ -91,7 +92,7 @@
     Address address = new Address("10.0.0.1", 80);
     sources.add(
         new Instance(id, address, address, new FailureDomain("r", "d"), InstanceState.LIVE));
-    KnowledgeRelay relay = new KnowledgeRelay(vertx, id);
+    KnowledgeRelay relay = new KnowledgeRelay(vertx, id, () -> clock);
     relays.put(id, relay);
     return relay;
   }
@@ -114,7 +115,7 @@
   void objectsAndTheirChangesComeFromTheSourceWithoutCallToTheStore() throws Exception {
     KnowledgeRelay relay = addSource("one");
     relay.changed(object("a", "first"));
-    relay.updated(Map.of());
+    relay.confirmed();
     ObjectList listed = list();
     assertEquals("first", listed.objects().get(0).content().asText());
     Recorder recorder = new Recorder();
@@ -133,14 +134,14 @@
     addSource("one");
     KnowledgeRelay second = addSource("two");
     second.changed(object("a", "known"));
-    second.updated(Map.of());
+    second.confirmed();
     assertEquals("known", list().objects().get(0).content().asText());
   }
 
   @Test
   void watchEndsAsGoneWhenItsSourceLosesTheStoreAndTheNextListChoosesAgain() throws Exception {
     KnowledgeRelay first = addSource("one");
-    first.updated(Map.of());
+    first.confirmed();
     final KnowledgeRelay second = addSource("two");
     Recorder recorder = new Recorder();
     try (AutoCloseable watch =
@@ -149,7 +150,7 @@
       assertEquals("ended VERSION_GONE", recorder.next());
     }
     second.changed(object("b", "of the second"));
-    second.updated(Map.of());
+    second.confirmed();
     assertEquals("of the second", list().objects().get(0).content().asText());
   }
 
@@ -174,14 +175,26 @@
   @Test
   void sourceThatStartedAgainGivesAllObjectsAnew() throws Exception {
     KnowledgeRelay relay = addSource("one");
-    relay.updated(Map.of());
+    relay.confirmed();
     String version = list().resourceVersion();
-    KnowledgeRelay later = new KnowledgeRelay(vertx, "one-again");
-    later.updated(Map.of());
+    KnowledgeRelay later = new KnowledgeRelay(vertx, "one-again", () -> clock);
+    later.confirmed();
     relays.put("one", later);
     Recorder recorder = new Recorder();
     try (AutoCloseable watch = objects.watch(ObjectKind.RUNNER, version, recorder)) {
       assertEquals("ended VERSION_GONE", recorder.next());
     }
   }
+
+  @Test
+  void sourceThatHasNotHeardFromTheStoreLatelyIsPassedOver() throws Exception {
+    KnowledgeRelay first = addSource("one");
+    first.changed(object("a", "old"));
+    first.confirmed();
+    clock += 3_000;
+    KnowledgeRelay second = addSource("two");
+    second.changed(object("a", "new"));
+    second.confirmed();
+    assertEquals("new", list().objects().get(0).content().asText());
+  }
 }
--- a/store/src/main/java/org/agatefield/store/InformerListener.java
+++ b/store/src/main/java/org/agatefield/store/InformerListener.java
@@ -17,6 +17,9 @@
    */
   default void updated(Map<String, StoredObject> objects) {}
 
+  /** The objects known are those that the source has now. */
+  default void confirmed() {}
+
   /** The store stopped answering, or answers again; told only when this changes. */
   default void availabilityChanged(boolean available) {}
 }
--- a/store/src/main/java/org/agatefield/store/ObjectInformer.java
+++ b/store/src/main/java/org/agatefield/store/ObjectInformer.java
@@ -125,6 +125,7 @@
     backoff.reset();
     setAvailable(true, "listed");
     replaceAll(list);
+    listeners.forEach(InformerListener::confirmed);
     startWatch(list.resourceVersion());
     scheduleRelist();
   }
@@ -220,6 +221,7 @@
       version = resourceVersion;
       backoff.reset();
       setAvailable(true, "watched");
+      listeners.forEach(InformerListener::confirmed);
     }
   }
 
