Split the exchange of loads out of the daemon

Cause: read as a newcomer, ForwardingDaemon had a field and a local variable called relays of different kinds, and 60 lines about load reports. Change: LoadExchange tells and takes in loads; the field is knowledgeRelays. No change of behaviour: the same periods, recipients and sums.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -30,7 +30,6 @@
 import org.agatefield.forwarding.BeginInTime;
 import org.agatefield.forwarding.EarliestBeginChoice;
 import org.agatefield.forwarding.RunnerLoads;
-import org.agatefield.membership.DomainRelays;
 import org.agatefield.model.Address;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.Closer;
@@ -70,10 +69,6 @@
   // The configuration's bound is not known when the listener opens; the usual one is a quarter.
   private static final int HEADER_BYTES = 65_536;
   private static final long DEMAND_MILLISECONDS = 250;
-  private static final long NEIGHBOUR_MILLISECONDS = 120;
-  private static final int REPORTS_PER_DISTANT_REPORT = 2; // bytes between domains are paid for
-  private static final int REPORTS_PER_LARGE_DOMAIN_REPORT = 2; // many neighbours, smaller parts
-  private static final int REPORTS_PER_DOMAIN_REPORT = 4;
   private static final long NOTICE_MILLISECONDS = 500; // a fraction of a takeover
   private static final long LAPSE_CHECK_MILLISECONDS = 200;
   private static final long ADAPTER_ANSWER_MILLISECONDS = 1_200;
@@ -100,14 +95,14 @@
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
   private final KnowledgeExchange knowledge;
-  private final Map<String, KnowledgeRelay> relays = new HashMap<>();
+  private final Map<String, KnowledgeRelay> knowledgeRelays = new HashMap<>();
   private ForwardingPeers peers;
+  private LoadExchange loadExchange;
   private PlannerDuty planner;
   private LeaseDuty lease;
   private IngressServer ingress;
   private Optional<PeerMessage.PlannerNotice> plannerNotice = Optional.empty();
   private long plannerHeardAt;
-  private int loadReports;
   private volatile boolean leaving;
   private volatile boolean refusing;
 
@@ -174,6 +169,7 @@
         closer.register(
             new ForwardingPeers(
                 self, settings.peers(), context, new PeerListener(), metrics, random));
+    loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     HttpObjectStore store =
         closer.register(
             new HttpObjectStore(vertx, settings.store(), STORE_TIMEOUT, dialect.store()));
@@ -196,7 +192,7 @@
   private void startWatch(ObjectSource source, ObjectKind kind, InformerListener listener) {
     KnowledgeRelay relay =
         new KnowledgeRelay(vertx, peers.self().id(), MonotonicClock::milliseconds);
-    relays.put(kind.plural(), relay);
+    knowledgeRelays.put(kind.plural(), relay);
     ObjectInformer informer =
         new ObjectInformer(vertx, source, kind, STORE_POLL, LONGEST_STORE_DELAY);
     closer.register(informer.listen(listener).listen(relay).start());
@@ -290,7 +286,7 @@
 
   private void startTimers(String id) {
     vertx.setPeriodic(DEMAND_MILLISECONDS, fired -> reportDemand(id));
-    vertx.setPeriodic(NEIGHBOUR_MILLISECONDS, fired -> tellLoads(id));
+    vertx.setPeriodic(LoadExchange.PERIOD_MILLISECONDS, fired -> loadExchange.tell());
     vertx.setPeriodic(NOTICE_MILLISECONDS, fired -> announcePlanner(id));
     vertx.setPeriodic(
         LAPSE_CHECK_MILLISECONDS, fired -> runners.dropLapsed(MonotonicClock.milliseconds()));
@@ -398,36 +394,6 @@
     }
   }
 
-  /** Tells what runs at runners: the own part nearby, the failure domain's far away. */
-  private void tellLoads(String id) {
-    loadReports++;
-    Map<String, RunnerLoads.Share> own = loads.ownShares();
-    DomainRelays relays = peers.relays();
-    boolean tellsNeighbours =
-        !relays.isDomainLarge() || loadReports % REPORTS_PER_LARGE_DOMAIN_REPORT == 0;
-    if (!own.isEmpty() && tellsNeighbours) {
-      peers.tellNeighbours(loadReport(id, own));
-    }
-    if (!relays.isDomainLarge()) {
-      if (!own.isEmpty() && loadReports % REPORTS_PER_DISTANT_REPORT == 0) {
-        peers.tellOtherDomains(loadReport(id, own));
-      }
-    } else if (relays.speaks() && loadReports % REPORTS_PER_DOMAIN_REPORT == 0) {
-      List<String> neighbours = relays.neighbours().stream().map(Instance::id).toList();
-      Map<String, RunnerLoads.Share> all =
-          loads.sharesWith(neighbours, MonotonicClock.milliseconds());
-      peers.tellOtherDomains(loadReport("domain/" + settings.failureDomain().name(), all));
-    }
-  }
-
-  private static PeerMessage loadReport(String reporter, Map<String, RunnerLoads.Share> reported) {
-    List<PeerMessage.RunnerShare> shares = new ArrayList<>();
-    reported.forEach(
-        (runner, share) ->
-            shares.add(new PeerMessage.RunnerShare(runner, share.running(), share.unreadTokens())));
-    return new PeerMessage.RunnerLoadReport(reporter, shares);
-  }
-
   private void announcePlanner(String id) {
     planner
         .fencingToken()
@@ -528,15 +494,7 @@
     public void received(PeerMessage message) {
       long now = MonotonicClock.milliseconds();
       if (message instanceof PeerMessage.RunnerLoadReport report) {
-        Map<String, RunnerLoads.Share> shares = new HashMap<>();
-        report
-            .loads()
-            .forEach(
-                share ->
-                    shares.put(
-                        share.runner(),
-                        new RunnerLoads.Share(share.running(), share.unreadPromptTokens())));
-        loads.heard(report.instance(), shares, now);
+        loadExchange.heard(report);
       } else if (message instanceof PeerMessage.ModelDemandReport report) {
         planner.demandReported(report.instance(), report.demands());
       } else if (message instanceof PeerMessage.PlannerNotice notice) {
@@ -578,8 +536,9 @@
       if (request instanceof PeerMessage.SnapshotRequest asked) {
         return CompletableFuture.completedFuture(knowledge.answer(asked));
       }
-      if (request instanceof PeerMessage.ObjectsRequest asked && relays.containsKey(asked.kind())) {
-        return relays.get(asked.kind()).answer(asked);
+      if (request instanceof PeerMessage.ObjectsRequest asked
+          && knowledgeRelays.containsKey(asked.kind())) {
+        return knowledgeRelays.get(asked.kind()).answer(asked);
       }
       if (request instanceof PeerMessage.AdapterRequest asked) {
         return planner
