Join the other instances only when callers are listened to

PeerDuty joined when it was made, the listener opened last.

Change: PeerDuty.join(), called after the listener is open; before it no message is answered and no list is followed.

Test: PeerDutyTest.instanceIsKnownToNobodyBeforeItJoinsThoughItIsOnTheLists (expected 1, was 2 before). The forwarding daemon also joins before its listeners are open; the window is the opening itself.

--- a/daemon/src/main/java/org/agatefield/daemon/Daemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/Daemon.java
@@ -122,6 +122,7 @@
     configuration.start();
     ledgers.start();
     listen(routes());
+    peers.join(); // others name this instance to callers as soon as they know it
   }
 
   private void startPeers(String instanceId, UniformRandomProvider random) {
--- a/daemon/src/main/java/org/agatefield/daemon/peers/PeerDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/PeerDuty.java
@@ -55,12 +55,13 @@
   private final ConfigurationSpread configuration;
   private final DemandTree demand;
   private final InstanceList instanceList;
+  private final ConfigurationSource source;
   private final List<Address> settingsSeeds;
   private final MembershipSettings settings;
   private volatile Set<String> leavingNames = Set.of();
 
   /**
-   * Starts to listen for peers and to look for them.
+   * Starts to listen for peers; nobody is told of this instance before {@link #join()}.
    *
    * @param self this instance; its identifier was never used before
    * @param seeds addresses from the settings
@@ -78,6 +79,7 @@
       MetricRegistry metrics,
       UniformRandomProvider random) {
     this.instanceList = instanceList;
+    this.source = source;
     this.settingsSeeds = List.copyOf(seeds);
     this.settings = MembershipSettings.defaults();
     MultiThreadIoEventLoopGroup group =
@@ -101,6 +103,13 @@
     this.demand =
         new DemandTree(self, loop, transport, demandSource, instances, random, PeerDuty::now);
     registerMetrics(metrics);
+  }
+
+  /**
+   * Makes this instance known to the others, which send callers to it from then on; called once,
+   * when callers are listened to.
+   */
+  public void join() {
     transport.listen(new Handler());
     loop.execute(this::start);
     instanceList.subscribe(snapshot -> loop.execute(this::readList));
--- a/daemon/src/test/java/org/agatefield/daemon/peers/PeerDutyTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/peers/PeerDutyTest.java
@@ -28,6 +28,8 @@
 
 class PeerDutyTest {
   private static final Duration LIMIT = Duration.ofSeconds(60);
+  private static final Duration SEVERAL_ROUNDS =
+      Duration.ofSeconds(3); // of probes and of reading lists
 
   private final List<Node> nodes = new ArrayList<>();
 
@@ -58,6 +60,26 @@
     await().atMost(LIMIT).until(() -> late.generation() == 3);
   }
 
+  @Test
+  void instanceIsKnownToNobodyBeforeItJoinsThoughItIsOnTheLists() throws InterruptedException {
+    Node first = start("a", new FailureDomain("north", "a"), null);
+    Node late = create("late", new FailureDomain("north", "b"), first.address());
+    InstanceList.EntryInstance entry =
+        new InstanceList.EntryInstance(
+            "late",
+            late.address(),
+            late.address(),
+            new FailureDomain("north", "b"),
+            InstanceState.LIVE);
+    InstanceList.Snapshot both = new InstanceList.Snapshot(List.of(entry), Set.of(), Set.of());
+    first.list.replace(both);
+    late.list.replace(both);
+    Thread.sleep(SEVERAL_ROUNDS.toMillis());
+    assertEquals(1, first.duty.alive().size());
+    late.duty.join();
+    await().atMost(LIMIT).until(() -> first.duty.alive().size() == 2);
+  }
+
   @Test
   void leavingInstanceIsSeenAsLeavingEverywhere() {
     startThree();
@@ -111,6 +133,12 @@
   }
 
   private Node start(String id, FailureDomain failureDomain, Address seed) {
+    Node node = create(id, failureDomain, seed);
+    node.duty.join();
+    return node;
+  }
+
+  private Node create(String id, FailureDomain failureDomain, Address seed) {
     Node node = new Node(id, failureDomain, seed == null ? List.of() : List.of(seed));
     nodes.add(node);
     return node;
--- a/measurement/src/main/java/org/agatefield/measure/slopes/SocketNode.java
+++ b/measurement/src/main/java/org/agatefield/measure/slopes/SocketNode.java
@@ -49,6 +49,7 @@
             () -> demand,
             metrics,
             RandomSource.XO_RO_SHI_RO_128_PP.create(seed));
+    duty.join();
   }
 
   PeerDuty duty() {
