Tell loads by the failure domain's relay; peers on the daemon's event loop

Cause: on the large site (95 instances in domains of 16) each instance told its load to 15 neighbours every 240 ms, some 125 peer messages sent or received a second; a fleet that starts gossiped for half a minute (95 pieces of news, 21 sendings each, 8 a message); each peer message woke two event loops; five timers and the virtual machine's sampler woke a process some 40 times a second.

Change: in a large domain an instance tells its relay only, and the relay tells each neighbour the work of all others, of other domains too; while the relay is silent neighbours tell each other directly. Membership, transport and daemon share one event loop. News goes 24 to a message and twice the logarithm times. One timer for periodic duties. Waits at a relay last 1 s instead of 0.6.

Ruled out: thresholds of compilation at 2, 4 and 10 times and per package; a smaller code cache; a fixed young generation.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -58,7 +58,8 @@
   private static final Duration LONGEST_STORE_DELAY = Duration.ofMillis(1_000);
   private static final int CONNECT_MILLISECONDS = 400; // several times the way between regions
   private static final int CONNECTIONS_PER_RUNNER = 400;
-  private static final long LAPSE_CHECK_MILLISECONDS = 200;
+  private static final long LAPSE_CHECK_MILLISECONDS =
+      240; // a tenth of the patience with lapsed entries
   private static final long LEAVING_MILLISECONDS = 1_500; // most callers have asked again
   private static final long SHUTDOWN_CHECK_MILLISECONDS = 50;
   private static final long SHORTEST_LEAVING_MILLISECONDS = 3_500;
@@ -113,20 +114,22 @@
    */
   public void start() {
     CompletableFuture<Void> started = new CompletableFuture<>();
-    context.runOnContext(
-        run -> {
-          try {
-            startParts(started);
-          } catch (RuntimeException exception) {
-            started.completeExceptionally(exception);
-          }
-        });
     try {
+      UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+      createPeers(random);
+      context.runOnContext(
+          run -> {
+            try {
+              startParts(random, started);
+            } catch (RuntimeException exception) {
+              started.completeExceptionally(exception);
+            }
+          });
       started.join();
-    } catch (CompletionException exception) {
+    } catch (AgatefieldException | CompletionException exception) {
       closer.close(); // threads that were started would keep the process alive
-      throw new AgatefieldException(
-          ErrorKind.INTERNAL, "the daemon did not start", exception.getCause());
+      Throwable cause = exception.getCause() == null ? exception : exception.getCause();
+      throw new AgatefieldException(ErrorKind.INTERNAL, "the daemon did not start", cause);
     }
     LOGGER.info(
         "started callers={} directory={} peers={} store={}",
@@ -136,8 +139,7 @@
         settings.store());
   }
 
-  private void startParts(CompletableFuture<Void> started) {
-    UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+  private void createPeers(UniformRandomProvider random) {
     String id = settings.instanceName() + "-" + Integer.toHexString(random.nextInt());
     LOGGER.info("starting instance={} failure_domain={}", id, settings.failureDomain());
     Instance self =
@@ -148,9 +150,10 @@
             settings.failureDomain(),
             InstanceState.LIVE);
     peers =
-        closer.register(
-            new ForwardingPeers(
-                self, settings.peers(), context, new PeerListener(), metrics, random));
+        closer.register(new ForwardingPeers(self, context, new PeerListener(), metrics, random));
+  }
+
+  private void startParts(UniformRandomProvider random, CompletableFuture<Void> started) {
     plannerLink = new PlannerLink(peers, presence, waiting, demand, () -> lease.refresh());
     loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     HttpObjectStore store =
@@ -158,9 +161,10 @@
             new HttpObjectStore(vertx, settings.store(), STORE_TIMEOUT, dialect.store()));
     startWatches(store);
     startForwarding(random);
-    startPlanner(store, id);
+    startPlanner(store, peers.self().id());
     knowledge.start(peers);
     startTimers();
+    peers.start(settings.peers());
     new EntryListeners(
             vertx,
             settings,
@@ -282,12 +286,14 @@
     return sameInstance && !holder.equals(peers.self().id());
   }
 
+  /** Starts what is done again and again, by one timer, as each firing wakes the process. */
   private void startTimers() {
-    vertx.setPeriodic(PlannerLink.DEMAND_MILLISECONDS, fired -> plannerLink.reportDemand());
-    vertx.setPeriodic(LoadExchange.PERIOD_MILLISECONDS, fired -> loadExchange.tell());
-    vertx.setPeriodic(PlannerLink.NOTICE_MILLISECONDS, fired -> plannerLink.announce());
-    vertx.setPeriodic(
-        LAPSE_CHECK_MILLISECONDS, fired -> runners.dropLapsed(MonotonicClock.milliseconds()));
+    PeriodicDuties duties = new PeriodicDuties(vertx, LoadExchange.PERIOD_MILLISECONDS);
+    duties.every(LoadExchange.PERIOD_MILLISECONDS, loadExchange::tell);
+    duties.every(PlannerLink.DEMAND_MILLISECONDS, now -> plannerLink.reportDemand());
+    duties.every(PlannerLink.NOTICE_MILLISECONDS, now -> plannerLink.announce());
+    duties.every(LAPSE_CHECK_MILLISECONDS, runners::dropLapsed);
+    duties.start();
   }
 
   /** Stops talking to other instances, as a process does that dies; for tests of the others. */
@@ -367,7 +373,7 @@
     @Override
     public void received(PeerMessage message) {
       if (message instanceof PeerMessage.RunnerLoadReport report) {
-        loadExchange.heard(report);
+        loadExchange.heard(report, MonotonicClock.milliseconds());
       } else if (message instanceof PeerMessage.ModelDemandReport report) {
         plannerLink.heard(report);
       } else if (message instanceof PeerMessage.PlannerNotice notice) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -3,14 +3,14 @@
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
+import io.netty.util.concurrent.Future;
 import io.vertx.core.Context;
+import io.vertx.core.internal.ContextInternal;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.agatefield.daemon.peers.MembershipDriver;
 import org.agatefield.membership.DomainRelays;
 import org.agatefield.membership.MembershipEvent;
@@ -29,19 +29,22 @@
 /**
  * Membership and messages between forwarding daemons.
  *
- * <p>Membership runs on an event loop of its own; listeners are called on the daemon's. Safe for
- * use by any thread.
+ * <p>Membership, transport and listener share the daemon's event loop, so that a message wakes one
+ * thread. Created and closed by other threads, which wait for the loop; else safe for use by any
+ * thread.
  */
-final class ForwardingPeers implements AutoCloseable {
-  private static final long SHUTDOWN_MILLISECONDS = 500;
+final class ForwardingPeers implements LoadExchange.Fleet, AutoCloseable {
   // Callers keep an answer that names a dead instance for seconds, so the dead are found in about
   // two.
   private static final long PROBE_MILLISECONDS = 600;
   private static final long PROBE_TIMEOUT_MILLISECONDS = 250; // four times the way between regions
   private static final int SUSPICION_PROBES = 3;
+  // A fleet that starts has news of each member for each other one: fewer and larger messages.
+  private static final int UPDATES_PER_MESSAGE = 24; // some 3 KB
+  private static final int TRANSMIT_MULTIPLIER = 2; // exchanges find what these miss
 
   private final Closer closer = new Closer();
-  private final Context context;
+  private final ContextInternal context;
   private final EventLoop loop;
   private final NettyPeerTransport transport;
   private final MembershipDriver members;
@@ -63,29 +66,29 @@
     CompletableFuture<PeerMessage> requested(PeerMessage request);
   }
 
+  /**
+   * Listens for peers, but drops what they send until {@link #start}.
+   *
+   * @param context on whose event loop everything runs; not that of the calling thread
+   */
   ForwardingPeers(
       Instance self,
-      List<Address> seeds,
       Context context,
       Listener listener,
       MetricRegistry metrics,
       UniformRandomProvider random) {
-    this.context = context;
+    this.context = (ContextInternal) context;
     this.listener = listener;
     this.relayView = new RelayView(List.of(), new DomainRelays(self, List.of(self), List.of(self)));
     this.settings =
         MembershipSettings.defaults()
-            .withProbes(PROBE_MILLISECONDS, PROBE_TIMEOUT_MILLISECONDS, SUSPICION_PROBES);
-    MultiThreadIoEventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(
-            1, new DefaultThreadFactory("peers", true), NioIoHandler.newFactory());
-    closer.register(
-        () -> group.shutdownGracefully(0, SHUTDOWN_MILLISECONDS, TimeUnit.MILLISECONDS));
-    this.loop = (EventLoop) group.next();
+            .withProbes(PROBE_MILLISECONDS, PROBE_TIMEOUT_MILLISECONDS, SUSPICION_PROBES)
+            .withSpread(UPDATES_PER_MESSAGE, TRANSMIT_MULTIPLIER);
+    this.loop = this.context.nettyEventLoop();
     this.transport =
         closer.register(
             new NettyPeerTransport(
-                group, self.peerAddress(), PeerTransportSettings.defaults(), Optional.empty()));
+                loop, self.peerAddress(), PeerTransportSettings.defaults(), Optional.empty()));
     this.members =
         new MembershipDriver(
             self,
@@ -93,30 +96,32 @@
             transport,
             random,
             List::of,
-            (holder, version) ->
-                context.runOnContext(run -> listener.configurationHeard(holder, version)));
-    transport.listen(new Handler());
+            (holder, version) -> listener.configurationHeard(holder, version));
     metrics.registerGauge("agatefield.peers.members", (Gauge<Integer>) () -> alive().size());
     metrics.registerGauge(
         "agatefield.peers.bytes-sent", (Gauge<Long>) transport.traffic()::bytesSent);
-    loop.execute(() -> start(seeds));
   }
 
-  private void start(List<Address> seeds) {
-    members.handle(new MembershipEvent.SeedsChanged(seeds));
+  /** Takes in what peers send, and looks for them at the seeds. */
+  void start(List<Address> seeds) {
+    transport.listen(new Handler());
+    handle(new MembershipEvent.SeedsChanged(seeds));
     long tick = settings.tickMilliseconds();
-    loop.scheduleAtFixedRate(
-        () -> members.handle(new MembershipEvent.Tick()), tick, tick, TimeUnit.MILLISECONDS);
+    Future<?> ticks =
+        loop.scheduleAtFixedRate(
+            () -> handle(new MembershipEvent.Tick()), tick, tick, TimeUnit.MILLISECONDS);
+    closer.register(() -> ticks.cancel(false));
   }
 
-  /** Hands an event to the membership, unless it has been closed. */
+  /** Hands an event to the membership, unless the event loop has ended. */
   private void handle(MembershipEvent event) {
     if (!loop.isShuttingDown()) {
-      loop.execute(() -> members.handle(event));
+      context.emit(run -> members.handle(event));
     }
   }
 
-  Instance self() {
+  @Override
+  public Instance self() {
     return members.self();
   }
 
@@ -149,8 +154,8 @@
     handle(new MembershipEvent.LeaveRequested());
   }
 
-  /** Returns who speaks for which failure domain. */
-  DomainRelays relays() {
+  @Override
+  public DomainRelays relays() {
     List<Instance> answering = answering();
     RelayView view = relayView;
     if (view.answering() != answering) {
@@ -163,23 +168,17 @@
   /** Sends a message that may be lost to every other instance that is alive. */
   void broadcast(PeerMessage message) {
     tellNeighbours(message);
-    tellOtherDomains(message);
-  }
-
-  /** Sends a message that may be lost to the other instances of this one's failure domain. */
-  void tellNeighbours(PeerMessage message) {
-    relays().neighbours().forEach(instance -> send(instance, message));
-  }
-
-  /** Sends a message that may be lost to the instances of all other failure domains. */
-  void tellOtherDomains(PeerMessage message) {
     relays().direct().forEach(instance -> send(instance, message));
     PeerMessage relayed = new PeerMessage.Relayed(message);
     relays().relays().forEach(instance -> send(instance, relayed));
   }
 
-  /** Sends a message that may be lost. */
-  void send(Instance instance, PeerMessage message) {
+  private void tellNeighbours(PeerMessage message) {
+    relays().neighbours().forEach(instance -> send(instance, message));
+  }
+
+  @Override
+  public void send(Instance instance, PeerMessage message) {
     transport.send(instance.peerAddress(), message);
   }
 
@@ -191,13 +190,18 @@
   CompletableFuture<PeerMessage> request(
       Instance instance, PeerMessage message, long limitMilliseconds) {
     CompletableFuture<PeerMessage> answered = new CompletableFuture<>();
+    Future<?> limit =
+        loop.schedule(
+            () -> answered.completeExceptionally(new TimeoutException("no answer in time")),
+            limitMilliseconds,
+            TimeUnit.MILLISECONDS);
     transport
         .request(instance.peerAddress(), message)
-        .orTimeout(limitMilliseconds, TimeUnit.MILLISECONDS)
         .whenComplete(
             (answer, failure) ->
-                context.runOnContext(
+                context.emit(
                     run -> {
+                      limit.cancel(false);
                       if (failure != null) {
                         answered.completeExceptionally(failure);
                       } else {
@@ -212,29 +216,27 @@
     closer.close();
   }
 
-  /** Takes what peers send; called on the transport's event loop. */
+  /** Takes what peers send; called on the event loop. */
   private final class Handler implements PeerHandler {
     @Override
     public void received(PeerMessage message) {
-      if (message instanceof PeerMessage.Membership step) {
-        members.received(step);
-        return;
-      }
-      if (message instanceof PeerMessage.Relayed relayed) {
-        context.runOnContext(
-            run -> {
+      context.emit(
+          run -> {
+            if (message instanceof PeerMessage.Membership step) {
+              members.received(step);
+            } else if (message instanceof PeerMessage.Relayed relayed) {
               tellNeighbours(relayed.message());
               listener.received(relayed.message());
-            });
-        return;
-      }
-      context.runOnContext(run -> listener.received(message));
+            } else {
+              listener.received(message);
+            }
+          });
     }
 
     @Override
     public CompletableFuture<PeerMessage> requested(PeerMessage request) {
       CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
-      context.runOnContext(
+      context.emit(
           run ->
               listener
                   .requested(request)
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PlannerLink.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PlannerLink.java
@@ -19,10 +19,10 @@
  */
 final class PlannerLink implements PlannerDuty.Announcements {
   /** How often {@link #reportDemand()} is to be called. */
-  static final long DEMAND_MILLISECONDS = 250;
+  static final long DEMAND_MILLISECONDS = 240; // a fraction of the time that a model takes to load
 
   /** How often {@link #announce()} is to be called. */
-  static final long NOTICE_MILLISECONDS = 500; // a fraction of a takeover
+  static final long NOTICE_MILLISECONDS = 480; // a fraction of a takeover
 
   private static final Logger LOGGER = LogManager.getLogger(PlannerLink.class);
   private static final long ADAPTER_ANSWER_MILLISECONDS = 1_200;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjects.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjects.java
@@ -36,7 +36,8 @@
 final class RelayedObjects implements ObjectSource {
   private static final Logger LOGGER = LogManager.getLogger(RelayedObjects.class);
   private static final String RELAYED = "relayed/";
-  private static final int WAIT_MILLISECONDS = 600; // a source that stands still is found in 900 ms
+  private static final int WAIT_MILLISECONDS =
+      1_000; // a source that stands still is found in 1.3 s
   private static final long ANSWER_MILLISECONDS = 300; // beyond the wait; sources are near
   private static final long STORE_WATCH_MILLISECONDS = 5_000;
   private static final long STORE_PAUSE_MILLISECONDS = 1_500; // an outage is paid for call by call
--- a/daemon/src/test/java/org/agatefield/daemon/forward/ForwardingPeersTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/ForwardingPeersTest.java
@@ -42,11 +42,11 @@
       peers =
           new ForwardingPeers(
               self,
-              seeds,
               vertx.getOrCreateContext(),
               this,
               new MetricRegistry(),
               RandomSource.XO_RO_SHI_RO_128_PP.create(7));
+      peers.start(seeds);
     }
 
     @Override
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
@@ -130,6 +130,12 @@
     neighbours.put(neighbour, new NeighbourLoad(Map.copyOf(shares), nowMilliseconds));
   }
 
+  /** Takes in what all others have at runners, in place of what each of them told before. */
+  public void heardFromAll(String relay, Map<String, Share> shares, long nowMilliseconds) {
+    neighbours.clear();
+    heard(relay, shares, nowMilliseconds);
+  }
+
   /** Returns this instance's own work, for runners that have any. */
   public Map<String, Share> ownShares() {
     Map<String, Share> shares = new HashMap<>();
@@ -155,6 +161,18 @@
     return shares;
   }
 
+  /** Returns the work of this instance and of all that told theirs, for runners that have any. */
+  public Map<String, Share> allShares(long nowMilliseconds) {
+    return sharesWith(neighbours.keySet(), nowMilliseconds);
+  }
+
+  /** Returns the work of this instance and of all others that told theirs, but for one of them. */
+  public Map<String, Share> sharesWithout(String neighbourId, long nowMilliseconds) {
+    List<String> others =
+        neighbours.keySet().stream().filter(id -> !id.equals(neighbourId)).toList();
+    return sharesWith(others, nowMilliseconds);
+  }
+
   /** Returns the work at a runner, of this instance and its neighbours. */
   public Share total(String runner, long nowMilliseconds) {
     neighbours
--- a/membership/src/main/java/org/agatefield/membership/DomainRelays.java
+++ b/membership/src/main/java/org/agatefield/membership/DomainRelays.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.agatefield.model.FailureDomain;
 import org.agatefield.model.Instance;
 import org.agatefield.model.InstanceState;
@@ -25,7 +26,7 @@
   private static final int MOST_SOURCES = 3; // two may be lost at once
 
   private final Instance self;
-  private final Set<Instance> answering;
+  private final Set<String> answering;
   private final List<Instance> neighbours = new ArrayList<>();
   private final List<Instance> direct = new ArrayList<>();
   private final List<Instance> relays = new ArrayList<>();
@@ -40,7 +41,7 @@
    */
   public DomainRelays(Instance self, Collection<Instance> alive, Collection<Instance> answering) {
     this.self = self;
-    this.answering = Set.copyOf(answering);
+    this.answering = answering.stream().map(Instance::id).collect(Collectors.toSet());
     Map<FailureDomain, List<Instance>> domains = new LinkedHashMap<>();
     alive.stream()
         .sorted(Comparator.comparing(Instance::id))
@@ -74,7 +75,7 @@
   }
 
   private boolean mayRelay(Instance instance) {
-    return instance.state() == InstanceState.LIVE && answering.contains(instance);
+    return instance.state() == InstanceState.LIVE && answering.contains(instance.id());
   }
 
   /** Returns the other instances of this one's failure domain. */
--- a/membership/src/main/java/org/agatefield/membership/MembershipSettings.java
+++ b/membership/src/main/java/org/agatefield/membership/MembershipSettings.java
@@ -96,6 +96,35 @@
         remoteShare);
   }
 
+  /**
+   * Returns these settings with other bounds for spreading news.
+   *
+   * @param updates statements about members in a message, but for exchanges
+   * @param multiplier each piece of news is sent this many times the binary logarithm of the number
+   *     of members
+   */
+  public MembershipSettings withSpread(int updates, int multiplier) {
+    return new MembershipSettings(
+        tickMilliseconds,
+        probeIntervalMilliseconds,
+        probeTimeoutMilliseconds,
+        indirectProbes,
+        maximumRelays,
+        suspicionMultiplier,
+        gossipIntervalMilliseconds,
+        gossipFanout,
+        multiplier,
+        updates,
+        updatesPerPage,
+        exchangeIntervalMilliseconds,
+        deadContactIntervalMilliseconds,
+        deadRetentionMilliseconds,
+        maximumDead,
+        pauseMilliseconds,
+        maximumHealthScore,
+        remoteShare);
+  }
+
   /** Returns how long a suspicion lasts among {@code members}. */
   long suspicionMilliseconds(int members) {
     double scale = Math.max(1.0, Math.log10(Math.max(1, members)));
--- a/peer/src/main/java/org/agatefield/peer/PeerConnection.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.util.concurrent.Future;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -77,8 +78,18 @@
     if (closed) {
       failOpenRequests();
     }
-    future.orTimeout(settings.requestTimeout().toMillis(), TimeUnit.MILLISECONDS);
-    future.whenComplete((answer, failure) -> openRequests.remove(number));
+    Future<?> limit =
+        channel
+            .eventLoop()
+            .schedule(
+                () -> future.completeExceptionally(failure("no answer in time", null)),
+                settings.requestTimeout().toMillis(),
+                TimeUnit.MILLISECONDS);
+    future.whenComplete(
+        (answer, failure) -> {
+          limit.cancel(false);
+          openRequests.remove(number);
+        });
     return future;
   }
 
