Refuse requests that were read too late; bound answers without end

Late requests. An instance that gets too little processor time reads a request seconds after it came, took that moment as its arrival, and sent what was under way (a connection that opened) before it read the caller's close, which lay in another socket. Change: EventLoopDelay, told by the timer of the periodic duties, says since when bytes that are read now may have waited; a request's arrival is taken as that. A request is sent only once the sockets have been read after its connection opened, and only if time is left and its runner is still usable; the time passed on is that at sending. EventLoopDelayTest: lasting overload does not make requests ever older.

EndlessAnswerTest over sockets: header line, headers, status line, chunk extension, trailers, bytes after an answer were bounded before. Now: eight interim answers, a rejection ends with its head, 24 MB for all answers together (AnswerMemory; usual sizes always find room), 1 MB for reports within 0.7 s, 16 MB for the store's.

Ruled out for late requests: the close handler alone (it ran, but after the send in the same turn of the event loop).

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -74,6 +74,8 @@
   private final RunnerLoads loads = new RunnerLoads();
   private final ModelPresence presence = new ModelPresence();
   private final DemandMeter demand = new DemandMeter();
+  private final EventLoopDelay delay = new EventLoopDelay();
+  private final AnswerMemory answerMemory = new AnswerMemory();
   private final WaitingRequests waiting;
   private final Set<RequestExchange> exchanges = new HashSet<>();
   private final ConfigurationTracker configuration;
@@ -91,14 +93,17 @@
 
   /** Creates a daemon; nothing is started yet. */
   public ForwardingDaemon(ForwardingSettings settings, PlatformDialect dialect) {
+    this(settings, dialect, newVertx());
+  }
+
+  /**
+   * Creates a daemon that runs on one event loop of {@code vertx}, which it closes at its end;
+   * nothing is started yet.
+   */
+  public ForwardingDaemon(ForwardingSettings settings, PlatformDialect dialect, Vertx vertx) {
     this.settings = settings;
     this.dialect = dialect;
-    this.vertx =
-        Vertx.vertx(
-            new VertxOptions()
-                .setEventLoopPoolSize(1)
-                .setWorkerPoolSize(1)
-                .setInternalBlockingPoolSize(1));
+    this.vertx = vertx;
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
     this.context = vertx.getOrCreateContext();
     this.waiting = new WaitingRequests(vertx);
@@ -107,6 +112,15 @@
     this.knowledge = new KnowledgeExchange(vertx, configuration, runners);
   }
 
+  /** Returns what a daemon runs on unless it is given another: one event loop. */
+  public static Vertx newVertx() {
+    return Vertx.vertx(
+        new VertxOptions()
+            .setEventLoopPoolSize(1)
+            .setWorkerPoolSize(1)
+            .setInternalBlockingPoolSize(1));
+  }
+
   /**
    * Starts everything and returns once all addresses are listened on; closes all if that fails.
    *
@@ -221,6 +235,8 @@
         new IngressServer(
             new ForwardingParts(
                 vertx,
+                delay,
+                answerMemory,
                 client,
                 dialect,
                 new HeaderRules(dialect.callers().reservedHeaders()),
@@ -239,6 +255,8 @@
                 () -> refusing));
     metrics.registerGauge("agatefield.forwarding.waiting", (Gauge<Integer>) waiting::size);
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
+    metrics.registerGauge(
+        "agatefield.forwarding.answer-bytes", (Gauge<Long>) answerMemory::heldBytes);
     metrics.registerGauge("agatefield.configuration.version", (Gauge<Long>) configuration::version);
     metrics.registerGauge(
         "agatefield.runners.age-milliseconds", (Gauge<Long>) runners::ageMilliseconds);
@@ -286,9 +304,8 @@
     return sameInstance && !holder.equals(peers.self().id());
   }
 
-  /** Starts what is done again and again, by one timer, as each firing wakes the process. */
   private void startTimers() {
-    PeriodicDuties duties = new PeriodicDuties(vertx, LoadExchange.PERIOD_MILLISECONDS);
+    PeriodicDuties duties = new PeriodicDuties(vertx, LoadExchange.PERIOD_MILLISECONDS, delay);
     duties.every(LoadExchange.PERIOD_MILLISECONDS, loadExchange::tell);
     duties.every(PlannerLink.DEMAND_MILLISECONDS, now -> plannerLink.reportDemand());
     duties.every(PlannerLink.NOTICE_MILLISECONDS, now -> plannerLink.announce());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingParts.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingParts.java
@@ -15,6 +15,8 @@
  * What every request needs. Immutable.
  *
  * @param vertx runs timers
+ * @param delay tells how far the event loop is behind
+ * @param answerMemory bounds the answers that are not whole yet
  * @param client opens connections to runners
  * @param dialect how callers and runners are talked to
  * @param headers which headers are passed on
@@ -34,6 +36,8 @@
  */
 record ForwardingParts(
     Vertx vertx,
+    EventLoopDelay delay,
+    AnswerMemory answerMemory,
     HttpClient client,
     PlatformDialect dialect,
     HeaderRules headers,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
@@ -97,7 +97,7 @@
   /** Reads one body within the limits. */
   private final class BodyReading {
     private final HttpServerRequest request;
-    private final long arrivedAt = MonotonicClock.milliseconds();
+    private final long arrivedAt = parts.delay().earliestArrival(MonotonicClock.milliseconds());
     private final Buffer content = Buffer.buffer();
     private boolean over;
     private long held;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PeriodicDuties.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PeriodicDuties.java
@@ -6,14 +6,15 @@
 import java.util.function.LongConsumer;
 
 /**
- * Runs what is to be done again and again, all by one timer.
+ * Runs what is to be done again and again, all by one timer, as each firing wakes the process.
  *
- * <p>Invariant: a duty runs once in its period, rounded up to whole firings of the timer. Confined
- * to one event loop.
+ * <p>Invariant: a duty runs once in its period, rounded up to whole firings of the timer; firings
+ * that were missed are not made up for. Confined to one event loop.
  */
 final class PeriodicDuties {
   private final Vertx vertx;
   private final long timerMilliseconds;
+  private final EventLoopDelay delay;
   private final List<Duty> duties = new ArrayList<>();
   private long firings;
 
@@ -23,16 +24,18 @@
    * Creates duties that do not run yet.
    *
    * @param timerMilliseconds the time between two firings
+   * @param delay told of the firings
    */
-  PeriodicDuties(Vertx vertx, long timerMilliseconds) {
+  PeriodicDuties(Vertx vertx, long timerMilliseconds, EventLoopDelay delay) {
     this.vertx = vertx;
     this.timerMilliseconds = timerMilliseconds;
+    this.delay = delay;
   }
 
   /**
    * Adds a duty.
    *
-   * @param milliseconds its period, rounded up to whole firings
+   * @param milliseconds its period
    * @param work is given the monotonic time in milliseconds
    */
   void every(long milliseconds, LongConsumer work) {
@@ -40,12 +43,16 @@
     duties.add(new Duty(Math.max(1, firingsEach), work));
   }
 
-  /** Starts the timer. */
+  /** Sets the timer for the first time. */
   void start() {
-    vertx.setPeriodic(timerMilliseconds, fired -> run(MonotonicClock.milliseconds()));
+    delay.expectAt(MonotonicClock.milliseconds() + timerMilliseconds);
+    vertx.setTimer(timerMilliseconds, fired -> run());
   }
 
-  private void run(long now) {
+  private void run() {
+    long now = MonotonicClock.milliseconds();
+    delay.fired(now);
+    start();
     firings++;
     for (Duty duty : duties) {
       if (firings % duty.everyFirings() == 0) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.AnswerKind;
 import org.agatefield.forwarding.EventStreamSplitter;
 import org.agatefield.forwarding.ForwardedRequest;
@@ -25,6 +26,10 @@
  */
 final class RequestAttempt implements UpstreamCall.Listener {
   private static final Logger LOGGER = LogManager.getLogger(RequestAttempt.class);
+
+  /** Less time is no use to a runner. */
+  static final long SHORTEST_SEND_MILLISECONDS = 20; // two steps of an engine
+
   private static final long STALL_CHECK_MILLISECONDS = 100; // a fraction of the shortest limit
 
   private final ForwardingParts parts;
@@ -73,13 +78,20 @@
     this.followUp = followUp;
     this.number = number;
     this.runner = runner;
-    this.call = new UpstreamCall(parts.dialect().runners(), terms.id(), this);
+    this.call =
+        new UpstreamCall(
+            parts.vertx(),
+            parts.delay(),
+            parts.answerMemory().share(),
+            parts.dialect().runners(),
+            terms.id(),
+            this);
     this.newTokens =
         terms.prompt().map(prompt -> parts.loads().newTokens(runner.id(), prompt)).orElse(0);
     this.tokensAhead = parts.loads().total(runner.id(), sentAt).unreadTokens() + newTokens;
   }
 
-  void start(HttpServerRequest request, MultiMap headers, Buffer content) {
+  void start(HttpServerRequest request, Supplier<MultiMap> headers, Buffer content) {
     parts.loads().sent(runner.id(), newTokens);
     terms.prompt().ifPresent(prompt -> parts.demand().running(service, prompt, runner.id(), 1));
     watchForSilence();
@@ -106,6 +118,24 @@
     release();
   }
 
+  @Override
+  public boolean isWanted() {
+    long left = deadline - MonotonicClock.milliseconds();
+    return left >= SHORTEST_SEND_MILLISECONDS && parts.selector().isUsable(runner);
+  }
+
+  @Override
+  public void withdrawn() {
+    release();
+    LOGGER.info(
+        "request={} attempt={} runner={} withdrawn=true left_ms={}",
+        terms.id(),
+        number,
+        runner.id(),
+        deadline - MonotonicClock.milliseconds());
+    followUp.accept(state.unreached(number));
+  }
+
   @Override
   public void unreached(String cause) {
     release();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -29,7 +29,6 @@
 final class RequestExchange implements WaitingRequests.Waiting {
   private static final Logger LOGGER = LogManager.getLogger(RequestExchange.class);
   private static final long ANSWER_MARGIN_MILLISECONDS = 15; // the way back to the caller
-  private static final long SHORTEST_SEND_MILLISECONDS = 20; // less is no use to a runner
   private static final long PLANNING_MILLISECONDS = 1_500; // a report, a plan and a load from disk
   private static final long FIRST_EVENT_MILLISECONDS = 250;
   private static final long ADAPTER_PAUSE_MILLISECONDS = 80; // several loads of an adapter
@@ -273,7 +272,7 @@
       startWaiting(); // the runner began to leave while its adapter was loaded
       return;
     }
-    if (deadline - MonotonicClock.milliseconds() < SHORTEST_SEND_MILLISECONDS) {
+    if (deadline - MonotonicClock.milliseconds() < RequestAttempt.SHORTEST_SEND_MILLISECONDS) {
       perform(state.notChosen(RefusalReason.DEADLINE));
       return;
     }
@@ -292,15 +291,20 @@
             this::perform,
             send.attempt(),
             chosenRunner);
+    RunnerEntry runner = chosenRunner;
+    attempt.start(request, () -> headersFor(runner, send), content);
+  }
+
+  private MultiMap headersFor(RunnerEntry runner, RequestAction.Send send) {
     SendTerms sendTerms =
         new SendTerms(
-            chosenRunner.id(),
+            runner.id(),
             Math.max(1, deadline - MonotonicClock.milliseconds()),
             terms.prompt().map(prompt -> enginePriority()),
             send.resumeAfter());
     MultiMap headers = parts.headers().forRunner(request.headers());
     parts.dialect().runners().writeTerms(sendTerms, headers);
-    attempt.start(request, headers, content);
+    return headers;
   }
 
   private int enginePriority() {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCalls.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCalls.java
@@ -6,8 +6,10 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.agatefield.daemon.forward.wire.RunnerDialect;
 import org.agatefield.forwarding.RunnerEntry;
+import org.agatefield.store.BoundedBody;
 
 /**
  * Sends orders to runners and reads their reports.
@@ -17,6 +19,8 @@
  */
 final class RunnerCalls {
   private static final long CALL_MILLISECONDS = 350; // five times the way to the other region
+  private static final long WHOLE_CALL_MILLISECONDS = 2 * CALL_MILLISECONDS; // bytes may drip
+  private static final int MAXIMUM_ANSWER_BYTES = 1_048_576; // a report of a thousand runs
 
   private final HttpClient client;
   private final RunnerDialect dialect;
@@ -57,7 +61,10 @@
                     .send(content)
                     .compose(
                         response ->
-                            response.body().map(body -> new Answer(response.statusCode(), body))))
+                            BoundedBody.read(response, MAXIMUM_ANSWER_BYTES)
+                                .map(body -> new Answer(response.statusCode(), body)))
+                    .timeout(WHOLE_CALL_MILLISECONDS, TimeUnit.MILLISECONDS)
+                    .onFailure(cause -> request.reset()))
         .onSuccess(result::complete)
         .onFailure(result::completeExceptionally);
     return result;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
@@ -1,14 +1,17 @@
 package org.agatefield.daemon.forward;
 
 import io.vertx.core.MultiMap;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
+import java.io.IOException;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.AnswerKind;
 import org.agatefield.daemon.forward.wire.RunnerDialect;
 import org.agatefield.forwarding.EventStreamSplitter;
@@ -17,28 +20,41 @@
 /**
  * One attempt of a request at one runner, on a connection of its own.
  *
- * <p>Invariants: exactly one of {@link Listener#unreached}, {@link Listener#rejected}, {@link
- * Listener#failed}, {@link Listener#answered} and {@link Listener#ended} is called, unless the call
- * is cancelled first; nothing is called after that or after {@link #cancel()}. Confined to one
- * event loop.
+ * <p>Invariants: exactly one of {@link Listener#withdrawn}, {@link Listener#unreached}, {@link
+ * Listener#rejected}, {@link Listener#failed}, {@link Listener#answered} and {@link Listener#ended}
+ * is called, unless the call is cancelled first; nothing is called after that or after {@link
+ * #cancel()}. A request is sent only after the sockets were read once more since its connection
+ * opened, so that a caller who has left meanwhile is noticed. Confined to one event loop.
  */
 final class UpstreamCall {
   private static final String EVENT_STREAM = "text/event-stream";
-  private static final int MAXIMUM_ANSWER_BYTES = 16 * 1_048_576; // far beyond any usual answer
+  private static final int MOST_INTERIM_ANSWERS = 8; // one is usual
 
+  private static final long NEXT_TURN_MILLISECONDS = 1; // a timer fires after sockets were read
+
+  private final Vertx vertx;
+  private final EventLoopDelay delay;
   private final RunnerDialect dialect;
   private final String requestId;
   private final Listener listener;
+  private final AnswerMemory.Share memory;
   private final EventStreamSplitter splitter = new EventStreamSplitter();
   private final Buffer body = Buffer.buffer();
   private HttpClientRequest request;
   private boolean over;
+  private int interimAnswers;
   private UpstreamAnswer head;
   private boolean stream;
   private AnswerKind kind = AnswerKind.UNUSABLE;
 
   /** Told what comes of the call, on the event loop. */
   interface Listener {
+    /** Returns whether the request is still to be sent, now that a connection is open. */
+    boolean isWanted();
+
+    /** Nothing was sent, as the request was not wanted any more when a connection was open. */
+    void withdrawn();
+
     /** No connection came about. */
     void unreached(String cause);
 
@@ -58,18 +74,32 @@
     void ended(UpstreamAnswer head);
   }
 
-  UpstreamCall(RunnerDialect dialect, String requestId, Listener listener) {
+  UpstreamCall(
+      Vertx vertx,
+      EventLoopDelay delay,
+      AnswerMemory.Share memory,
+      RunnerDialect dialect,
+      String requestId,
+      Listener listener) {
+    this.vertx = vertx;
+    this.delay = delay;
+    this.memory = memory;
     this.dialect = dialect;
     this.requestId = requestId;
     this.listener = listener;
   }
 
+  /**
+   * Opens a connection and sends the request.
+   *
+   * @param headers asked for when the request is sent, as they tell the time that is left
+   */
   void start(
       HttpClient client,
       RunnerEntry runner,
       HttpMethod method,
       String uri,
-      MultiMap headers,
+      Supplier<MultiMap> headers,
       Buffer content) {
     RequestOptions options =
         new RequestOptions()
@@ -79,7 +109,7 @@
             .setURI(uri);
     client
         .request(options)
-        .onSuccess(opened -> send(opened, headers, content))
+        .onSuccess(opened -> opened(opened, headers, content))
         .onFailure(
             cause -> {
               if (end()) {
@@ -90,20 +120,39 @@
 
   /** Makes the runner stop by closing the connection. */
   void cancel() {
-    over = true;
+    end();
     if (request != null) {
       request.reset();
     }
   }
 
-  private void send(HttpClientRequest opened, MultiMap headers, Buffer content) {
+  private void opened(HttpClientRequest opened, Supplier<MultiMap> headers, Buffer content) {
     request = opened;
+    vertx.runOnContext(
+        sockets -> {
+          if (delay.isBehind(MonotonicClock.milliseconds())) {
+            vertx.setTimer(NEXT_TURN_MILLISECONDS, fired -> send(opened, headers, content));
+          } else {
+            send(opened, headers, content);
+          }
+        });
+  }
+
+  private void send(HttpClientRequest opened, Supplier<MultiMap> headers, Buffer content) {
     if (over) {
       opened.reset();
       return;
     }
-    opened.headers().setAll(headers);
+    if (!listener.isWanted()) {
+      end();
+      opened.reset();
+      listener.withdrawn();
+      return;
+    }
+    opened.headers().setAll(headers.get());
     opened.exceptionHandler(this::broken);
+    opened.continueHandler(interim -> interim());
+    opened.earlyHintsHandler(interim -> interim());
     opened.response().onSuccess(this::receive).onFailure(this::broken);
     opened.end(content).onFailure(this::broken);
   }
@@ -119,6 +168,10 @@
       unusable(response);
       return;
     }
+    if (kind == AnswerKind.REJECTED || kind == AnswerKind.MISDIRECTED) {
+      reject(); // the head says all; a body may have no end
+      return;
+    }
     String contentType = response.getHeader("Content-Type");
     stream =
         kind == AnswerKind.SUCCESS
@@ -135,6 +188,13 @@
     }
   }
 
+  private void reject() {
+    if (end()) {
+      request.reset();
+      listener.rejected(kind, head);
+    }
+  }
+
   private void read(Buffer bytes) {
     if (over) {
       return;
@@ -145,12 +205,24 @@
           listener.event(head, event);
         }
       }
+      hold(splitter.remainingBytes());
       return;
     }
     body.appendBuffer(bytes);
-    if (body.length() > MAXIMUM_ANSWER_BYTES && end()) {
-      request.reset();
-      listener.failed("answer too large", Optional.empty());
+    hold(body.length());
+  }
+
+  private void interim() {
+    interimAnswers++;
+    if (interimAnswers > MOST_INTERIM_ANSWERS) {
+      broken(new IOException("too many interim answers"));
+    }
+  }
+
+  /** Gives an answer up that grows beyond the memory that there is for it. */
+  private void hold(int bytes) {
+    if (!over && !memory.hold(bytes)) {
+      broken(new IOException("answer too large"));
     }
   }
 
@@ -158,17 +230,17 @@
     if (!end()) {
       return;
     }
-    switch (kind) {
-      case SUCCESS -> succeed();
-      case REJECTED, MISDIRECTED -> listener.rejected(kind, head);
-      default -> listener.failed("status " + head.status(), Optional.of(head));
+    if (kind == AnswerKind.SUCCESS) {
+      succeed();
+    } else {
+      listener.failed("status " + head.status(), Optional.of(head));
     }
   }
 
   private void succeed() {
     if (!stream) {
       listener.answered(head);
-    } else if (splitter.remainder().length > 0) {
+    } else if (splitter.remainingBytes() > 0) {
       listener.failed("stream ended within an event", Optional.empty());
     } else {
       listener.ended(head);
@@ -180,17 +252,13 @@
       return;
     }
     request.reset();
-    boolean proved = kind == AnswerKind.REJECTED || kind == AnswerKind.MISDIRECTED;
-    if (proved) {
-      listener.rejected(kind, head);
-    } else {
-      listener.failed("broken off: " + cause.getMessage(), Optional.empty());
-    }
+    listener.failed("broken off: " + cause.getMessage(), Optional.empty());
   }
 
   private boolean end() {
     boolean first = !over;
     over = true;
+    memory.release();
     return first;
   }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EventLoopDelayTest.java
@@ -0,0 +1,56 @@
+package org.agatefield.daemon.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+class EventLoopDelayTest {
+  private static final long PERIOD = 120;
+
+  private final EventLoopDelay delay = new EventLoopDelay();
+
+  private void fire(long now) {
+    delay.fired(now);
+    delay.expectAt(now + PERIOD);
+  }
+
+  @Test
+  void bytesThatAreReadInTimeHaveJustCome() {
+    delay.expectAt(PERIOD);
+    fire(PERIOD);
+    fire(2 * PERIOD + EventLoopDelay.TOLERATED_MILLISECONDS);
+    assertEquals(400, delay.earliestArrival(400));
+    assertFalse(delay.isBehind(400));
+  }
+
+  @Test
+  void bytesThatAreReadBeforeAnOverdueTimerMayHaveWaitedSinceItWasDue() {
+    delay.expectAt(PERIOD);
+    assertTrue(delay.isBehind(2_000));
+    assertEquals(PERIOD, delay.earliestArrival(2_000));
+  }
+
+  @Test
+  void connectionsThatAreOpenedAfterTheStandstillMayBringBytesFromBeforeIt() {
+    delay.expectAt(PERIOD);
+    fire(2_000);
+    assertEquals(PERIOD, delay.earliestArrival(2_050));
+    fire(2_120);
+    assertEquals(PERIOD, delay.earliestArrival(2_150));
+    fire(2_240);
+    assertEquals(2_250, delay.earliestArrival(2_250));
+  }
+
+  @Test
+  void lastingOverloadDoesNotMakeRequestsOlderThanTwoFirings() {
+    delay.expectAt(PERIOD);
+    long now = 0;
+    for (int firing = 0; firing < 50; firing++) {
+      now += PERIOD + 300;
+      fire(now);
+    }
+    assertTrue(now - delay.earliestArrival(now) <= 2 * (PERIOD + 300));
+  }
+}
--- a/forwarding/src/main/java/org/agatefield/forwarding/EventStreamSplitter.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/EventStreamSplitter.java
@@ -10,12 +10,17 @@
  * Cuts the bytes of an event stream into whole events, so that no half event is passed on.
  *
  * <p>Invariant: the returned events and {@link #remainder()} are the bytes that were fed, in order.
- * Not safe for use by several threads.
+ * Feeding takes time in proportion to the bytes, however long an event is. Not safe for use by
+ * several threads.
  */
 public final class EventStreamSplitter {
-  private static final String ID_FIELD = "id:";
+  private static final byte[] ID_FIELD = {'i', 'd', ':'};
+  private static final int INITIAL_BYTES = 512; // several usual events
+  private static final int LONGEST_SEPARATOR = 3;
 
-  private byte[] pending = new byte[0];
+  private byte[] buffer = new byte[INITIAL_BYTES];
+  private int length;
+  private int searched;
 
   /**
    * A whole event. Immutable as long as nobody changes the array.
@@ -27,49 +32,75 @@
 
   /** Takes further bytes and returns the events that they complete. */
   public List<Event> feed(byte[] bytes) {
-    int searched = Math.max(0, pending.length - 3);
-    byte[] all = Arrays.copyOf(pending, pending.length + bytes.length);
-    System.arraycopy(bytes, 0, all, pending.length, bytes.length);
+    append(bytes);
     List<Event> events = new ArrayList<>();
     int start = 0;
-    int end = endOfEvent(all, searched);
+    int end = endOfEvent(searched);
     while (end > 0) {
-      byte[] event = Arrays.copyOfRange(all, start, end);
+      byte[] event = Arrays.copyOfRange(buffer, start, end);
       events.add(new Event(event, idOf(event)));
       start = end;
-      end = endOfEvent(all, start);
+      end = endOfEvent(start);
     }
-    pending = Arrays.copyOfRange(all, start, all.length);
+    length -= start;
+    System.arraycopy(buffer, start, buffer, 0, length);
+    searched = Math.max(0, length - LONGEST_SEPARATOR);
     return events;
   }
 
+  /** Returns the number of bytes of the event that is not whole yet. */
+  public int remainingBytes() {
+    return length;
+  }
+
   /** Returns the bytes of the event that is not whole yet. */
   public byte[] remainder() {
-    return pending.clone();
+    return Arrays.copyOf(buffer, length);
+  }
+
+  private void append(byte[] bytes) {
+    if (length + bytes.length > buffer.length) {
+      buffer = Arrays.copyOf(buffer, Math.max(2 * buffer.length, length + bytes.length));
+    }
+    System.arraycopy(bytes, 0, buffer, length, bytes.length);
+    length += bytes.length;
   }
 
   /** Returns the index after the next empty line; 0 if there is none. */
-  private static int endOfEvent(byte[] bytes, int from) {
-    for (int index = from; index + 1 < bytes.length; index++) {
-      if (bytes[index] != '\n') {
+  private int endOfEvent(int from) {
+    for (int index = from; index + 1 < length; index++) {
+      if (buffer[index] != '\n') {
         continue;
       }
-      if (bytes[index + 1] == '\n') {
+      if (buffer[index + 1] == '\n') {
         return index + 2;
       }
-      if (bytes[index + 1] == '\r' && index + 2 < bytes.length && bytes[index + 2] == '\n') {
-        return index + 3;
+      if (buffer[index + 1] == '\r' && index + 2 < length && buffer[index + 2] == '\n') {
+        return index + LONGEST_SEPARATOR;
       }
     }
     return 0;
   }
 
   private static Optional<String> idOf(byte[] event) {
-    String text = new String(event, StandardCharsets.UTF_8);
-    for (String line : text.split("\r?\n")) {
-      if (line.startsWith(ID_FIELD)) {
-        return Optional.of(line.substring(ID_FIELD.length()).strip());
+    int lineStart = 0;
+    while (lineStart < event.length) {
+      int lineEnd = lineStart;
+      while (lineEnd < event.length && event[lineEnd] != '\n') {
+        lineEnd++;
+      }
+      if (Arrays.equals(
+          event,
+          lineStart,
+          Math.min(lineStart + ID_FIELD.length, lineEnd),
+          ID_FIELD,
+          0,
+          ID_FIELD.length)) {
+        int valueStart = lineStart + ID_FIELD.length;
+        String value = new String(event, valueStart, lineEnd - valueStart, StandardCharsets.UTF_8);
+        return Optional.of(value.strip());
       }
+      lineStart = lineEnd + 1;
     }
     return Optional.empty();
   }
--- a/store/src/main/java/org/agatefield/store/HttpCall.java
+++ b/store/src/main/java/org/agatefield/store/HttpCall.java
@@ -22,6 +22,8 @@
   /** The answer of the store. Immutable as long as nobody changes {@code body}. */
   record Answer(boolean write, int status, Buffer body) {}
 
+  private static final int MAXIMUM_ANSWER_BYTES = 16 * 1_048_576; // a list page is about 1 MB
+
   private final CompletableFuture<Answer> result = new CompletableFuture<>();
   private final boolean write;
   private final String description;
@@ -64,7 +66,8 @@
   }
 
   private Future<Answer> read(HttpClientResponse response) {
-    return response.body().map(body -> new Answer(write, response.statusCode(), body));
+    return BoundedBody.read(response, MAXIMUM_ANSWER_BYTES)
+        .map(body -> new Answer(write, response.statusCode(), body));
   }
 
   private void succeed(Answer answer) {
--- a/store/src/main/java/org/agatefield/store/HttpWatch.java
+++ b/store/src/main/java/org/agatefield/store/HttpWatch.java
@@ -17,6 +17,8 @@
  * it or after {@link #close()}. Safe for use by any thread.
  */
 final class HttpWatch implements AutoCloseable {
+  private static final int MAXIMUM_EVENT_BYTES = 16 * 1_048_576; // an object is some megabytes
+  private static final int MAXIMUM_REFUSAL_BYTES = 65_536; // a status object is small
   private static final int SUCCESS_STATUS = 200;
 
   private final ObjectKind kind;
@@ -61,10 +63,13 @@
   private void read(HttpClientResponse response) {
     response.exceptionHandler(this::fail);
     if (response.statusCode() != SUCCESS_STATUS) {
-      response.body().onSuccess(body -> refuse(response.statusCode(), body)).onFailure(this::fail);
+      BoundedBody.read(response, MAXIMUM_REFUSAL_BYTES)
+          .onSuccess(body -> refuse(response.statusCode(), body))
+          .onFailure(this::fail);
       return;
     }
     RecordParser lines = RecordParser.newDelimited("\n", response);
+    lines.maxRecordSize(MAXIMUM_EVENT_BYTES);
     lines.exceptionHandler(this::fail);
     lines.endHandler(ended -> end(StoreFailure.UNAVAILABLE, "the store ended the watch"));
     lines.handler(this::readLine);
