--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -185,9 +185,11 @@
 
   @Override
   public void event(UpstreamAnswer streamHead, EventStreamSplitter.Event next) {
-    lastActivity = MonotonicClock.milliseconds();
-    parts.selector().heard(runner.id(), lastActivity);
-    begin();
+    if (!next.empty()) {
+      lastActivity = MonotonicClock.milliseconds();
+      parts.selector().heard(runner.id(), lastActivity);
+      begin();
+    }
     head = streamHead;
     event = next.bytes();
     followUp.accept(state.event(number, next.id()));
--- a/forwarding/src/main/java/org/agatefield/forwarding/EventStreamSplitter.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/EventStreamSplitter.java
@@ -15,6 +15,7 @@
  */
 public final class EventStreamSplitter {
   private static final byte[] ID_FIELD = {'i', 'd', ':'};
+  private static final byte COMMENT = ':';
   private static final int INITIAL_BYTES = 512; // several usual events
   private static final int LONGEST_SEPARATOR = 3;
 
@@ -27,8 +28,10 @@
    *
    * @param bytes the event with the empty line that ends it
    * @param id the event's identifier, if it has one
+   * @param empty whether it has nothing but comments, which some servers send to keep a connection
+   *     open
    */
-  public record Event(byte[] bytes, Optional<String> id) {}
+  public record Event(byte[] bytes, Optional<String> id, boolean empty) {}
 
   /** Takes further bytes and returns the events that they complete. */
   public List<Event> feed(byte[] bytes) {
@@ -38,7 +41,7 @@
     int end = endOfEvent(searched);
     while (end > 0) {
       byte[] event = Arrays.copyOfRange(buffer, start, end);
-      events.add(new Event(event, idOf(event)));
+      events.add(new Event(event, idOf(event), isEmpty(event)));
       start = end;
       end = endOfEvent(start);
     }
@@ -104,4 +107,15 @@
     }
     return Optional.empty();
   }
+
+  private static boolean isEmpty(byte[] event) {
+    boolean lineStarts = true;
+    for (byte each : event) {
+      if (lineStarts && each != COMMENT && each != '\n' && each != '\r') {
+        return false;
+      }
+      lineStarts = each == '\n';
+    }
+    return true;
+  }
 }
