--- a/daemon/src/main/java/org/agatefield/daemon/forward/KnowledgeRelay.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/KnowledgeRelay.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.forward;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.Vertx;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -33,7 +34,7 @@
 
   private final Vertx vertx;
   private final String processId;
-  private final Map<String, PeerMessage.ObjectState> objects = new HashMap<>();
+  private final Map<String, Told> objects = new HashMap<>();
   private final Deque<Change> changes = new ArrayDeque<>();
   private final List<Pending> pending = new ArrayList<>();
   private long lastChange;
@@ -43,7 +44,28 @@
   private boolean available = true;
   private boolean gathering;
 
-  private record Change(long number, PeerMessage.ObjectState object) {}
+  private record Change(long number, Told object) {}
+
+  /** An object as it is told to others; written once, and only if somebody asks for it. */
+  private static final class Told {
+    private final String name;
+    private final String version;
+    private final Optional<JsonNode> content;
+    private PeerMessage.ObjectState state;
+
+    Told(String name, String version, Optional<JsonNode> content) {
+      this.name = name;
+      this.version = version;
+      this.content = content;
+    }
+
+    PeerMessage.ObjectState state() {
+      if (state == null) {
+        state = new PeerMessage.ObjectState(name, version, content.map(CompressedJson::compress));
+      }
+      return state;
+    }
+  }
 
   private record Pending(long afterChange, CompletableFuture<PeerMessage> answer, long timer) {}
 
@@ -61,20 +83,17 @@
 
   @Override
   public void changed(StoredObject object) {
-    PeerMessage.ObjectState state =
-        new PeerMessage.ObjectState(
-            object.key().name(),
-            object.resourceVersion(),
-            Optional.of(CompressedJson.compress(object.content())));
-    objects.put(state.name(), state);
-    note(state);
+    Told told =
+        new Told(object.key().name(), object.resourceVersion(), Optional.of(object.content()));
+    objects.put(told.name, told);
+    note(told);
   }
 
   @Override
   public void deleted(ObjectKey key) {
-    PeerMessage.ObjectState before = objects.remove(key.name());
-    String version = before == null ? "" : before.resourceVersion();
-    note(new PeerMessage.ObjectState(key.name(), version, Optional.empty()));
+    Told before = objects.remove(key.name());
+    String version = before == null ? "" : before.version;
+    note(new Told(key.name(), version, Optional.empty()));
   }
 
   @Override
@@ -106,7 +125,8 @@
     Optional<Long> after = changeNumber(request.fromVersion());
     if (after.isEmpty()) {
       return CompletableFuture.completedFuture(
-          new PeerMessage.ObjectsAnswer(version(), true, List.copyOf(objects.values())));
+          new PeerMessage.ObjectsAnswer(
+              version(), true, objects.values().stream().map(Told::state).toList()));
     }
     if (after.get() < lastChange) {
       return CompletableFuture.completedFuture(changesAfter(after.get()));
@@ -126,9 +146,9 @@
     }
   }
 
-  private void note(PeerMessage.ObjectState state) {
+  private void note(Told told) {
     lastChange++;
-    changes.addLast(new Change(lastChange, state));
+    changes.addLast(new Change(lastChange, told));
     if (changes.size() > CHANGES_KEPT) {
       changes.removeFirst();
     }
@@ -152,7 +172,7 @@
     List<PeerMessage.ObjectState> newer = new ArrayList<>();
     for (Change change : changes) {
       if (change.number() > number) {
-        newer.add(change.object());
+        newer.add(change.object().state());
       }
     }
     return new PeerMessage.ObjectsAnswer(version(), false, newer);
--- a/daemon/src/main/java/org/agatefield/daemon/peers/CompressedJson.java
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/CompressedJson.java
@@ -14,7 +14,8 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * Compresses the documents that instances send each other, and reads them.
+ * Writes the documents that instances send each other, compressed unless they are small, and reads
+ * them.
  *
  * <p>Invariant: reading takes no more memory than a document of the largest size. Safe for use by
  * any thread.
@@ -22,6 +23,8 @@
 public final class CompressedJson {
   private static final Logger LOGGER = LogManager.getLogger(CompressedJson.class);
   private static final int MAXIMUM_BYTES = 4_194_304;
+  // Preparing a compression takes more time than so few bytes are worth.
+  private static final int LARGEST_PLAIN_BYTES = 1_024;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private CompressedJson() {}
@@ -33,8 +36,14 @@
 
   static byte[] compress(ObjectMapper mapper, Object value) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-    try (GZIPOutputStream compressed = new GZIPOutputStream(bytes)) {
-      mapper.writeValue(compressed, value);
+    try {
+      byte[] json = mapper.writeValueAsBytes(value);
+      if (json.length <= LARGEST_PLAIN_BYTES) {
+        return json;
+      }
+      try (GZIPOutputStream compressed = new GZIPOutputStream(bytes)) {
+        compressed.write(json);
+      }
     } catch (IOException exception) {
       throw new AgatefieldException(
           ErrorKind.INTERNAL, "the document was not written to memory", exception);
@@ -59,6 +68,9 @@
    * @throws IOException if the bytes are not compressed text
    */
   static byte[] expand(byte[] bytes) throws IOException {
+    if (!isCompressed(bytes)) {
+      return bytes;
+    }
     try (GZIPInputStream compressed = new GZIPInputStream(new ByteArrayInputStream(bytes))) {
       byte[] json = compressed.readNBytes(MAXIMUM_BYTES + 1);
       if (json.length > MAXIMUM_BYTES) {
@@ -68,4 +80,9 @@
       return json;
     }
   }
+
+  private static boolean isCompressed(byte[] bytes) {
+    return bytes.length >= 2
+        && (bytes[0] & 0xff | (bytes[1] & 0xff) << 8) == GZIPInputStream.GZIP_MAGIC;
+  }
 }
