One watcher of the store a region; return to the relays sooner

Change: of the relays of a region's large domains the first by the domain's name watches; the others learn from it, or from up to two more before them. Who went to the store looks for relays again after 2 s instead of 5.

The property said that a source lies in the own failure domain, which no longer holds: now it lies in the region, comes before, and beyond the own domain is a relay that is followed by relays only.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjects.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjects.java
@@ -39,7 +39,8 @@
   private static final int WAIT_MILLISECONDS =
       1_000; // a source that stands still is found in 1.3 s
   private static final long ANSWER_MILLISECONDS = 300; // beyond the wait; sources are near
-  private static final long STORE_WATCH_MILLISECONDS = 5_000;
+  private static final long STORE_WATCH_MILLISECONDS =
+      2_000; // a fleet that starts finds its relays in about one
   private static final long STORE_PAUSE_MILLISECONDS = 1_500; // an outage is paid for call by call
 
   private final Vertx vertx;
--- a/membership/src/main/java/org/agatefield/membership/DomainRelays.java
+++ b/membership/src/main/java/org/agatefield/membership/DomainRelays.java
@@ -17,7 +17,8 @@
  *
  * <p>Answers the load that grows with the square of the instances: in a failure domain of more than
  * {@link #LARGEST_DIRECT_DOMAIN} instances, the first by identifier is the relay; it gets what is
- * meant for the domain and hands it on. Instances with the same view agree on it. Immutable.
+ * meant for the domain and hands it on. Of a region's relays only the first by its domain's name
+ * watches the store. Instances with the same view agree on it. Immutable.
  */
 public final class DomainRelays {
   /** Up to this many instances of a failure domain are each spoken to directly. */
@@ -32,6 +33,7 @@
   private final List<Instance> relays = new ArrayList<>();
   private final List<Instance> sources = new ArrayList<>();
   private final boolean large;
+  private final boolean speaks;
 
   /**
    * Computes who speaks for whom.
@@ -60,6 +62,23 @@
           .limit(MOST_SOURCES)
           .forEach(sources::add);
     }
+    this.speaks = sources.isEmpty();
+    if (large && speaks) {
+      addSourcesOfRegion(domains);
+    }
+  }
+
+  /** Adds the relays of the region's large failure domains that come before this one by name. */
+  private void addSourcesOfRegion(Map<FailureDomain, List<Instance>> domains) {
+    FailureDomain here = self.failureDomain();
+    domains.entrySet().stream()
+        .filter(entry -> entry.getKey().region().equals(here.region()))
+        .filter(entry -> entry.getKey().name().compareTo(here.name()) < 0)
+        .filter(entry -> entry.getValue().size() > LARGEST_DIRECT_DOMAIN)
+        .sorted(Comparator.comparing(entry -> entry.getKey().name()))
+        .flatMap(entry -> entry.getValue().stream().filter(this::mayRelay).limit(1))
+        .limit(MOST_SOURCES)
+        .forEach(sources::add);
   }
 
   private void place(FailureDomain domain, List<Instance> members) {
@@ -108,6 +127,6 @@
 
   /** Returns whether this instance speaks for its failure domain, or for itself only. */
   public boolean speaks() {
-    return sources.isEmpty();
+    return speaks;
   }
 }
