--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -30,7 +30,6 @@
 import org.agatefield.model.ErrorKind;
 import org.agatefield.model.Instance;
 import org.agatefield.model.InstanceState;
-import org.agatefield.peer.PeerMessage;
 import org.agatefield.placement.DemandReplicaPolicy;
 import org.agatefield.settings.ForwardingSettings;
 import org.agatefield.store.HttpObjectStore;
@@ -163,8 +162,7 @@
             settings.listeners().peers(),
             settings.failureDomain(),
             InstanceState.LIVE);
-    peers =
-        closer.register(new ForwardingPeers(self, context, new PeerListener(), metrics, random));
+    peers = closer.register(new ForwardingPeers(self, context, metrics, random));
   }
 
   private void startParts(UniformRandomProvider random, CompletableFuture<Void> started) {
@@ -178,7 +176,9 @@
     startPlanner(store, peers.self().id());
     knowledge.start(peers);
     startTimers();
-    peers.start(settings.peers());
+    peers.start(
+        settings.peers(),
+        new PeerInbox(knowledge, Map.copyOf(knowledgeRelays), loadExchange, plannerLink));
     new EntryListeners(
             vertx,
             settings,
@@ -379,41 +379,4 @@
       LOGGER.warn("open requests were not answered at the end", exception);
     }
   }
-
-  /** Takes what peers say; called on the event loop. */
-  private final class PeerListener implements ForwardingPeers.Listener {
-    @Override
-    public void configurationHeard(Instance holder, long version) {
-      knowledge.heard(holder, version);
-    }
-
-    @Override
-    public void received(PeerMessage message) {
-      if (message instanceof PeerMessage.RunnerLoadReport report) {
-        loadExchange.heard(report, MonotonicClock.milliseconds());
-      } else if (message instanceof PeerMessage.ModelDemandReport report) {
-        plannerLink.heard(report);
-      } else if (message instanceof PeerMessage.PlannerNotice notice) {
-        plannerLink.heard(notice);
-      } else if (message instanceof PeerMessage.ModelNotice notice) {
-        plannerLink.heard(notice);
-      }
-    }
-
-    @Override
-    public CompletableFuture<PeerMessage> requested(PeerMessage request) {
-      if (request instanceof PeerMessage.SnapshotRequest asked) {
-        return CompletableFuture.completedFuture(knowledge.answer(asked));
-      }
-      if (request instanceof PeerMessage.ObjectsRequest asked
-          && knowledgeRelays.containsKey(asked.kind())) {
-        return knowledgeRelays.get(asked.kind()).answer(asked);
-      }
-      if (request instanceof PeerMessage.AdapterRequest asked) {
-        return plannerLink.answer(asked);
-      }
-      return CompletableFuture.failedFuture(
-          new AgatefieldException(ErrorKind.INTERNAL, "the request has no answer"));
-    }
-  }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -49,7 +49,7 @@
   private final NettyPeerTransport transport;
   private final MembershipDriver members;
   private final MembershipSettings settings;
-  private final Listener listener;
+  private Listener listener; // set on the event loop before anything is handed to it
   private volatile RelayView relayView;
 
   private record RelayView(List<Instance> answering, DomainRelays relays) {}
@@ -72,13 +72,8 @@
    * @param context on whose event loop everything runs; not that of the calling thread
    */
   ForwardingPeers(
-      Instance self,
-      Context context,
-      Listener listener,
-      MetricRegistry metrics,
-      UniformRandomProvider random) {
+      Instance self, Context context, MetricRegistry metrics, UniformRandomProvider random) {
     this.context = (ContextInternal) context;
-    this.listener = listener;
     this.relayView = new RelayView(List.of(), new DomainRelays(self, List.of(self), List.of(self)));
     this.settings =
         MembershipSettings.defaults()
@@ -102,8 +97,9 @@
         "agatefield.peers.bytes-sent", (Gauge<Long>) transport.traffic()::bytesSent);
   }
 
-  /** Takes in what peers send, and looks for them at the seeds. */
-  void start(List<Address> seeds) {
+  /** Takes in what peers send, and looks for them at the seeds; called on the event loop. */
+  void start(List<Address> seeds, Listener toTell) {
+    listener = toTell;
     transport.listen(new Handler());
     handle(new MembershipEvent.SeedsChanged(seeds));
     long tick = settings.tickMilliseconds();
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
@@ -0,0 +1,66 @@
+package org.agatefield.daemon.forward;
+
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.Instance;
+import org.agatefield.peer.PeerMessage;
+
+/** Hands what peers send to the part that it is for. Confined to one event loop. */
+final class PeerInbox implements ForwardingPeers.Listener {
+  private final KnowledgeExchange knowledge;
+  private final Map<String, KnowledgeRelay> knowledgeRelays;
+  private final LoadExchange loads;
+  private final PlannerLink planner;
+
+  /**
+   * Creates an inbox.
+   *
+   * @param knowledgeRelays by the plural of the kind that each tells of
+   */
+  PeerInbox(
+      KnowledgeExchange knowledge,
+      Map<String, KnowledgeRelay> knowledgeRelays,
+      LoadExchange loads,
+      PlannerLink planner) {
+    this.knowledge = knowledge;
+    this.knowledgeRelays = knowledgeRelays;
+    this.loads = loads;
+    this.planner = planner;
+  }
+
+  @Override
+  public void configurationHeard(Instance holder, long version) {
+    knowledge.heard(holder, version);
+  }
+
+  @Override
+  public void received(PeerMessage message) {
+    if (message instanceof PeerMessage.RunnerLoadReport report) {
+      loads.heard(report, MonotonicClock.milliseconds());
+    } else if (message instanceof PeerMessage.ModelDemandReport report) {
+      planner.heard(report);
+    } else if (message instanceof PeerMessage.PlannerNotice notice) {
+      planner.heard(notice);
+    } else if (message instanceof PeerMessage.ModelNotice notice) {
+      planner.heard(notice);
+    }
+  }
+
+  @Override
+  public CompletableFuture<PeerMessage> requested(PeerMessage request) {
+    if (request instanceof PeerMessage.SnapshotRequest asked) {
+      return CompletableFuture.completedFuture(knowledge.answer(asked));
+    }
+    if (request instanceof PeerMessage.ObjectsRequest asked
+        && knowledgeRelays.containsKey(asked.kind())) {
+      return knowledgeRelays.get(asked.kind()).answer(asked);
+    }
+    if (request instanceof PeerMessage.AdapterRequest asked) {
+      return planner.answer(asked);
+    }
+    return CompletableFuture.failedFuture(
+        new AgatefieldException(ErrorKind.INTERNAL, "the request has no answer"));
+  }
+}
--- a/daemon/src/test/java/org/agatefield/daemon/forward/ForwardingPeersTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/ForwardingPeersTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.io.IOException;
 import java.net.ServerSocket;
@@ -36,17 +37,14 @@
 
     Member(String id, String domain, List<Address> seeds) throws IOException {
       Address address = free();
+      Context context = vertx.getOrCreateContext();
       Instance self =
           new Instance(
               id, address, address, new FailureDomain("region", domain), InstanceState.LIVE);
       peers =
           new ForwardingPeers(
-              self,
-              vertx.getOrCreateContext(),
-              this,
-              new MetricRegistry(),
-              RandomSource.XO_RO_SHI_RO_128_PP.create(7));
-      peers.start(seeds);
+              self, context, new MetricRegistry(), RandomSource.XO_RO_SHI_RO_128_PP.create(7));
+      context.runOnContext(run -> peers.start(seeds, this));
     }
 
     @Override
