--- a/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
@@ -16,6 +16,8 @@
  * <p>Invariant: an answer that is not whole never looks complete. Confined to one event loop.
  */
 final class CallerResponse {
+  private static final int UNAUTHORIZED = 401;
+  private static final int TOO_MANY_REQUESTS = 429;
   private static final int SERVICE_UNAVAILABLE = 503;
   private static final int BAD_GATEWAY = 502;
   private static final int GATEWAY_TIMEOUT = 504;
@@ -61,8 +63,16 @@
    */
   void refuse(RefusalReason reason, long retryAfterMilliseconds) {
     String seconds = String.format(Locale.ROOT, "%.2f", retryAfterMilliseconds / 1_000.0);
-    HttpServerResponse response = own(SERVICE_UNAVAILABLE);
-    response.putHeader(HttpHeaders.RETRY_AFTER, seconds);
+    int status =
+        switch (reason) {
+          case UNKNOWN_KEY -> UNAUTHORIZED;
+          case OVER_QUOTA -> TOO_MANY_REQUESTS;
+          default -> SERVICE_UNAVAILABLE;
+        };
+    HttpServerResponse response = own(status);
+    if (reason != RefusalReason.UNKNOWN_KEY) {
+      response.putHeader(HttpHeaders.RETRY_AFTER, seconds);
+    }
     response.end(reason.name().toLowerCase(Locale.ROOT));
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -20,10 +20,14 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.agatefield.admission.FleetSize;
+import org.agatefield.admission.QuotaTolerance;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
 import org.agatefield.daemon.leases.LeaseDuty;
+import org.agatefield.forwarding.AccountTable;
 import org.agatefield.forwarding.BeginInTime;
 import org.agatefield.forwarding.EarliestBeginChoice;
+import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.Closer;
@@ -63,6 +67,7 @@
   private static final long SHUTDOWN_CHECK_MILLISECONDS = 50;
   private static final long SHORTEST_LEAVING_MILLISECONDS = 3_500;
   private static final long GRACE_MARGIN_MILLISECONDS = 500;
+  private static final double MILLISECONDS_PER_SECOND = 1_000;
 
   private final Closer closer = new Closer();
   private final MetricRegistry metrics = new MetricRegistry();
@@ -84,6 +89,9 @@
   private ForwardingPeers peers;
   private LoadExchange loadExchange;
   private PlannerLink plannerLink;
+  private RunnerNotices notices;
+  private FleetSize fleetSize;
+  private HeldQuotas quotas;
   private PlannerDuty planner;
   private LeaseDuty lease;
   private IngressServer ingress;
@@ -168,6 +176,16 @@
   private void startParts(UniformRandomProvider random, CompletableFuture<Void> started) {
     plannerLink = new PlannerLink(peers, presence, waiting, demand, () -> lease.refresh());
     loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
+    notices = new RunnerNotices(peers::broadcast);
+    fleetSize = new FleetSize(() -> peers.alive().size());
+    quotas =
+        new HeldQuotas(
+            (delay, work) -> vertx.setTimer(delay, fired -> work.run()),
+            MonotonicClock::milliseconds,
+            peers,
+            quotaTolerance(),
+            fleetSize,
+            this::accounts);
     HttpObjectStore store =
         closer.register(
             new HttpObjectStore(vertx, settings.store(), STORE_TIMEOUT, dialect.store()));
@@ -178,7 +196,8 @@
     startTimers();
     peers.start(
         settings.peers(),
-        new PeerInbox(knowledge, Map.copyOf(knowledgeRelays), loadExchange, plannerLink));
+        new PeerInbox(
+            knowledge, Map.copyOf(knowledgeRelays), loadExchange, plannerLink, notices, quotas));
     new EntryListeners(
             vertx,
             settings,
@@ -230,6 +249,7 @@
             runners,
             loads,
             presence,
+            notices,
             new EarliestBeginChoice(random));
     ingress =
         new IngressServer(
@@ -242,11 +262,13 @@
                 new HeaderRules(dialect.callers().reservedHeaders()),
                 configuration::table,
                 selector,
+                notices,
                 new BeginInTime(),
                 loads,
                 presence,
                 plannerLink::ensureAdapter,
-                new RetryBudgets(settings.terms(), () -> peers.alive().size()),
+                quotaPolicy(),
+                new RetryBudgets(settings.terms(), fleetSize),
                 demand,
                 waiting,
                 exchanges,
@@ -262,6 +284,24 @@
         "agatefield.runners.age-milliseconds", (Gauge<Long>) runners::ageMilliseconds);
   }
 
+  private AccountTable accounts() {
+    return configuration.table().map(ForwardingTable::accounts).orElse(AccountTable.NONE);
+  }
+
+  private QuotaTolerance quotaTolerance() {
+    ForwardingSettings.Quotas terms = settings.quotas();
+    double windowSeconds = terms.window().toMillis() / MILLISECONDS_PER_SECOND;
+    return new QuotaTolerance(windowSeconds, terms.overage(), terms.slack());
+  }
+
+  private QuotaPolicy quotaPolicy() {
+    return switch (settings.quotas().sharing()) {
+      case HOLDERS -> quotas;
+      case EQUAL_PARTS ->
+          new FixedShareQuotas(quotaTolerance(), fleetSize, MonotonicClock::milliseconds);
+    };
+  }
+
   private void startPlanner(HttpObjectStore store, String id) {
     HttpClient client =
         vertx.createHttpClient(
@@ -310,6 +350,7 @@
     duties.every(PlannerLink.DEMAND_MILLISECONDS, now -> plannerLink.reportDemand());
     duties.every(PlannerLink.NOTICE_MILLISECONDS, now -> plannerLink.announce());
     duties.every(LAPSE_CHECK_MILLISECONDS, runners::dropLapsed);
+    duties.every(HeldQuotas.KEEP_MILLISECONDS, quotas::keep);
     duties.start();
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingParts.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingParts.java
@@ -22,10 +22,12 @@
  * @param headers which headers are passed on
  * @param table the configuration in force; empty before any is known
  * @param selector finds runners
+ * @param notices what runners say of themselves in their answers
  * @param sending decides whether a request is sent, waits or is refused
  * @param loads what is known of the work at runners
  * @param presence what is known of models and adapters at runners
  * @param adapters has adapters loaded
+ * @param quotas decides whether a client account's quota allows a request
  * @param budgets grants repeated requests
  * @param demand counts demand for models
  * @param waiting requests that wait for a runner
@@ -43,10 +45,12 @@
     HeaderRules headers,
     Supplier<Optional<ForwardingTable>> table,
     RunnerSelector selector,
+    RunnerNotices notices,
     SendPolicy sending,
     RunnerLoads loads,
     ModelPresence presence,
     AdapterSource adapters,
+    QuotaPolicy quotas,
     RetryBudgets budgets,
     DemandMeter demand,
     WaitingRequests waiting,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -33,12 +33,14 @@
  * thread. Created and closed by other threads, which wait for the loop; else safe for use by any
  * thread.
  */
-final class ForwardingPeers implements LoadExchange.Fleet, AutoCloseable {
+final class ForwardingPeers implements LoadExchange.Fleet, HeldQuotas.Fleet, AutoCloseable {
   // Callers keep an answer that names a dead instance for seconds, so the dead are found in about
   // two.
   private static final long PROBE_MILLISECONDS = 600;
   private static final long PROBE_TIMEOUT_MILLISECONDS = 250; // four times the way between regions
   private static final int SUSPICION_PROBES = 3;
+  // An instance hears from others several times in this span, by its own probes alone.
+  private static final long ISOLATION_MILLISECONDS = 1_500;
   // A fleet that starts has news of each member for each other one: fewer and larger messages.
   private static final int UPDATES_PER_MESSAGE = 24; // some 3 KB
   private static final int TRANSMIT_MULTIPLIER = 2; // exchanges find what these miss
@@ -51,6 +53,7 @@
   private final MembershipSettings settings;
   private Listener listener; // set on the event loop before anything is handed to it
   private volatile RelayView relayView;
+  private volatile long heardAt = MonotonicClock.milliseconds();
 
   private record RelayView(List<Instance> answering, DomainRelays relays) {}
 
@@ -126,8 +129,15 @@
     return members.alive();
   }
 
+  @Override
+  public boolean isIsolated() {
+    boolean others = alive().size() > 1;
+    return others && MonotonicClock.milliseconds() - heardAt > ISOLATION_MILLISECONDS;
+  }
+
   /** Returns every instance that is alive and not suspected, this one first. */
-  List<Instance> answering() {
+  @Override
+  public List<Instance> answering() {
     return members.answering();
   }
 
@@ -183,7 +193,8 @@
    *
    * @param limitMilliseconds how long to wait for the answer
    */
-  CompletableFuture<PeerMessage> request(
+  @Override
+  public CompletableFuture<PeerMessage> request(
       Instance instance, PeerMessage message, long limitMilliseconds) {
     CompletableFuture<PeerMessage> answered = new CompletableFuture<>();
     Future<?> limit =
@@ -218,6 +229,7 @@
     public void received(PeerMessage message) {
       context.emit(
           run -> {
+            heardAt = MonotonicClock.milliseconds();
             if (message instanceof PeerMessage.Membership step) {
               members.received(step);
             } else if (message instanceof PeerMessage.Relayed relayed) {
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/HeldQuotas.java
@@ -0,0 +1,288 @@
+package org.agatefield.daemon.forward;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.agatefield.admission.FleetSize;
+import org.agatefield.admission.QuotaBucket;
+import org.agatefield.admission.QuotaBuckets;
+import org.agatefield.admission.QuotaTolerance;
+import org.agatefield.admission.TokenRate;
+import org.agatefield.forwarding.AccountTable;
+import org.agatefield.forwarding.ClientAccount;
+import org.agatefield.forwarding.TokenQuota;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
+import org.agatefield.model.Instance;
+import org.agatefield.peer.PeerMessage;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Has one instance of each region hold the quota of a client account, and ask the holders of other
+ * regions for a loan when its part is used up.
+ *
+ * <p>Answers accounts whose requests are few or come to few instances, where equal parts refuse
+ * what is below the quota, and accounts that flood many instances at once. A region's part follows
+ * the instances that are seen there, out of the most that were seen lately, so that parted regions
+ * together keep to the quota. An instance that reaches no holder grants its own equal part, which
+ * it earns from then on. Confined to one event loop.
+ */
+final class HeldQuotas implements QuotaPolicy {
+  /** How often {@link #keep} is to be called. */
+  static final long KEEP_MILLISECONDS = 240;
+
+  private static final Logger LOGGER = LogManager.getLogger(HeldQuotas.class);
+  private static final long ASK_MILLISECONDS = 250; // twice a slow machine's turn
+  private static final long LOAN_MILLISECONDS = 200; // three times the way between regions
+  private static final long RETRY_MILLISECONDS = 150; // several are tried in a holder's failure
+  private static final long SHORT_WAIT_MILLISECONDS = 300; // less than a refused caller loses
+  // Until then the others may still count on this instance's part.
+  private static final long OWN_PART_MILLISECONDS = 2_500;
+  private static final long NO_LOAN_MILLISECONDS = 120; // twice the way between regions
+  private static final double LENT_SHARE = 0.75; // the rest serves requests of the lender's region
+  private static final double LOW_SHARE = 0.4; // of the capacity; below it a loan is asked for
+  private static final double WANTED_SHARE = 0.6; // of the capacity, once the loan has come
+
+  private final Timers timers;
+  private final LongSupplier clock;
+  private final Fleet fleet;
+  private final QuotaTolerance tolerance;
+  private final FleetSize size;
+  private final Supplier<AccountTable> accounts;
+  private final QuotaHolders holders = new QuotaHolders();
+  private final QuotaBuckets buckets = new QuotaBuckets();
+  private final FixedShareQuotas ownParts;
+  private final Set<String> unreached = new HashSet<>();
+  private final Map<String, Long> noLoanUntil = new HashMap<>();
+
+  /** The other instances, as far as quotas need them. */
+  interface Fleet {
+    /** Returns this instance. */
+    Instance self();
+
+    /** Returns the instances that answer, this one included; the same list while none changes. */
+    List<Instance> answering();
+
+    /** Returns whether no other instance has been heard lately though there are some. */
+    boolean isIsolated();
+
+    /** Sends a request; the future completes on the event loop. */
+    CompletableFuture<PeerMessage> request(
+        Instance instance, PeerMessage message, long limitMilliseconds);
+  }
+
+  /** Runs something later on the event loop. */
+  @FunctionalInterface
+  interface Timers {
+    void after(long milliseconds, Runnable work);
+  }
+
+  /**
+   * Creates a policy that holds no quota yet.
+   *
+   * @param clock gives monotonic milliseconds
+   */
+  HeldQuotas(
+      Timers timers,
+      LongSupplier clock,
+      Fleet fleet,
+      QuotaTolerance tolerance,
+      FleetSize size,
+      Supplier<AccountTable> accounts) {
+    this.timers = timers;
+    this.clock = clock;
+    this.fleet = fleet;
+    this.tolerance = tolerance;
+    this.size = size;
+    this.accounts = accounts;
+    this.ownParts = FixedShareQuotas.whileCutOff(tolerance, size, clock);
+  }
+
+  /** Lets the buckets of the accounts that this instance holds earn before they are asked for. */
+  void keep(long now) {
+    holders.see(fleet.answering());
+    for (ClientAccount account : accounts.get().accounts()) {
+      if (account.quota().isPresent() && isHeldHere(account.name())) {
+        QuotaBucket bucket = bucket(account, now);
+        boolean lately = noLoanUntil.getOrDefault(account.name(), Long.MIN_VALUE) > now;
+        if (!lately && bucket.level(now) < LOW_SHARE * bucket.capacity()) {
+          borrow(account, 0, holders.others(account.name(), region()));
+        }
+      }
+    }
+    buckets.forgetUnused(this::isHeldHere, now);
+  }
+
+  @Override
+  public void decide(
+      ClientAccount account, double tokens, long patienceMilliseconds, Consumer<Decision> told) {
+    new Asking(account, tokens, patienceMilliseconds, told).ask();
+  }
+
+  /** Answers another instance. */
+  CompletableFuture<PeerMessage> answer(PeerMessage.QuotaRequest request) {
+    Optional<ClientAccount> account =
+        accounts.get().accounts().stream()
+            .filter(each -> each.name().equals(request.account()) && each.quota().isPresent())
+            .findFirst();
+    if (account.isEmpty()) {
+      return CompletableFuture.failedFuture(
+          new AgatefieldException(ErrorKind.INTERNAL, "the account has no quota here"));
+    }
+    long now = clock.getAsLong();
+    if (request.loan()) {
+      QuotaBucket bucket = bucket(account.get(), now);
+      double lent = bucket.lend(Math.min(request.tokens(), LENT_SHARE * bucket.level(now)), now);
+      return CompletableFuture.completedFuture(new PeerMessage.QuotaAnswer(lent, 0));
+    }
+    return take(account.get(), request.tokens()).thenApply(answer -> answer);
+  }
+
+  private boolean isHeldHere(String account) {
+    return holders
+        .holder(account, region())
+        .filter(holder -> holder.id().equals(fleet.self().id()))
+        .isPresent();
+  }
+
+  private String region() {
+    return fleet.self().failureDomain().region();
+  }
+
+  private QuotaBucket bucket(ClientAccount account, long now) {
+    holders.see(fleet.answering());
+    TokenQuota quota = account.quota().orElseThrow();
+    double seen = Math.max(1, holders.count(region()));
+    TokenRate rate =
+        tolerance.rate(quota.perSecond(), quota.burst()).scaled(Math.min(1, seen / size.most(now)));
+    return buckets.bucket(account.name(), rate, now);
+  }
+
+  /** Takes tokens from the bucket held here, with loans of other regions if it lacks some. */
+  private CompletableFuture<PeerMessage.QuotaAnswer> take(ClientAccount account, double tokens) {
+    long now = clock.getAsLong();
+    QuotaBucket bucket = bucket(account, now);
+    if (bucket.tryTake(tokens, now)) {
+      return CompletableFuture.completedFuture(new PeerMessage.QuotaAnswer(tokens, 0));
+    }
+    List<Instance> lenders = holders.others(account.name(), region());
+    boolean lately = noLoanUntil.getOrDefault(account.name(), Long.MIN_VALUE) > now;
+    if (lately || lenders.isEmpty()) {
+      return CompletableFuture.completedFuture(exhausted(bucket, tokens, now));
+    }
+    return borrow(account, tokens, lenders);
+  }
+
+  private CompletableFuture<PeerMessage.QuotaAnswer> borrow(
+      ClientAccount account, double tokens, List<Instance> lenders) {
+    long now = clock.getAsLong();
+    QuotaBucket bucket = bucket(account, now);
+    if (tokens > 0 && bucket.tryTake(tokens, now)) {
+      return CompletableFuture.completedFuture(new PeerMessage.QuotaAnswer(tokens, 0));
+    }
+    double room = Math.max(0, WANTED_SHARE * bucket.capacity() - bucket.level(now));
+    double wanted = bucket.lacking(tokens, now) + room;
+    if (lenders.isEmpty() || wanted <= 0) {
+      noLoanUntil.put(account.name(), now + NO_LOAN_MILLISECONDS);
+      return CompletableFuture.completedFuture(exhausted(bucket, tokens, now));
+    }
+    PeerMessage request = new PeerMessage.QuotaRequest(account.name(), wanted, true);
+    List<Instance> rest = lenders.subList(1, lenders.size());
+    return fleet
+        .request(lenders.get(0), request, LOAN_MILLISECONDS)
+        .handle((answer, failure) -> lent(account, answer, failure))
+        .thenCompose(lent -> borrow(account, tokens, rest));
+  }
+
+  private double lent(ClientAccount account, PeerMessage answer, Throwable failure) {
+    if (!(answer instanceof PeerMessage.QuotaAnswer loan)) {
+      LOGGER.debug("account={} loan failed=\"{}\"", account.name(), String.valueOf(failure));
+      return 0;
+    }
+    long now = clock.getAsLong();
+    bucket(account, now).add(loan.grantedTokens(), now);
+    return loan.grantedTokens();
+  }
+
+  private static PeerMessage.QuotaAnswer exhausted(QuotaBucket bucket, double tokens, long now) {
+    return new PeerMessage.QuotaAnswer(0, Math.max(1, bucket.millisecondsUntil(tokens, now)));
+  }
+
+  /** One request's way to a decision. */
+  private final class Asking {
+    private final ClientAccount account;
+    private final double tokens;
+    private final long giveUpAt;
+    private final Consumer<Decision> told;
+
+    Asking(
+        ClientAccount account, double tokens, long patienceMilliseconds, Consumer<Decision> told) {
+      this.account = account;
+      this.tokens = tokens;
+      this.giveUpAt = clock.getAsLong() + patienceMilliseconds;
+      this.told = told;
+    }
+
+    void ask() {
+      holders.see(fleet.answering());
+      Optional<Instance> holder = holders.holder(account.name(), region());
+      if (holder.isEmpty() || fleet.isIsolated()) {
+        failed("no other instance is heard");
+        return;
+      }
+      if (holder.get().id().equals(fleet.self().id())) {
+        take(account, tokens).thenAccept(this::answered);
+        return;
+      }
+      fleet
+          .request(
+              holder.get(),
+              new PeerMessage.QuotaRequest(account.name(), tokens, false),
+              ASK_MILLISECONDS)
+          .whenComplete(
+              (answer, failure) -> {
+                if (answer instanceof PeerMessage.QuotaAnswer known) {
+                  answered(known);
+                } else {
+                  failed(holder.get().id() + ": " + failure);
+                }
+              });
+    }
+
+    private void answered(PeerMessage.QuotaAnswer answer) {
+      unreached.remove(account.name());
+      if (answer.grantedTokens() >= tokens) {
+        told.accept(new Decision.Granted());
+        return;
+      }
+      long wait = answer.waitMilliseconds();
+      if (wait <= SHORT_WAIT_MILLISECONDS && clock.getAsLong() + wait < giveUpAt) {
+        timers.after(Math.max(1, wait), this::ask);
+        return;
+      }
+      told.accept(new Decision.Exhausted(wait));
+    }
+
+    private void failed(String cause) {
+      if (unreached.add(account.name())) {
+        LOGGER.info("account={} quota holder unreached=\"{}\"", account.name(), cause);
+        ownParts.begin(account.name(), clock.getAsLong() + OWN_PART_MILLISECONDS);
+      }
+      if (ownParts.decide(account, tokens) instanceof Decision.Granted granted) {
+        told.accept(granted);
+      } else if (clock.getAsLong() + RETRY_MILLISECONDS < giveUpAt) {
+        timers.after(RETRY_MILLISECONDS, this::ask);
+      } else {
+        told.accept(new Decision.Unknown());
+      }
+    }
+  }
+}
--- a/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
@@ -4,6 +4,8 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import org.agatefield.forwarding.AccountTable;
+import org.agatefield.forwarding.ClientAccount;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.IngressLimits;
 import org.agatefield.forwarding.RefusalReason;
@@ -78,8 +80,26 @@
       response.reject(BAD_REQUEST, "the request has no identifier");
       return;
     }
-    double draw = ThreadLocalRandom.current().nextDouble();
-    new RequestExchange(parts, request, table.get(), route.get(), terms, content, arrivedAt, draw)
+    AccountTable accounts = table.get().accounts();
+    Optional<ClientAccount> account = terms.key().flatMap(accounts::holderOf);
+    if (account.isEmpty() && accounts.requiresKeys() && !route.get().open()) {
+      LOGGER.info(
+          "request={} route={} outcome=unknown_key with_key={} config={}",
+          terms.id(),
+          route.get().name(),
+          terms.key().isPresent(),
+          table.get().version());
+      parts.metrics().refused(RefusalReason.UNKNOWN_KEY.name());
+      response.refuse(RefusalReason.UNKNOWN_KEY, 0);
+      return;
+    }
+    new RequestExchange(
+            parts,
+            request,
+            new RequestExchange.Admitted(table.get(), route.get(), account, terms),
+            content,
+            arrivedAt,
+            ThreadLocalRandom.current().nextDouble())
         .start();
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
@@ -13,6 +13,8 @@
   private final Map<String, KnowledgeRelay> knowledgeRelays;
   private final LoadExchange loads;
   private final PlannerLink planner;
+  private final RunnerNotices notices;
+  private final HeldQuotas quotas;
 
   /**
    * Creates an inbox.
@@ -23,11 +25,15 @@
       KnowledgeExchange knowledge,
       Map<String, KnowledgeRelay> knowledgeRelays,
       LoadExchange loads,
-      PlannerLink planner) {
+      PlannerLink planner,
+      RunnerNotices notices,
+      HeldQuotas quotas) {
     this.knowledge = knowledge;
     this.knowledgeRelays = knowledgeRelays;
     this.loads = loads;
     this.planner = planner;
+    this.notices = notices;
+    this.quotas = quotas;
   }
 
   @Override
@@ -45,6 +51,8 @@
       planner.heard(notice);
     } else if (message instanceof PeerMessage.ModelNotice notice) {
       planner.heard(notice);
+    } else if (message instanceof PeerMessage.RunnerNotice notice) {
+      notices.heard(notice, MonotonicClock.milliseconds());
     }
   }
 
@@ -57,6 +65,9 @@
         && knowledgeRelays.containsKey(asked.kind())) {
       return knowledgeRelays.get(asked.kind()).answer(asked);
     }
+    if (request instanceof PeerMessage.QuotaRequest asked) {
+      return quotas.answer(asked);
+    }
     if (request instanceof PeerMessage.AdapterRequest asked) {
       return planner.answer(asked);
     }
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/QuotaHolders.java
@@ -0,0 +1,77 @@
+package org.agatefield.daemon.forward;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.agatefield.model.Instance;
+import org.agatefield.model.InstanceState;
+import org.agatefield.routing.HomeInstances;
+
+/**
+ * Which instance holds the quota of a client account in each region.
+ *
+ * <p>Instances with the same view agree on it; one that comes or goes changes only the accounts
+ * that it holds. Confined to one thread.
+ */
+final class QuotaHolders {
+  private final HomeInstances ranking = new HomeInstances(1, 1);
+  private final Map<String, Map<String, Instance>> holdersByAccount = new HashMap<>();
+  private final Map<String, List<Instance>> instancesByRegion = new TreeMap<>();
+  private List<Instance> known = List.of();
+
+  /** Takes the instances that answer now; the same list again costs nothing. */
+  void see(List<Instance> answering) {
+    if (answering == known) {
+      return;
+    }
+    known = answering;
+    holdersByAccount.clear();
+    instancesByRegion.clear();
+    for (Instance instance : answering) {
+      if (instance.state() == InstanceState.LIVE) {
+        instancesByRegion
+            .computeIfAbsent(instance.failureDomain().region(), region -> new ArrayList<>())
+            .add(instance);
+      }
+    }
+  }
+
+  /** Returns the number of instances that were seen in a region. */
+  int count(String region) {
+    return instancesByRegion.getOrDefault(region, List.of()).size();
+  }
+
+  /** Returns the holder of an account's quota in a region; empty if no instance is seen there. */
+  Optional<Instance> holder(String account, String region) {
+    return Optional.ofNullable(holders(account).get(region));
+  }
+
+  /** Returns the holders of an account's quota in all other regions. */
+  List<Instance> others(String account, String region) {
+    return holders(account).entrySet().stream()
+        .filter(entry -> !entry.getKey().equals(region))
+        .map(Map.Entry::getValue)
+        .toList();
+  }
+
+  private Map<String, Instance> holders(String account) {
+    return holdersByAccount.computeIfAbsent(account, this::choose);
+  }
+
+  private Map<String, Instance> choose(String account) {
+    Map<String, Instance> chosen = new TreeMap<>();
+    instancesByRegion.forEach(
+        (region, instances) -> {
+          List<String> ids = instances.stream().map(Instance::id).toList();
+          String first = ranking.homes(account, ids, 1).get(0);
+          instances.stream()
+              .filter(instance -> instance.id().equals(first))
+              .findFirst()
+              .ifPresent(instance -> chosen.put(region, instance));
+        });
+    return chosen;
+  }
+}
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.AnswerKind;
+import org.agatefield.daemon.forward.wire.RunnerDialect;
 import org.agatefield.forwarding.EventStreamSplitter;
 import org.agatefield.forwarding.ForwardedRequest;
 import org.agatefield.forwarding.RequestAction;
@@ -145,6 +146,17 @@
     followUp.accept(state.unreached(number));
   }
 
+  @Override
+  public void headReceived(UpstreamAnswer received) {
+    RunnerDialect dialect = parts.dialect().runners();
+    if (dialect.isLeaving(received.headers())) {
+      parts.notices().saidThatItLeaves(runner);
+    }
+    dialect
+        .quietMilliseconds(received.status(), received.headers())
+        .ifPresent(quiet -> parts.notices().askedForQuiet(runner, quiet));
+  }
+
   @Override
   public void rejected(AnswerKind kind, UpstreamAnswer rejection) {
     release();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -5,9 +5,11 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import org.agatefield.daemon.forward.wire.SendTerms;
+import org.agatefield.forwarding.ClientAccount;
 import org.agatefield.forwarding.ForwardedRequest;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.PromptTerms;
@@ -18,6 +20,7 @@
 import org.agatefield.forwarding.Route;
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.forwarding.SendPolicy;
+import org.agatefield.forwarding.TokenQuota;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -32,6 +35,8 @@
   private static final long PLANNING_MILLISECONDS = 1_500; // a report, a plan and a load from disk
   private static final long FIRST_EVENT_MILLISECONDS = 250;
   private static final long ADAPTER_PAUSE_MILLISECONDS = 80; // several loads of an adapter
+  private static final long LONGEST_QUOTA_MILLISECONDS = 1_500; // most failures of a holder end
+  private static final double QUOTA_SHARE = 0.4; // the rest is for the answer
   private static final int MOST_URGENT = 0;
   private static final int LEAST_URGENT = 9;
 
@@ -45,35 +50,43 @@
   private final long arrivedAt;
   private final long deadline;
   private final long beginBy;
-  private final long tableVersion;
+  private final ForwardingTable table;
+  private final Optional<ClientAccount> account;
   private final ForwardedRequest state;
   private Set<String> excluded = Set.of();
   private RequestAttempt attempt;
   private RunnerEntry chosenRunner;
   private boolean waiting;
   private long deadlineTimer = -1;
-  private long modelReadyIn;
+  private long usefulIn;
   private int sends;
   private long firstEventAt = -1;
 
+  /**
+   * What is known of a request that may be passed on. Immutable.
+   *
+   * @param account the client account that it belongs to; empty where none is needed
+   */
+  record Admitted(
+      ForwardingTable table, Route route, Optional<ClientAccount> account, RequestTerms terms) {}
+
   RequestExchange(
       ForwardingParts parts,
       HttpServerRequest request,
-      ForwardingTable table,
-      Route route,
-      RequestTerms terms,
+      Admitted admitted,
       Buffer content,
       long arrivedAt,
       double draw) {
     this.parts = parts;
     this.request = request;
     this.response = new CallerResponse(request, parts.headers(), parts.leaving());
-    this.route = route;
+    this.table = admitted.table();
+    this.route = admitted.route();
+    this.account = admitted.account();
     this.service = route.serviceFor(draw);
-    this.terms = terms;
+    this.terms = admitted.terms();
     this.content = content;
     this.arrivedAt = arrivedAt;
-    this.tableVersion = table.version();
     long allowed =
         Math.min(
             route.timeoutMilliseconds(),
@@ -110,13 +123,42 @@
                 Math.max(1, deadline - MonotonicClock.milliseconds()),
                 fired -> perform(state.expired()));
     parts.budgets().requested(service);
-    terms.prompt().ifPresent(prompt -> parts.demand().arrived(service, prompt, route.priority()));
+    Optional<TokenQuota> quota = account.flatMap(ClientAccount::quota);
+    if (quota.isEmpty()) {
+      begin();
+      return;
+    }
+    long patience =
+        Math.min(LONGEST_QUOTA_MILLISECONDS, (long) (QUOTA_SHARE * (beginBy - arrivedAt)));
+    parts.quotas().decide(account.get(), quota.get().cost(terms), patience, this::quotaDecided);
+  }
+
+  private void quotaDecided(QuotaPolicy.Decision decision) {
+    if (state.isOver()) {
+      return;
+    }
+    if (decision instanceof QuotaPolicy.Decision.Granted) {
+      begin();
+    } else if (decision instanceof QuotaPolicy.Decision.Exhausted exhausted) {
+      usefulIn = exhausted.waitMilliseconds();
+      perform(state.notChosen(RefusalReason.OVER_QUOTA));
+    } else {
+      perform(state.notChosen(RefusalReason.QUOTA_UNKNOWN));
+    }
+  }
+
+  private void begin() {
+    terms.prompt().ifPresent(prompt -> parts.demand().arrived(service, prompt, priority()));
     perform(state.start());
   }
 
   @Override
   public int priority() {
-    return route.priority();
+    return account
+        .map(ClientAccount::priority)
+        .filter(OptionalInt::isPresent)
+        .map(OptionalInt::getAsInt)
+        .orElse(route.priority());
   }
 
   @Override
@@ -164,6 +206,8 @@
       sendOrWait(found, now);
     } else if (selection instanceof RunnerSelector.Selection.NoRunner) {
       refuseOrWait(RefusalReason.NO_RUNNER);
+    } else if (selection instanceof RunnerSelector.Selection.AllQuiet quiet) {
+      waitForQuiet(quiet.untilMilliseconds(), now);
     } else if (selection instanceof RunnerSelector.Selection.ModelAbsent) {
       waitForModel(now);
     } else {
@@ -172,6 +216,16 @@
     }
   }
 
+  /** Waits for a runner that wants no requests for a while, if it takes them again in time. */
+  private void waitForQuiet(long until, long now) {
+    if (until + FIRST_EVENT_MILLISECONDS <= beginBy) {
+      startWaiting();
+      return;
+    }
+    usefulIn = Math.max(0, until - now);
+    perform(state.notChosen(RefusalReason.OVERLOADED));
+  }
+
   /** Waits only for a model that will be there in time, or whose load may still be planned. */
   private void waitForModel(long now) {
     String model = terms.prompt().orElseThrow().model();
@@ -183,7 +237,7 @@
       startWaiting();
       return;
     }
-    modelReadyIn = Math.max(0, readyAt - now);
+    usefulIn = Math.max(0, readyAt - now);
     perform(state.notChosen(RefusalReason.MODEL_ABSENT));
   }
 
@@ -268,6 +322,10 @@
   }
 
   private void sendTo(RunnerEntry runner) {
+    if (!keyHolds()) {
+      perform(state.notChosen(RefusalReason.UNKNOWN_KEY));
+      return;
+    }
     if (!parts.selector().isUsable(runner)) {
       startWaiting(); // the runner began to leave while its adapter was loaded
       return;
@@ -280,6 +338,15 @@
     perform(state.chosen(runner.id()));
   }
 
+  /** Returns whether the key that let the request in has not been taken away meanwhile. */
+  private boolean keyHolds() {
+    ForwardingTable current = parts.table().get().orElse(table);
+    if (current == table || account.isEmpty() || route.open()) {
+      return true;
+    }
+    return terms.key().flatMap(current.accounts()::holderOf).isPresent();
+  }
+
   private void send(RequestAction.Send send) {
     sends++;
     parts.metrics().sent(sends > 1);
@@ -301,14 +368,18 @@
             runner.id(),
             Math.max(1, deadline - MonotonicClock.milliseconds()),
             terms.prompt().map(prompt -> enginePriority()),
+            account.map(ClientAccount::name),
             send.resumeAfter());
     MultiMap headers = parts.headers().forRunner(request.headers());
+    if (table.accounts().requiresKeys()) {
+      headers.remove(parts.dialect().callers().keyHeader());
+    }
     parts.dialect().runners().writeTerms(sendTerms, headers);
     return headers;
   }
 
   private int enginePriority() {
-    return Math.max(MOST_URGENT, Math.min(LEAST_URGENT, route.priority()));
+    return Math.max(MOST_URGENT, Math.min(LEAST_URGENT, priority()));
   }
 
   private void finish(RequestAction.Final last) {
@@ -320,7 +391,7 @@
     parts.metrics().finished(route.kind(), outcome, elapsed);
     LOGGER.info(
         "request={} route={} service={} outcome={} runner={} sends={} first_ms={} total_ms={}"
-            + " limit_ms={} model={} adapter={} tokens={} config={}",
+            + " limit_ms={} model={} adapter={} tokens={} config={} account={}",
         terms.id(),
         route.name(),
         service,
@@ -333,7 +404,8 @@
         terms.prompt().map(PromptTerms::model).orElse(""),
         terms.prompt().flatMap(PromptTerms::adapter).orElse(""),
         terms.prompt().map(PromptTerms::promptTokens).orElse(0),
-        tableVersion);
+        table.version(),
+        account.map(ClientAccount::name).orElse(""));
   }
 
   private String deliver(RequestAction.Final last) {
@@ -348,7 +420,7 @@
       return "stream_aborted";
     } else if (last instanceof RequestAction.Refuse refusal) {
       parts.metrics().refused(refusal.reason().name());
-      long returnIn = ReturnAdvice.milliseconds(refusal.reason(), modelReadyIn);
+      long returnIn = ReturnAdvice.milliseconds(refusal.reason(), usefulIn);
       response.refuse(refusal.reason(), CallerResponse.spread(returnIn));
       return "refused_" + refusal.reason();
     } else if (last instanceof RequestAction.Fail failure) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RetryBudgets.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RetryBudgets.java
@@ -2,7 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntSupplier;
+import org.agatefield.admission.FleetSize;
 import org.agatefield.admission.WindowedRetryBudget;
 import org.agatefield.settings.ForwardingSettings;
 
@@ -16,17 +16,14 @@
   private static final double SHARE_USED =
       0.85; // requests that never reach an instance don't count
   private static final double RESERVE_USED = 0.8; // a restarted instance starts with a full part
-  private static final long FLEET_MEMORY_MILLISECONDS = 60_000;
 
   private final ForwardingSettings.Terms terms;
-  private final IntSupplier instances;
+  private final FleetSize fleet;
   private final Map<String, WindowedRetryBudget> budgets = new HashMap<>();
-  private int mostInstances = 1;
-  private long mostInstancesAt;
 
-  RetryBudgets(ForwardingSettings.Terms terms, IntSupplier instances) {
+  RetryBudgets(ForwardingSettings.Terms terms, FleetSize fleet) {
     this.terms = terms;
-    this.instances = instances;
+    this.fleet = fleet;
   }
 
   void requested(String service) {
@@ -44,12 +41,7 @@
   }
 
   private double reserve(long now) {
-    int alive = instances.getAsInt();
-    if (alive >= mostInstances || now - mostInstancesAt > FLEET_MEMORY_MILLISECONDS) {
-      mostInstances = Math.max(1, alive);
-      mostInstancesAt = now;
-    }
-    return RESERVE_USED * terms.retryReserve() / mostInstances;
+    return RESERVE_USED * terms.retryReserve() / fleet.most(now);
   }
 
   private WindowedRetryBudget budget(String service) {
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerNotices.java
@@ -0,0 +1,114 @@
+package org.agatefield.daemon.forward;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.agatefield.forwarding.RunnerEntry;
+import org.agatefield.peer.PeerMessage;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * What runners say of themselves in their answers: that they leave, or want no requests for a
+ * while.
+ *
+ * <p>Invariants: a runner that said so to this instance gets nothing more from it, for as long as
+ * it lives, or until its time is over; another life of the same identifier is another runner. What
+ * was said here first is told to the other instances, and what they tell is taken in. Confined to
+ * one event loop.
+ */
+final class RunnerNotices {
+  private static final Logger LOGGER = LogManager.getLogger(RunnerNotices.class);
+
+  private final Consumer<PeerMessage> broadcast;
+  private final Map<String, Leaving> leaving = new HashMap<>();
+  private final Map<String, Quiet> quiet = new HashMap<>();
+
+  private record Leaving(long bornMilliseconds, long sinceMilliseconds) {}
+
+  private record Quiet(long bornMilliseconds, long untilMilliseconds) {}
+
+  /** Creates notices that tells new ones by {@code broadcast}. */
+  RunnerNotices(Consumer<PeerMessage> broadcast) {
+    this.broadcast = broadcast;
+  }
+
+  /** A runner said in an answer that it leaves. */
+  void saidThatItLeaves(RunnerEntry runner) {
+    if (isLeaving(runner)) {
+      return;
+    }
+    leave(runner.id(), runner.bornMilliseconds(), MonotonicClock.milliseconds());
+    broadcast.accept(
+        new PeerMessage.RunnerNotice(
+            runner.id(), runner.bornMilliseconds(), OptionalLong.of(0), 0));
+  }
+
+  /** A runner turned a request away and wants no more for a while. */
+  void askedForQuiet(RunnerEntry runner, long milliseconds) {
+    long now = MonotonicClock.milliseconds();
+    boolean known = quietUntil(runner, now) > now;
+    rest(runner.id(), runner.bornMilliseconds(), now + milliseconds);
+    if (!known) {
+      broadcast.accept(
+          new PeerMessage.RunnerNotice(
+              runner.id(), runner.bornMilliseconds(), OptionalLong.empty(), milliseconds));
+    }
+  }
+
+  /** Another instance tells what a runner said to it. */
+  void heard(PeerMessage.RunnerNotice notice, long now) {
+    notice
+        .leavingAgeMilliseconds()
+        .ifPresent(age -> leave(notice.runner(), notice.bornMilliseconds(), now - age));
+    if (notice.quietMilliseconds() > 0) {
+      rest(notice.runner(), notice.bornMilliseconds(), now + notice.quietMilliseconds());
+    }
+  }
+
+  boolean isLeaving(RunnerEntry runner) {
+    Leaving known = leaving.get(runner.id());
+    return known != null && known.bornMilliseconds() == runner.bornMilliseconds();
+  }
+
+  /**
+   * Returns when a runner takes requests again, in monotonic milliseconds; {@code now} or before if
+   * it does.
+   */
+  long quietUntil(RunnerEntry runner, long now) {
+    Quiet known = quiet.get(runner.id());
+    boolean current = known != null && known.bornMilliseconds() == runner.bornMilliseconds();
+    return current ? known.untilMilliseconds() : now;
+  }
+
+  /** Forgets a runner that is gone. */
+  void forget(String runner) {
+    leaving.remove(runner);
+    quiet.remove(runner);
+  }
+
+  private void leave(String runner, long born, long since) {
+    Leaving known = leaving.get(runner);
+    if (known != null && known.bornMilliseconds() >= born) {
+      return;
+    }
+    leaving.put(runner, new Leaving(born, since));
+    LOGGER.info(
+        "runner={} born={} says=leaving age_ms={}",
+        runner,
+        born,
+        MonotonicClock.milliseconds() - since);
+  }
+
+  private void rest(String runner, long born, long until) {
+    Quiet known = quiet.get(runner);
+    boolean longer =
+        known != null && known.bornMilliseconds() == born && known.untilMilliseconds() >= until;
+    if (longer) {
+      return;
+    }
+    quiet.put(runner, new Quiet(born, until));
+    LOGGER.info("runner={} says=quiet for_ms={}", runner, until - MonotonicClock.milliseconds());
+  }
+}
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -30,6 +30,7 @@
   private final RunnerDirectory directory;
   private final RunnerLoads loads;
   private final ModelPresence presence;
+  private final RunnerNotices notices;
   private final RunnerChoice choice;
   private final OutlierDetector outliers = new OutlierDetector(EJECTION_NANOSECONDS);
 
@@ -43,6 +44,13 @@
     /** Only runners that were tried before are left. */
     record OnlyTried() implements Selection {}
 
+    /**
+     * All runners that could take it want no requests for a while. Immutable.
+     *
+     * @param untilMilliseconds when the first takes them again, in monotonic milliseconds
+     */
+    record AllQuiet(long untilMilliseconds) implements Selection {}
+
     /** Runners of the service exist, but none has the model. */
     record ModelAbsent() implements Selection {}
 
@@ -56,25 +64,35 @@
       RunnerDirectory directory,
       RunnerLoads loads,
       ModelPresence presence,
+      RunnerNotices notices,
       RunnerChoice choice) {
     this.here = here;
     this.regions = regions;
     this.directory = directory;
     this.loads = loads;
     this.presence = presence;
+    this.notices = notices;
     this.choice = choice;
     directory.listen(this);
   }
 
   Selection select(String service, Optional<PromptTerms> prompt, Set<String> tried, long now) {
-    List<RunnerEntry> usable = directory.usable(service);
+    List<RunnerEntry> usable =
+        directory.usable(service).stream().filter(entry -> !notices.isLeaving(entry)).toList();
     if (usable.isEmpty()) {
       return new Selection.NoRunner();
     }
-    List<RunnerEntry> able = usable.stream().filter(entry -> isAble(entry, prompt, now)).toList();
-    if (able.isEmpty()) {
+    List<RunnerEntry> holding =
+        usable.stream().filter(entry -> isAble(entry, prompt, now)).toList();
+    if (holding.isEmpty()) {
       return new Selection.ModelAbsent();
     }
+    List<RunnerEntry> able =
+        holding.stream().filter(entry -> notices.quietUntil(entry, now) <= now).toList();
+    if (able.isEmpty()) {
+      return new Selection.AllQuiet(
+          holding.stream().mapToLong(each -> notices.quietUntil(each, now)).min().orElse(now));
+    }
     List<RunnerEntry> healthy = outliers.admitted(able, RunnerEntry::id, System.nanoTime());
     List<RunnerEntry> fresh = without(healthy, tried);
     if (fresh.isEmpty()) {
@@ -91,10 +109,13 @@
 
   /** Returns whether a runner that was chosen before may still get work. */
   boolean isUsable(RunnerEntry runner) {
+    long now = MonotonicClock.milliseconds();
     return directory
         .entry(runner.id())
         .filter(entry -> !entry.draining())
         .filter(entry -> entry.bornMilliseconds() == runner.bornMilliseconds())
+        .filter(entry -> !notices.isLeaving(entry))
+        .filter(entry -> notices.quietUntil(entry, now) <= now)
         .isPresent();
   }
 
@@ -137,6 +158,7 @@
   @Override
   public void runnerGone(String id) {
     presence.forget(id);
+    notices.forget(id);
     heardAt.remove(id);
     outliers.forget(id);
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
@@ -58,6 +58,9 @@
     /** No connection came about. */
     void unreached(String cause);
 
+    /** The head of an answer came, whatever it answers. */
+    void headReceived(UpstreamAnswer head);
+
     /** The runner did not run the request and never will. */
     void rejected(AnswerKind kind, UpstreamAnswer answer);
 
@@ -164,6 +167,7 @@
     response.exceptionHandler(this::broken);
     head = new UpstreamAnswer(response.statusCode(), response.headers(), body);
     kind = dialect.answerKind(response.statusCode(), response.headers(), requestId);
+    listener.headReceived(head);
     if (kind == AnswerKind.UNUSABLE) {
       unusable(response);
       return;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/wire/CallerDialect.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/wire/CallerDialect.java
@@ -25,6 +25,9 @@
   /** Reads what a request's headers say; absent parts are empty. */
   RequestTerms requestTerms(MultiMap headers);
 
+  /** Returns the name of the header that carries a client's key. */
+  String keyHeader();
+
   /** Returns headers, in lower case, that only this system may set and never passes on. */
   Set<String> reservedHeaders();
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/wire/RunnerDialect.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/wire/RunnerDialect.java
@@ -3,6 +3,7 @@
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.agatefield.forwarding.RunnerReport;
 
 /** How runners are asked for work, told what to hold, and asked for their state. Stateless. */
@@ -13,6 +14,12 @@
   /** Reads what kind of answer came to a request. */
   AnswerKind answerKind(int status, MultiMap headers, String requestId);
 
+  /** Returns whether an answer says that its runner is about to end. */
+  boolean isLeaving(MultiMap headers);
+
+  /** Returns for how long a runner that turned a request away wants nothing more; empty if not. */
+  OptionalLong quietMilliseconds(int status, MultiMap headers);
+
   /** Returns the path that takes orders. */
   String orderPath();
 
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -116,6 +116,7 @@
             directory,
             new RunnerLoads(),
             new ModelPresence(),
+            new RunnerNotices(notice -> {}),
             new FewestRunningChoice());
     directory.changed(entry("a", "ready"));
     RunnerEntry chosen = directory.entry("a").orElseThrow();
--- a/daemon/src/test/java/org/agatefield/daemon/forward/StallLimitsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/StallLimitsTest.java
@@ -21,6 +21,7 @@
           0,
           2,
           true,
+          false,
           List.of(new WeightedService("s", 1)));
 
   @Test
--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardingTable.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardingTable.java
@@ -9,7 +9,7 @@
 import java.util.Optional;
 
 /**
- * One version of the operator's routes and services.
+ * One version of the operator's routes, services and client accounts.
  *
  * <p>Routes of a host are kept with the longest prefix first. Immutable and safe for use by any
  * thread.
@@ -18,12 +18,18 @@
   private final long version;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceDefinition> services = new HashMap<>();
+  private final AccountTable accounts;
   private final IngressLimits limits;
 
   /** Builds the table; of two routes with the same host and prefix the later one counts. */
   public ForwardingTable(
-      long version, List<Route> routes, List<ServiceDefinition> services, IngressLimits limits) {
+      long version,
+      List<Route> routes,
+      List<ServiceDefinition> services,
+      AccountTable accounts,
+      IngressLimits limits) {
     this.version = version;
+    this.accounts = accounts;
     this.limits = limits;
     for (Route route : routes) {
       List<Route> sameHost = routesByHost.computeIfAbsent(route.host(), host -> new ArrayList<>());
@@ -40,6 +46,11 @@
     return version;
   }
 
+  /** Returns the client accounts. */
+  public AccountTable accounts() {
+    return accounts;
+  }
+
   /** Returns the bounds of requests. */
   public IngressLimits limits() {
     return limits;
--- a/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
@@ -17,5 +17,11 @@
   /** This instance is shutting down. */
   SHUTTING_DOWN,
   /** Too many bytes of request bodies are held. */
-  MEMORY
+  MEMORY,
+  /** The client account's key is not, or no longer, in the configuration. */
+  UNKNOWN_KEY,
+  /** The client account has used up its quota. */
+  OVER_QUOTA,
+  /** Whether the client account's quota allows the request could not be found out. */
+  QUOTA_UNKNOWN
 }
--- a/forwarding/src/main/java/org/agatefield/forwarding/ReturnAdvice.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ReturnAdvice.java
@@ -15,12 +15,14 @@
   /**
    * Returns how many milliseconds a caller should stay away.
    *
-   * @param modelReadyMilliseconds how long until the model is expected on a runner; 0 if that is
-   *     not known or does not matter
+   * @param usefulInMilliseconds how long until the model, the runner or the quota that is missing
+   *     is expected to be there; 0 if that is not known or does not matter
    */
-  public static long milliseconds(RefusalReason reason, long modelReadyMilliseconds) {
-    return reason == RefusalReason.SHUTTING_DOWN
-        ? OTHER_INSTANCE_MILLISECONDS
-        : Math.max(SHORTEST_MILLISECONDS, modelReadyMilliseconds);
+  public static long milliseconds(RefusalReason reason, long usefulInMilliseconds) {
+    return switch (reason) {
+      case SHUTTING_DOWN, QUOTA_UNKNOWN -> OTHER_INSTANCE_MILLISECONDS;
+      case OVER_QUOTA -> Math.max(OTHER_INSTANCE_MILLISECONDS, usefulInMilliseconds);
+      default -> Math.max(SHORTEST_MILLISECONDS, usefulInMilliseconds);
+    };
   }
 }
--- a/forwarding/src/main/java/org/agatefield/forwarding/Route.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/Route.java
@@ -16,6 +16,7 @@
  * @param priority the rank among routes, 0 is the most urgent
  * @param maximumAttempts how many runners may get one request
  * @param resumable whether a stream may be continued on another runner
+ * @param open whether requests need no key
  * @param services where requests go, at least one
  */
 public record Route(
@@ -29,6 +30,7 @@
     int priority,
     int maximumAttempts,
     boolean resumable,
+    boolean open,
     List<WeightedService> services) {
   /** Copies the list. */
   public Route {
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardingTableTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardingTableTest.java
@@ -12,6 +12,7 @@
           7,
           List.of(route("short", "/a/"), route("long", "/a/b/")),
           List.of(),
+          AccountTable.NONE,
           IngressLimits.DEFAULTS);
 
   private static Route route(String name, String prefix) {
@@ -26,6 +27,7 @@
         0,
         2,
         false,
+        false,
         List.of(new WeightedService("x", 1), new WeightedService("y", 3)));
   }
 
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.agatefield.model.ModelDemand;
 import org.agatefield.peer.generated.PeerProtocol;
 import org.agatefield.peer.generated.PeerProtocol.Envelope;
@@ -52,6 +53,19 @@
               .setWaitMilliseconds(request.waitMilliseconds()));
     } else if (message instanceof PeerMessage.ObjectsAnswer answer) {
       envelope.setObjectsAnswer(encodeObjects(answer));
+    } else if (message instanceof PeerMessage.QuotaRequest request) {
+      envelope.setQuotaRequest(
+          PeerProtocol.QuotaRequest.newBuilder()
+              .setAccount(request.account())
+              .setTokens(request.tokens())
+              .setLoan(request.loan()));
+    } else if (message instanceof PeerMessage.QuotaAnswer answer) {
+      envelope.setQuotaAnswer(
+          PeerProtocol.QuotaAnswer.newBuilder()
+              .setGrantedTokens(answer.grantedTokens())
+              .setWaitMilliseconds((int) answer.waitMilliseconds()));
+    } else if (message instanceof PeerMessage.RunnerNotice notice) {
+      envelope.setRunnerNotice(encodeRunner(notice));
     } else {
       return false;
     }
@@ -89,10 +103,42 @@
                   envelope.getObjectsRequest().getFromVersion(),
                   envelope.getObjectsRequest().getWaitMilliseconds()));
       case OBJECTS_ANSWER -> Optional.of(decodeObjects(envelope.getObjectsAnswer()));
+      case QUOTA_REQUEST ->
+          Optional.of(
+              new PeerMessage.QuotaRequest(
+                  envelope.getQuotaRequest().getAccount(),
+                  envelope.getQuotaRequest().getTokens(),
+                  envelope.getQuotaRequest().getLoan()));
+      case QUOTA_ANSWER ->
+          Optional.of(
+              new PeerMessage.QuotaAnswer(
+                  envelope.getQuotaAnswer().getGrantedTokens(),
+                  envelope.getQuotaAnswer().getWaitMilliseconds()));
+      case RUNNER_NOTICE -> Optional.of(decodeRunner(envelope.getRunnerNotice()));
       default -> Optional.empty();
     };
   }
 
+  private static PeerProtocol.RunnerNotice encodeRunner(PeerMessage.RunnerNotice notice) {
+    PeerProtocol.RunnerNotice.Builder builder =
+        PeerProtocol.RunnerNotice.newBuilder()
+            .setRunner(notice.runner())
+            .setBornMilliseconds(notice.bornMilliseconds())
+            .setQuietMilliseconds((int) notice.quietMilliseconds());
+    notice.leavingAgeMilliseconds().ifPresent(age -> builder.setLeavingAgeMilliseconds((int) age));
+    return builder.build();
+  }
+
+  private static PeerMessage decodeRunner(PeerProtocol.RunnerNotice notice) {
+    return new PeerMessage.RunnerNotice(
+        notice.getRunner(),
+        notice.getBornMilliseconds(),
+        notice.hasLeavingAgeMilliseconds()
+            ? OptionalLong.of(notice.getLeavingAgeMilliseconds())
+            : OptionalLong.empty(),
+        notice.getQuietMilliseconds());
+  }
+
   private static PeerProtocol.ObjectsAnswer encodeObjects(PeerMessage.ObjectsAnswer answer) {
     PeerProtocol.ObjectsAnswer.Builder builder =
         PeerProtocol.ObjectsAnswer.newBuilder()
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.agatefield.model.Address;
 import org.agatefield.model.DemandSample;
 import org.agatefield.model.Instance;
@@ -189,6 +190,36 @@
    */
   record ObjectState(String name, String resourceVersion, Optional<byte[]> content) {}
 
+  /**
+   * Asks the holder of a client account's quota in a region for tokens. Immutable.
+   *
+   * @param loan whether the asker is the holder of another region
+   */
+  record QuotaRequest(String account, double tokens, boolean loan) implements PeerMessage {}
+
+  /**
+   * Answers a quota request. Immutable.
+   *
+   * @param grantedTokens all that were asked for or none; of a loan perhaps a part
+   * @param waitMilliseconds how long until tokens that were not granted are earned
+   */
+  record QuotaAnswer(double grantedTokens, long waitMilliseconds) implements PeerMessage {}
+
+  /**
+   * Tells what a runner said of itself in an answer. Immutable.
+   *
+   * @param runner the runner's identifier
+   * @param bornMilliseconds the wall-clock time of its start
+   * @param leavingAgeMilliseconds how long ago it said that it leaves; empty if it did not
+   * @param quietMilliseconds how long it still wants no requests; 0 if it takes them
+   */
+  record RunnerNotice(
+      String runner,
+      long bornMilliseconds,
+      OptionalLong leavingAgeMilliseconds,
+      long quietMilliseconds)
+      implements PeerMessage {}
+
   /**
    * Asks for what an instance knows of the configuration and the runners. Immutable.
    *
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
@@ -17,6 +17,7 @@
  * @param peers addresses of other instances to start membership from; may be out of date
  * @param regions the region of each failure domain, by the failure domain's name
  * @param terms what the operators promise their callers and upstreams
+ * @param quotas how quotas of client accounts are kept
  * @param log how it logs
  */
 public record ForwardingSettings(
@@ -27,6 +28,7 @@
     List<Address> peers,
     Map<String, String> regions,
     Terms terms,
+    Quotas quotas,
     DaemonSettings.Log log) {
   /** Copies the collections. */
   public ForwardingSettings {
@@ -69,4 +71,22 @@
       double retryReserve,
       Duration retryWindow,
       Duration answerTimeToLive) {}
+
+  /**
+   * How quotas of client accounts are kept over all instances. Immutable.
+   *
+   * @param window the span over which work is counted
+   * @param overage the part of a quota that may be exceeded
+   * @param slack what may be exceeded beside that, in the quota's unit
+   * @param sharing who may grant what
+   */
+  public record Quotas(Duration window, double overage, double slack, QuotaSharing sharing) {}
+
+  /** How instances share a quota. */
+  public enum QuotaSharing {
+    /** One instance of each region holds it and grants what the others ask for. */
+    HOLDERS,
+    /** Each instance grants an equal part. */
+    EQUAL_PARTS
+  }
 }
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
@@ -10,6 +10,8 @@
 import org.agatefield.model.Address;
 import org.agatefield.model.FailureDomain;
 import org.agatefield.settings.ForwardingSettings.Listeners;
+import org.agatefield.settings.ForwardingSettings.QuotaSharing;
+import org.agatefield.settings.ForwardingSettings.Quotas;
 import org.agatefield.settings.ForwardingSettings.Terms;
 
 /**
@@ -19,8 +21,11 @@
  */
 public final class ForwardingSettingsReader {
   private static final Set<String> TABLES =
-      Set.of("instance", "listen", "store", "membership", "failure_domains", "terms", "log");
+      Set.of(
+          "instance", "listen", "store", "membership", "failure_domains", "terms", "quotas", "log");
   private static final Pattern NAME = Pattern.compile("[A-Za-z0-9]([A-Za-z0-9._-]{0,126})");
+  private static final String HOLDERS = "holders";
+  private static final String EQUAL_PARTS = "equal_parts";
   private static final double MILLISECONDS_PER_SECOND = 1_000;
   private static final String NAME_RULE = "1 to 127 letters, digits, dots, hyphens, underscores";
 
@@ -53,6 +58,7 @@
     final Map<String, String> regions =
         new SettingsTable(file, "failure_domains", root, lines, faults).texts(NAME, NAME_RULE);
     final Terms terms = readTerms(new SettingsTable(file, "terms", root, lines, faults));
+    final Quotas quotas = readQuotas(new SettingsTable(file, "quotas", root, lines, faults));
     final DaemonSettings.Log log =
         SettingsReader.readLog(new SettingsTable(file, "log", root, lines, faults));
     SettingsReader.rejectUnknownTables(file, root, lines, faults, TABLES);
@@ -60,7 +66,7 @@
       throw new SettingsException(faults);
     }
     return new ForwardingSettings(
-        name, failureDomain, listeners, storeAddress, seeds, regions, terms, log);
+        name, failureDomain, listeners, storeAddress, seeds, regions, terms, quotas, log);
   }
 
   private static Listeners readListeners(SettingsTable table) {
@@ -89,6 +95,19 @@
     return terms;
   }
 
+  private static Quotas readQuotas(SettingsTable table) {
+    Quotas quotas =
+        new Quotas(
+            seconds(table.fraction("window_seconds", 1, 3_600, 8)),
+            table.fraction("overage", 0, 10, 0),
+            table.fraction("slack", 0, 1_000_000_000, 0),
+            table.choice("sharing", List.of(HOLDERS, EQUAL_PARTS), HOLDERS).equals(HOLDERS)
+                ? QuotaSharing.HOLDERS
+                : QuotaSharing.EQUAL_PARTS);
+    table.rejectUnknownKeys();
+    return quotas;
+  }
+
   private static Duration seconds(double value) {
     return milliseconds(value * MILLISECONDS_PER_SECOND);
   }
