Try: count a runner's backlog by the rank under which it reads

Cause: admission takes prompts of later priorities for work that stands before a more urgent request.

Change: unread tokens by rank (RankedTokens) in loads, reports of peers and candidates; a request sees those of its rank and of lower ones.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/LoadExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/LoadExchange.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.agatefield.forwarding.RankedTokens;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.membership.DomainRelays;
 import org.agatefield.model.FailureDomain;
@@ -118,7 +119,8 @@
     Map<String, RunnerLoads.Share> shares = new HashMap<>();
     for (PeerMessage.RunnerShare share : report.loads()) {
       shares.put(
-          share.runner(), new RunnerLoads.Share(share.running(), share.unreadPromptTokens()));
+          share.runner(),
+          new RunnerLoads.Share(share.running(), RankedTokens.ofList(share.unreadByRank())));
     }
     if (report.instance().equals(domainName())) {
       unansweredSince = Long.MAX_VALUE;
@@ -136,7 +138,8 @@
     List<PeerMessage.RunnerShare> shares = new ArrayList<>();
     reported.forEach(
         (runner, share) ->
-            shares.add(new PeerMessage.RunnerShare(runner, share.running(), share.unreadTokens())));
+            shares.add(
+                new PeerMessage.RunnerShare(runner, share.running(), share.unread().toList())));
     return new PeerMessage.RunnerLoadReport(reporter, shares);
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -76,7 +76,8 @@
     directory.listen(this);
   }
 
-  Selection select(String service, Optional<PromptTerms> prompt, Set<String> tried, long now) {
+  Selection select(
+      String service, Optional<PromptTerms> prompt, int rank, Set<String> tried, long now) {
     List<RunnerEntry> usable =
         directory.usable(service).stream().filter(entry -> !notices.isLeaving(entry)).toList();
     if (usable.isEmpty()) {
@@ -102,7 +103,7 @@
       return new Selection.OnlyTried();
     }
     List<RunnerCandidate> candidates = new ArrayList<>(fresh.size());
-    fresh.forEach(entry -> candidates.add(candidate(entry, prompt, now)));
+    fresh.forEach(entry -> candidates.add(candidate(entry, prompt, rank, now)));
     RunnerCandidate chosen = choice.choose(candidates).orElseThrow();
     return new Selection.Found(directory.entry(chosen.id()).orElseThrow(), chosen);
   }
@@ -171,7 +172,8 @@
     return entries.stream().filter(entry -> !tried.contains(entry.id())).toList();
   }
 
-  private RunnerCandidate candidate(RunnerEntry entry, Optional<PromptTerms> prompt, long now) {
+  private RunnerCandidate candidate(
+      RunnerEntry entry, Optional<PromptTerms> prompt, int rank, long now) {
     RunnerLoads.Share share = loads.total(entry.id(), now);
     boolean adapterPresent =
         prompt
@@ -183,7 +185,7 @@
         distance(entry.failureDomain()),
         share.running(),
         entry.slots(),
-        share.unreadTokens(),
+        share.unread().upTo(rank),
         loads.millisecondsPerToken(entry.id()),
         prompt.isPresent() ? 0 : loads.millisecondsPerRequest(entry.id()),
         prompt.map(terms -> loads.newTokens(entry.id(), terms)).orElse(0),
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -246,7 +246,7 @@
           PeerProtocol.RunnerLoad.newBuilder()
               .setRunner(share.runner())
               .setRunning(share.running())
-              .setUnreadPromptTokens(share.unreadPromptTokens()));
+              .addAllUnreadByRank(share.unreadByRank()));
     }
     return builder.build();
   }
@@ -257,7 +257,7 @@
             .map(
                 load ->
                     new PeerMessage.RunnerShare(
-                        load.getRunner(), load.getRunning(), load.getUnreadPromptTokens()))
+                        load.getRunner(), load.getRunning(), load.getUnreadByRankList()))
             .toList();
     return new PeerMessage.RunnerLoadReport(report.getInstance(), shares);
   }
