--- a/daemon/src/main/java/org/agatefield/daemon/forward/LoadExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/LoadExchange.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.agatefield.forwarding.RankedTokens;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.membership.DomainRelays;
 import org.agatefield.model.FailureDomain;
@@ -119,8 +118,7 @@
     Map<String, RunnerLoads.Share> shares = new HashMap<>();
     for (PeerMessage.RunnerShare share : report.loads()) {
       shares.put(
-          share.runner(),
-          new RunnerLoads.Share(share.running(), RankedTokens.ofList(share.unreadByRank())));
+          share.runner(), new RunnerLoads.Share(share.running(), share.unreadPromptTokens()));
     }
     if (report.instance().equals(domainName())) {
       unansweredSince = Long.MAX_VALUE;
@@ -138,8 +136,7 @@
     List<PeerMessage.RunnerShare> shares = new ArrayList<>();
     reported.forEach(
         (runner, share) ->
-            shares.add(
-                new PeerMessage.RunnerShare(runner, share.running(), share.unread().toList())));
+            shares.add(new PeerMessage.RunnerShare(runner, share.running(), share.unreadTokens())));
     return new PeerMessage.RunnerLoadReport(reporter, shares);
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -11,7 +11,6 @@
 import org.agatefield.daemon.forward.wire.RunnerDialect;
 import org.agatefield.forwarding.EventStreamSplitter;
 import org.agatefield.forwarding.ForwardedRequest;
-import org.agatefield.forwarding.RankedTokens;
 import org.agatefield.forwarding.RequestAction;
 import org.agatefield.forwarding.RequestTerms;
 import org.agatefield.forwarding.Route;
@@ -46,7 +45,6 @@
   private final UpstreamCall call;
   private final long sentAt = MonotonicClock.milliseconds();
   private final int newTokens;
-  private final RankedTokens rankedTokens;
   private final double tokensAhead;
   private UpstreamAnswer head;
   private UpstreamAnswer answer;
@@ -56,12 +54,8 @@
   private boolean released;
   private long stallTimer = -1;
 
-  /**
-   * What the attempt is for. Immutable.
-   *
-   * @param rank the rank under which the runner reads the prompt
-   */
-  record Purpose(Route route, String service, RequestTerms terms, int rank, long deadline) {}
+  /** What the attempt is for. Immutable. */
+  record Purpose(Route route, String service, RequestTerms terms, long deadline) {}
 
   /**
    * Creates an attempt; nothing is sent yet.
@@ -95,13 +89,11 @@
             this);
     this.newTokens =
         terms.prompt().map(prompt -> parts.loads().newTokens(runner.id(), prompt)).orElse(0);
-    this.rankedTokens = RankedTokens.of(purpose.rank(), newTokens);
-    this.tokensAhead =
-        parts.loads().total(runner.id(), sentAt).unread().upTo(purpose.rank()) + newTokens;
+    this.tokensAhead = parts.loads().total(runner.id(), sentAt).unreadTokens() + newTokens;
   }
 
   void start(HttpServerRequest request, Supplier<MultiMap> headers, Buffer content) {
-    parts.loads().sent(runner.id(), rankedTokens);
+    parts.loads().sent(runner.id(), newTokens);
     terms.prompt().ifPresent(prompt -> parts.demand().running(service, prompt, runner.id(), 1));
     watchForSilence();
     call.start(parts.client(), runner, request.method(), request.uri(), headers, content);
@@ -229,7 +221,7 @@
     }
     began = true;
     long milliseconds = MonotonicClock.milliseconds() - sentAt;
-    parts.loads().read(runner.id(), rankedTokens);
+    parts.loads().read(runner.id(), newTokens);
     parts.selector().began(runner.id(), milliseconds);
     if (terms.prompt().isPresent()) {
       parts.loads().measuredReading(runner.id(), tokensAhead, milliseconds);
@@ -246,7 +238,7 @@
     released = true;
     parts.vertx().cancelTimer(stallTimer);
     if (!began) {
-      parts.loads().read(runner.id(), rankedTokens);
+      parts.loads().read(runner.id(), newTokens);
     }
     parts.loads().ended(runner.id());
     terms.prompt().ifPresent(prompt -> parts.demand().running(service, prompt, runner.id(), -1));
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -13,7 +13,6 @@
 import org.agatefield.forwarding.ForwardedRequest;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.PromptTerms;
-import org.agatefield.forwarding.RankedTokens;
 import org.agatefield.forwarding.RefusalReason;
 import org.agatefield.forwarding.RequestAction;
 import org.agatefield.forwarding.RequestTerms;
@@ -38,6 +37,8 @@
   private static final long ADAPTER_PAUSE_MILLISECONDS = 80; // several loads of an adapter
   private static final long LONGEST_QUOTA_MILLISECONDS = 1_500; // most failures of a holder end
   private static final double QUOTA_SHARE = 0.4; // the rest is for the answer
+  private static final int MOST_URGENT = 0;
+  private static final int LEAST_URGENT = 9;
 
   private final ForwardingParts parts;
   private final HttpServerRequest request;
@@ -51,7 +52,6 @@
   private final long beginBy;
   private final ForwardingTable table;
   private final Optional<ClientAccount> account;
-  private final int rank;
   private final ForwardedRequest state;
   private Set<String> excluded = Set.of();
   private RequestAttempt attempt;
@@ -88,7 +88,6 @@
     this.terms = admitted.terms();
     this.content = content;
     this.arrivedAt = arrivedAt;
-    this.rank = Math.max(0, Math.min(RankedTokens.RANKS - 1, operatorPriority()));
     long allowed =
         Math.min(
             route.timeoutMilliseconds(),
@@ -160,16 +159,12 @@
   }
 
   private void begin() {
-    terms.prompt().ifPresent(prompt -> parts.demand().arrived(service, prompt, operatorPriority()));
+    terms.prompt().ifPresent(prompt -> parts.demand().arrived(service, prompt, priority()));
     perform(state.start());
   }
 
   @Override
   public int priority() {
-    return rank;
-  }
-
-  private int operatorPriority() {
     return account
         .map(ClientAccount::priority)
         .filter(OptionalInt::isPresent)
@@ -217,7 +212,7 @@
   private void choose() {
     long now = MonotonicClock.milliseconds();
     RunnerSelector.Selection selection =
-        parts.selector().select(service, terms.prompt(), rank, excluded, now);
+        parts.selector().select(service, terms.prompt(), excluded, now);
     if (selection instanceof RunnerSelector.Selection.Found found) {
       sendOrWait(found, now);
     } else if (selection instanceof RunnerSelector.Selection.NoRunner) {
@@ -369,7 +364,7 @@
     attempt =
         new RequestAttempt(
             parts,
-            new RequestAttempt.Purpose(route, service, terms, rank, deadline),
+            new RequestAttempt.Purpose(route, service, terms, deadline),
             state,
             this::perform,
             send.attempt(),
@@ -383,7 +378,7 @@
         new SendTerms(
             runner.id(),
             Math.max(1, deadline - MonotonicClock.milliseconds()),
-            terms.prompt().map(prompt -> rank),
+            terms.prompt().map(prompt -> enginePriority()),
             account.map(ClientAccount::name),
             send.resumeAfter());
     MultiMap headers = parts.headers().forRunner(request.headers());
@@ -394,6 +389,10 @@
     return headers;
   }
 
+  private int enginePriority() {
+    return Math.max(MOST_URGENT, Math.min(LEAST_URGENT, priority()));
+  }
+
   private void finish(RequestAction.Final last) {
     parts.vertx().cancelTimer(deadlineTimer);
     parts.exchanges().remove(this);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -76,8 +76,7 @@
     directory.listen(this);
   }
 
-  Selection select(
-      String service, Optional<PromptTerms> prompt, int rank, Set<String> tried, long now) {
+  Selection select(String service, Optional<PromptTerms> prompt, Set<String> tried, long now) {
     List<RunnerEntry> usable =
         directory.usable(service).stream().filter(entry -> !notices.isLeaving(entry)).toList();
     if (usable.isEmpty()) {
@@ -103,7 +102,7 @@
       return new Selection.OnlyTried();
     }
     List<RunnerCandidate> candidates = new ArrayList<>(fresh.size());
-    fresh.forEach(entry -> candidates.add(candidate(entry, prompt, rank, now)));
+    fresh.forEach(entry -> candidates.add(candidate(entry, prompt, now)));
     RunnerCandidate chosen = choice.choose(candidates).orElseThrow();
     return new Selection.Found(directory.entry(chosen.id()).orElseThrow(), chosen);
   }
@@ -172,8 +171,7 @@
     return entries.stream().filter(entry -> !tried.contains(entry.id())).toList();
   }
 
-  private RunnerCandidate candidate(
-      RunnerEntry entry, Optional<PromptTerms> prompt, int rank, long now) {
+  private RunnerCandidate candidate(RunnerEntry entry, Optional<PromptTerms> prompt, long now) {
     RunnerLoads.Share share = loads.total(entry.id(), now);
     boolean adapterPresent =
         prompt
@@ -185,7 +183,7 @@
         distance(entry.failureDomain()),
         share.running(),
         entry.slots(),
-        share.unread().upTo(rank),
+        share.unreadTokens(),
         loads.millisecondsPerToken(entry.id()),
         prompt.isPresent() ? 0 : loads.millisecondsPerRequest(entry.id()),
         prompt.map(terms -> loads.newTokens(entry.id(), terms)).orElse(0),
--- a/daemon/src/test/java/org/agatefield/daemon/forward/LoadExchangeTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/LoadExchangeTest.java
@@ -9,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.agatefield.forwarding.RankedTokens;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.membership.DomainRelays;
 import org.agatefield.model.Address;
@@ -91,7 +90,7 @@
   }
 
   private void sendOneRequestEach() {
-    members.values().forEach(member -> member.loads.sent(RUNNER, RankedTokens.of(1, TOKENS)));
+    members.values().forEach(member -> member.loads.sent(RUNNER, TOKENS));
   }
 
   private int known(String id) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
@@ -7,8 +7,7 @@
  * @param distance where it lies, seen from this instance
  * @param running requests at it, of all instances as far as known
  * @param slots requests that it runs at once
- * @param unreadPromptTokens prompt tokens that it has yet to read before those of this request,
- *     which are those of its rank and of lower ones
+ * @param unreadPromptTokens prompt tokens that it has yet to read for requests before this one
  * @param millisecondsPerToken how long it lately took to read a prompt token
  * @param millisecondsPerRequest how long it lately took for a whole plain request
  * @param newPromptTokens prompt tokens of this request that it would have to read
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
@@ -31,7 +31,7 @@
 
   private static final class OwnLoad {
     private int running;
-    private RankedTokens unread = RankedTokens.NONE;
+    private int unreadTokens;
     private double millisecondsPerToken = INITIAL_MILLISECONDS_PER_TOKEN;
     private double millisecondsPerRequest = INITIAL_MILLISECONDS_PER_REQUEST;
     private final Map<String, Boolean> keptParts =
@@ -49,27 +49,27 @@
    * Work at one runner. Immutable.
    *
    * @param running requests
-   * @param unread prompt tokens of requests that have not begun
+   * @param unreadTokens prompt tokens of requests that have not begun
    */
-  public record Share(int running, RankedTokens unread) {
+  public record Share(int running, int unreadTokens) {
     Share plus(Share other) {
-      return new Share(running + other.running, unread.plus(other.unread));
+      return new Share(running + other.running, unreadTokens + other.unreadTokens);
     }
   }
 
   private record NeighbourLoad(Map<String, Share> shares, long atMilliseconds) {}
 
   /** Records that a request was sent. */
-  public void sent(String runner, RankedTokens newPromptTokens) {
+  public void sent(String runner, int newPromptTokens) {
     OwnLoad load = load(runner);
     load.running++;
-    load.unread = load.unread.plus(newPromptTokens);
+    load.unreadTokens += newPromptTokens;
   }
 
   /** Records that the runner began to answer, or that the attempt ended before it did. */
-  public void read(String runner, RankedTokens newPromptTokens) {
+  public void read(String runner, int newPromptTokens) {
     OwnLoad load = load(runner);
-    load.unread = load.unread.minus(newPromptTokens);
+    load.unreadTokens = Math.max(0, load.unreadTokens - newPromptTokens);
   }
 
   /** Records that an attempt ended. */
@@ -142,7 +142,7 @@
     own.forEach(
         (runner, load) -> {
           if (load.running > 0) {
-            shares.put(runner, new Share(load.running, load.unread));
+            shares.put(runner, new Share(load.running, load.unreadTokens));
           }
         });
     return shares;
@@ -180,12 +180,12 @@
         .removeIf(load -> nowMilliseconds - load.atMilliseconds() > NEIGHBOUR_AGE_MILLISECONDS);
     OwnLoad mine = own.get(runner);
     int running = mine == null ? 0 : mine.running;
-    RankedTokens unread = mine == null ? RankedTokens.NONE : mine.unread;
+    int unread = mine == null ? 0 : mine.unreadTokens;
     for (NeighbourLoad load : neighbours.values()) {
       Share share = load.shares().get(runner);
       if (share != null) {
         running += share.running();
-        unread = unread.plus(share.unread());
+        unread += share.unreadTokens();
       }
     }
     return new Share(running, unread);
--- a/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
@@ -24,19 +24,19 @@
 
   @Test
   void workOfNeighboursCountsUntilItIsOld() {
-    loads.sent("r", RankedTokens.of(1, 100));
-    loads.heard("n", Map.of("r", new RunnerLoads.Share(2, RankedTokens.of(1, 700))), 0);
-    assertEquals(new RunnerLoads.Share(3, RankedTokens.of(1, 800)), loads.total("r", 500));
+    loads.sent("r", 100);
+    loads.heard("n", Map.of("r", new RunnerLoads.Share(2, 700)), 0);
+    assertEquals(new RunnerLoads.Share(3, 800), loads.total("r", 500));
     long old = RunnerLoads.NEIGHBOUR_AGE_MILLISECONDS + 1;
-    assertEquals(new RunnerLoads.Share(1, RankedTokens.of(1, 100)), loads.total("r", old));
+    assertEquals(new RunnerLoads.Share(1, 100), loads.total("r", old));
   }
 
   @Test
   void ownCountsReturnToZero() {
-    loads.sent("r", RankedTokens.of(1, 100));
-    loads.read("r", RankedTokens.of(1, 100));
+    loads.sent("r", 100);
+    loads.read("r", 100);
     loads.ended("r");
-    assertEquals(new RunnerLoads.Share(0, RankedTokens.of(1, 0)), loads.total("r", 0));
+    assertEquals(new RunnerLoads.Share(0, 0), loads.total("r", 0));
     assertTrue(loads.ownShares().isEmpty());
   }
 
@@ -82,13 +82,12 @@
   @Test
   void theSumForOtherDomainsHoldsTheOwnPartAndFreshPartsOfTheNamedNeighboursOnly() {
     RunnerLoads loads = new RunnerLoads();
-    loads.sent("r", RankedTokens.of(1, 100));
-    loads.heard("near", Map.of("r", new RunnerLoads.Share(2, RankedTokens.of(1, 700))), 5_000);
-    loads.heard("silent", Map.of("r", new RunnerLoads.Share(9, RankedTokens.of(1, 900))), 1_000);
-    loads.heard(
-        "domain/other", Map.of("r", new RunnerLoads.Share(5, RankedTokens.of(1, 500))), 5_000);
+    loads.sent("r", 100);
+    loads.heard("near", Map.of("r", new RunnerLoads.Share(2, 700)), 5_000);
+    loads.heard("silent", Map.of("r", new RunnerLoads.Share(9, 900)), 1_000);
+    loads.heard("domain/other", Map.of("r", new RunnerLoads.Share(5, 500)), 5_000);
     assertEquals(
-        Map.of("r", new RunnerLoads.Share(3, RankedTokens.of(1, 800))),
+        Map.of("r", new RunnerLoads.Share(3, 800)),
         loads.sharesWith(List.of("near", "silent"), 5_100));
   }
 }
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -246,7 +246,7 @@
           PeerProtocol.RunnerLoad.newBuilder()
               .setRunner(share.runner())
               .setRunning(share.running())
-              .addAllUnreadByRank(share.unreadByRank()));
+              .setUnreadPromptTokens(share.unreadPromptTokens()));
     }
     return builder.build();
   }
@@ -257,7 +257,7 @@
             .map(
                 load ->
                     new PeerMessage.RunnerShare(
-                        load.getRunner(), load.getRunning(), load.getUnreadByRankList()))
+                        load.getRunner(), load.getRunning(), load.getUnreadPromptTokens()))
             .toList();
     return new PeerMessage.RunnerLoadReport(report.getInstance(), shares);
   }
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -148,14 +148,9 @@
    *
    * @param runner the runner's identifier
    * @param running requests that were sent and have not ended
-   * @param unreadByRank prompt tokens of those without a first event, from rank 0 on
+   * @param unreadPromptTokens prompt tokens of those without a first event
    */
-  record RunnerShare(String runner, int running, List<Integer> unreadByRank) {
-    /** Copies the list. */
-    public RunnerShare {
-      unreadByRank = List.copyOf(unreadByRank);
-    }
-  }
+  record RunnerShare(String runner, int running, int unreadPromptTokens) {}
 
   /**
    * A message that the receiver hands on to the other instances of its failure domain.
