Runners are not ordered to load more than fits when answers are slow or orders were late

Change: reports count only if asked for 350 ms after the last order was answered; a load that another order overtook is planned anew instead of sent again; orders of earlier lives are remembered while the runner's entry is away (LateOrdersByRunner) and from the moment they are sent.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineControl.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineControl.java
@@ -47,7 +47,7 @@
   private RunnerEntry runner;
   private final Deque<EngineTask> tasks = new ArrayDeque<>();
   private final AdapterSlots adapters = new AdapterSlots();
-  private final LateOrders late = new LateOrders();
+  private final LateOrders late;
   private Set<String> models = new HashSet<>();
   private Set<String> inHostMemory = Set.of();
   private Set<String> onDisk = Set.of();
@@ -59,6 +59,7 @@
   private boolean reading;
   private boolean sending;
   private boolean unloading;
+  private boolean overtaken; // an order that was not counted took effect since the task began
   private boolean loadingFromStore;
 
   /** What orders need of the planner. */
@@ -76,7 +77,14 @@
     void dropping(String runner, String model);
   }
 
-  EngineControl(Vertx vertx, HttpClient client, RunnerDialect dialect, Orders orders) {
+  /**
+   * Creates the control of a runner that nothing is known of yet.
+   *
+   * @param late what earlier lives of the runner were ordered to load
+   */
+  EngineControl(
+      Vertx vertx, HttpClient client, RunnerDialect dialect, Orders orders, LateOrders late) {
+    this.late = late;
     this.vertx = vertx;
     this.calls = new RunnerCalls(client, dialect);
     this.dialect = dialect;
@@ -130,9 +138,11 @@
   }
 
   private boolean isLoading() {
-    return current
-        .filter(task -> task.action() == Action.LOAD && task.adapter().isEmpty())
-        .isPresent();
+    return current.filter(EngineControl::loadsModel).isPresent();
+  }
+
+  private static boolean loadsModel(EngineTask task) {
+    return task.action() == Action.LOAD && task.adapter().isEmpty();
   }
 
   /** Begins a move. */
@@ -215,6 +225,7 @@
       return;
     }
     current = Optional.of(tasks.poll());
+    overtaken = false;
     send(current.get());
   }
 
@@ -238,7 +249,7 @@
       complete(task, false);
       return;
     }
-    RunnerOrder order =
+    final RunnerOrder order =
         new RunnerOrder(
             task.action(),
             task.model(),
@@ -248,15 +259,20 @@
             acceptedOrders);
     sending = true;
     lastOrderAt = MonotonicClock.milliseconds();
+    if (task.action() == Action.LOAD) {
+      late.sent(task.load(), lastOrderAt);
+    }
     calls
         .order(runner, dialect.encodeOrder(order))
         .whenComplete(
             (answer, failure) -> {
               sending = false;
+              // Reports that were asked for before the answer may be older than the order.
+              lastOrderAt = MonotonicClock.milliseconds();
               OrderOutcome outcome =
                   failure == null ? dialect.orderOutcome(answer.status()) : OrderOutcome.UNKNOWN;
-              if (outcome == OrderOutcome.UNKNOWN && task.action() == Action.LOAD) {
-                late.unanswered(task.load(), lastOrderAt);
+              if (outcome != OrderOutcome.UNKNOWN && task.action() == Action.LOAD) {
+                late.answered(task.load());
               }
               if (failure instanceof ConnectException) {
                 unreachable();
@@ -383,6 +399,7 @@
       return;
     }
     final boolean moved = acceptedOrders >= 0 && report.acceptedOrders() > acceptedOrders;
+    overtaken |= moved;
     acceptedOrders = report.acceptedOrders();
     busy = report.busy();
     holdOnly(report.models());
@@ -397,8 +414,8 @@
     }
     if (isFulfilled(task)) {
       complete(task, true);
-    } else if (task.isAccepted() && !moved) {
-      complete(task, false);
+    } else if ((task.isAccepted() && !moved) || (overtaken && loadsModel(task))) {
+      complete(task, false); // what the runner holds is not what was planned with
     } else {
       send(task);
     }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PlannerDuty.java
@@ -58,6 +58,7 @@
   private final Announcements announcements;
   private final DemandBook demand = new DemandBook();
   private final Map<String, EngineControl> engines = new HashMap<>();
+  private final LateOrdersByRunner lateOrders = new LateOrdersByRunner();
   private final Map<String, LoadBudget> budgets = new HashMap<>();
   private boolean holding;
   private long loggedAt;
@@ -141,6 +142,7 @@
     EngineControl gone = engines.remove(id);
     if (gone != null) {
       gone.abandonAll();
+      lateOrders.gone(id);
     }
   }
 
@@ -168,6 +170,7 @@
       List.copyOf(runners.all()).forEach(entry -> take(entry, true));
     }
     engines.values().forEach(EngineControl::tick);
+    lateOrders.forget(engines::containsKey, MonotonicClock.milliseconds());
     configuration.table().ifPresent(this::plan);
   }
 
@@ -187,8 +190,11 @@
       return;
     }
     EngineControl known = engines.get(entry.id());
+    LateOrders late = lateOrders.of(entry.id());
     EngineControl engine =
-        known != null ? known : new EngineControl(vertx, client, dialect, new GrantedOrders());
+        known != null
+            ? known
+            : new EngineControl(vertx, client, dialect, new GrantedOrders(), late);
     engines.put(entry.id(), engine);
     engine.update(entry, newLife || known == null, pool.get().adapterSlots());
   }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/LateOrdersTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/LateOrdersTest.java
@@ -10,7 +10,7 @@
 
   @Test
   void orderWithoutAnswerCountsInTheNextLifeUntilItCanNoLongerTakeEffect() {
-    late.unanswered("m1", 1_000);
+    late.sent("m1", 1_000);
     assertEquals(Set.of(), late.models(1_000));
     late.newLife();
     assertEquals(Set.of("m1"), late.models(1_000 + LateOrders.LATE_MILLISECONDS));
@@ -19,8 +19,8 @@
 
   @Test
   void adaptersAreCountedApartFromModels() {
-    late.unanswered("m1/a1", 0);
-    late.unanswered("m2", 0);
+    late.sent("m1/a1", 0);
+    late.sent("m2", 0);
     late.newLife();
     assertEquals(1, late.adapters(1));
     assertEquals(Set.of("m2"), late.models(1));
@@ -28,10 +28,31 @@
 
   @Test
   void secondRestartKeepsWhatThePreviousOneLeft() {
-    late.unanswered("m1", 0);
+    late.sent("m1", 0);
     late.newLife();
-    late.unanswered("m2", 100);
+    late.sent("m2", 100);
     late.newLife();
     assertEquals(Set.of("m1", "m2"), late.models(200));
   }
+
+  @Test
+  void orderThatWasAnsweredNoLongerCountsThoughTheAnswerCameInTheNextLife() {
+    late.sent("m1", 0);
+    late.sent("m2", 0);
+    late.answered("m1");
+    late.newLife();
+    late.answered("m2");
+    assertEquals(Set.of(), late.models(1));
+  }
+
+  @Test
+  void ordersOutliveTheEntryOfTheirRunner() {
+    LateOrdersByRunner byRunner = new LateOrdersByRunner();
+    byRunner.of("r").sent("m1", 0);
+    byRunner.gone("r");
+    byRunner.forget(runner -> false, 5_000);
+    assertEquals(Set.of("m1"), byRunner.of("r").models(5_000));
+    byRunner.forget(runner -> false, 1 + LateOrders.LATE_MILLISECONDS);
+    assertEquals(Set.of(), byRunner.of("r").models(1 + LateOrders.LATE_MILLISECONDS));
+  }
 }
