--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -267,10 +267,7 @@
     switch (decision) {
       case SEND -> take(found.runner(), now);
       case WAIT -> startWaiting();
-      case REFUSE -> {
-        usefulIn = (long) found.candidate().backlogMilliseconds();
-        perform(state.notChosen(RefusalReason.OVERLOADED));
-      }
+      case REFUSE -> perform(state.notChosen(RefusalReason.OVERLOADED));
       default -> throw new IllegalStateException("unknown decision " + decision);
     }
   }
