Quotas: slow holders are waited for, an exhausted account is refused at once

Change: a question may take 700 ms and a loan 300; a request waits 400 ms at most for tokens; an account that was told to be exhausted is refused without a question for as long, 300 ms at most. HeldQuotasTest unchanged (property, bounds): passes. Ruled out: a default of Long.MIN_VALUE for "never exhausted" (the difference overflows; all tests of HeldQuotasTest failed).

--- a/daemon/src/main/java/org/agatefield/daemon/forward/HeldQuotas.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/HeldQuotas.java
@@ -40,10 +40,11 @@
   static final long KEEP_MILLISECONDS = 240;
 
   private static final Logger LOGGER = LogManager.getLogger(HeldQuotas.class);
-  private static final long ASK_MILLISECONDS = 250; // twice a slow machine's turn
-  private static final long LOAN_MILLISECONDS = 200; // three times the way between regions
+  private static final long ASK_MILLISECONDS = 700; // a holder with a tenth of a core is slow
+  private static final long LOAN_MILLISECONDS = 300; // five times the way between regions
   private static final long RETRY_MILLISECONDS = 150; // several are tried in a holder's failure
-  private static final long SHORT_WAIT_MILLISECONDS = 300; // less than a refused caller loses
+  private static final long LONGEST_WAIT_MILLISECONDS = 400; // less than a refused caller loses
+  private static final long LONGEST_EXHAUSTION_MILLISECONDS = 300; // tokens may come back meanwhile
   // Until then the others may still count on this instance's part.
   private static final long OWN_PART_MILLISECONDS = 2_500;
   private static final long NO_LOAN_MILLISECONDS = 120; // twice the way between regions
@@ -62,6 +63,7 @@
   private final FixedShareQuotas ownParts;
   private final Set<String> unreached = new HashSet<>();
   private final Map<String, Long> noLoanUntil = new HashMap<>();
+  private final Map<String, Long> exhaustedUntil = new HashMap<>();
 
   /** The other instances, as far as quotas need them. */
   interface Fleet {
@@ -127,6 +129,12 @@
   @Override
   public void decide(
       ClientAccount account, double tokens, long patienceMilliseconds, Consumer<Decision> told) {
+    long now = clock.getAsLong();
+    long until = exhaustedUntil.getOrDefault(account.name(), now);
+    if (until > now) {
+      told.accept(new Decision.Exhausted(until - now));
+      return;
+    }
     new Asking(account, tokens, patienceMilliseconds, told).ask();
   }
 
@@ -250,6 +258,7 @@
     private final ClientAccount account;
     private final double tokens;
     private final long giveUpAt;
+    private final long waitUntil;
     private final Consumer<Decision> told;
 
     Asking(
@@ -257,6 +266,8 @@
       this.account = account;
       this.tokens = tokens;
       this.giveUpAt = clock.getAsLong() + patienceMilliseconds;
+      this.waitUntil =
+          clock.getAsLong() + Math.min(LONGEST_WAIT_MILLISECONDS, patienceMilliseconds);
       this.told = told;
     }
 
@@ -292,11 +303,13 @@
         told.accept(new Decision.Granted());
         return;
       }
-      long wait = answer.waitMilliseconds();
-      if (wait <= SHORT_WAIT_MILLISECONDS && clock.getAsLong() + wait < giveUpAt) {
-        timers.after(Math.max(1, wait), this::ask);
+      long wait = Math.max(1, answer.waitMilliseconds());
+      long now = clock.getAsLong();
+      if (now + wait <= waitUntil) {
+        timers.after(wait, this::ask);
         return;
       }
+      exhaustedUntil.put(account.name(), now + Math.min(LONGEST_EXHAUSTION_MILLISECONDS, wait));
       told.accept(new Decision.Exhausted(wait));
     }
 
