The store is asked first once the start is over

Cause: after a restart on 0.12 of a core the first calls to the store ended with a reset 0.3 s after the start, and were repeated 1.8 s later (log of a herd kill): their time ran while the event loop was busy with the start.

Change: the watches of the store begin in a turn of the loop after the listeners are open.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -10,6 +10,7 @@
 import io.vertx.core.http.HttpVersion;
 import io.vertx.core.http.PoolOptions;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -86,6 +87,7 @@
   private final RunnerDirectory runners;
   private final KnowledgeExchange knowledge;
   private final Map<String, KnowledgeRelay> knowledgeRelays = new HashMap<>();
+  private final List<ObjectInformer> informers = new ArrayList<>();
   private ForwardingPeers peers;
   private LoadExchange loadExchange;
   private PlannerLink plannerLink;
@@ -189,7 +191,7 @@
     HttpObjectStore store =
         closer.register(
             new HttpObjectStore(vertx, settings.store(), STORE_TIMEOUT, dialect.store()));
-    startWatches(store);
+    createWatches(store);
     startForwarding(random);
     startPlanner(store, peers.self().id());
     knowledge.start(peers);
@@ -210,26 +212,28 @@
               if (failure != null) {
                 started.completeExceptionally(failure);
               } else {
+                // The time for the first answer must not run while the loop is busy with the start.
+                vertx.runOnContext(run -> informers.forEach(ObjectInformer::start));
                 started.complete(null);
               }
             });
   }
 
-  private void startWatches(HttpObjectStore store) {
+  private void createWatches(HttpObjectStore store) {
     configuration.listen(table -> peers.raiseVersion(table.version()));
     ObjectSource source =
         new RelayedObjects(vertx, store, () -> peers.relays().sources(), peers::request);
-    startWatch(source, ObjectKind.CONFIGURATION, configuration);
-    startWatch(source, ObjectKind.RUNNER, runners);
+    createWatch(source, ObjectKind.CONFIGURATION, configuration);
+    createWatch(source, ObjectKind.RUNNER, runners);
   }
 
-  private void startWatch(ObjectSource source, ObjectKind kind, InformerListener listener) {
+  private void createWatch(ObjectSource source, ObjectKind kind, InformerListener listener) {
     KnowledgeRelay relay =
         new KnowledgeRelay(vertx, peers.self().id(), MonotonicClock::milliseconds);
     knowledgeRelays.put(kind.plural(), relay);
     ObjectInformer informer =
         new ObjectInformer(vertx, source, kind, STORE_POLL, LONGEST_STORE_DELAY);
-    closer.register(informer.listen(listener).listen(relay).start());
+    informers.add(closer.register(informer.listen(listener).listen(relay)));
   }
 
   private void startForwarding(UniformRandomProvider random) {
