--- a/daemon/src/main/java/org/agatefield/daemon/forward/HeldQuotas.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/HeldQuotas.java
@@ -117,8 +117,7 @@
     for (ClientAccount account : accounts.get().accounts()) {
       if (account.quota().isPresent() && isHeldHere(account.name())) {
         QuotaBucket bucket = bucket(account, now);
-        boolean lately = noLoanUntil.getOrDefault(account.name(), Long.MIN_VALUE) > now;
-        if (!lately && bucket.level(now) < LOW_SHARE * bucket.capacity()) {
+        if (!refusedLoanLately(account, now) && bucket.level(now) < LOW_SHARE * bucket.capacity()) {
           borrow(account, 0, holders.others(account.name(), region()));
         }
       }
@@ -211,13 +210,21 @@
       return CompletableFuture.completedFuture(new PeerMessage.QuotaAnswer(tokens, 0));
     }
     List<Instance> lenders = holders.others(account.name(), region());
-    boolean lately = noLoanUntil.getOrDefault(account.name(), Long.MIN_VALUE) > now;
-    if (lately || lenders.isEmpty()) {
+    if (refusedLoanLately(account, now) || lenders.isEmpty()) {
       return CompletableFuture.completedFuture(exhausted(bucket, tokens, now));
     }
     return borrow(account, tokens, lenders);
   }
 
+  private boolean refusedLoanLately(ClientAccount account, long now) {
+    return noLoanUntil.getOrDefault(account.name(), now) > now;
+  }
+
+  /**
+   * Asks the lenders one after the other until the tokens are there.
+   *
+   * @param tokens what a request waits for; 0 to fill the bucket up only
+   */
   private CompletableFuture<PeerMessage.QuotaAnswer> borrow(
       ClientAccount account, double tokens, List<Instance> lenders) {
     long now = clock.getAsLong();
