Quotas: a leaving holder hands its tokens over; holders are greeted before requests need them

While all instances are restarted in turn each takeover starts with an empty bucket.

Tests: HeldQuotasTest.holderThatLeavesHandsItsTokensToTheNextOne; the property and all bounds as before.

--- a/admission/src/main/java/org/agatefield/admission/QuotaBuckets.java
+++ b/admission/src/main/java/org/agatefield/admission/QuotaBuckets.java
@@ -12,6 +12,7 @@
  */
 public final class QuotaBuckets {
   private static final long FORGET_MILLISECONDS = 10_000; // longer than the usual window
+  private static final long KEPT_MILLISECONDS = 1_000; // a holder uses its buckets several times
 
   private final Map<String, Held> buckets = new HashMap<>();
 
@@ -44,6 +45,23 @@
                     && nowMilliseconds - entry.getValue().usedAt > FORGET_MILLISECONDS);
   }
 
+  /**
+   * Empties all buckets and returns what was in them, by account; buckets that nobody kept or used
+   * lately are left out, as another instance holds them by now.
+   */
+  public Map<String, Double> drain(long nowMilliseconds) {
+    Map<String, Double> tokens = new HashMap<>();
+    buckets.forEach(
+        (account, held) -> {
+          if (nowMilliseconds - held.usedAt <= KEPT_MILLISECONDS) {
+            double level = held.bucket.level(nowMilliseconds);
+            tokens.put(account, held.bucket.lend(level, nowMilliseconds));
+          }
+        });
+    buckets.clear();
+    return tokens;
+  }
+
   /** Forgets a bucket, so that the next one of that account begins empty. */
   public void forget(String account) {
     buckets.remove(account);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -382,6 +382,7 @@
     peers.leave();
     context.runOnContext(
         run -> {
+          quotas.handOver();
           planner.stop();
           lease.close();
         });
--- a/daemon/src/main/java/org/agatefield/daemon/forward/HeldQuotas.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/HeldQuotas.java
@@ -62,8 +62,10 @@
   private final QuotaBuckets buckets = new QuotaBuckets();
   private final FixedShareQuotas ownParts;
   private final Set<String> unreached = new HashSet<>();
+  private final Set<String> greeted = new HashSet<>(); // by the instance's identifier
   private final Map<String, Long> noLoanUntil = new HashMap<>();
   private final Map<String, Long> exhaustedUntil = new HashMap<>();
+  private boolean leaving;
 
   /** The other instances, as far as quotas need them. */
   interface Fleet {
@@ -114,6 +116,7 @@
   /** Lets the buckets of the accounts that this instance holds earn before they are asked for. */
   void keep(long now) {
     holders.see(fleet.answering());
+    greetOneHolder();
     for (ClientAccount account : accounts.get().accounts()) {
       if (account.quota().isPresent() && isHeldHere(account.name())) {
         QuotaBucket bucket = bucket(account, now);
@@ -125,6 +128,45 @@
     buckets.forgetUnused(this::isHeldHere, now);
   }
 
+  /** Opens the connection to a holder before a request has to wait for it. */
+  private void greetOneHolder() {
+    for (ClientAccount account : accounts.get().accounts()) {
+      Optional<Instance> holder = holders.holder(account.name(), region());
+      boolean stranger =
+          account.quota().isPresent()
+              && holder.isPresent()
+              && !isHeldHere(account.name())
+              && greeted.add(holder.get().id());
+      if (stranger) {
+        fleet.request(
+            holder.get(), new PeerMessage.QuotaRequest(account.name(), 0, false), ASK_MILLISECONDS);
+        return;
+      }
+    }
+  }
+
+  /** Hands what this instance holds to those that hold it next; called once it leaves. */
+  void handOver() {
+    leaving = true;
+    long now = clock.getAsLong();
+    List<Instance> staying =
+        fleet.answering().stream()
+            .filter(instance -> !instance.id().equals(fleet.self().id()))
+            .toList();
+    QuotaHolders next = new QuotaHolders();
+    next.see(staying);
+    for (ClientAccount account : accounts.get().accounts()) {
+      if (account.quota().isPresent() && isHeldHere(account.name())) {
+        QuotaBucket bucket = bucket(account, now);
+        double tokens = bucket.lend(bucket.level(now), now);
+        next.holder(account.name(), region())
+            .ifPresent(
+                holder -> fleet.send(holder, new PeerMessage.QuotaReturn(account.name(), tokens)));
+      }
+    }
+    LOGGER.info("quotas handed over to {} instances", staying.size());
+  }
+
   @Override
   public void decide(
       ClientAccount account, double tokens, long patienceMilliseconds, Consumer<Decision> told) {
@@ -169,9 +211,9 @@
   /** Answers another instance. */
   CompletableFuture<PeerMessage> answer(PeerMessage.QuotaRequest request) {
     Optional<ClientAccount> account = account(request.account());
-    if (account.isEmpty()) {
+    if (account.isEmpty() || leaving) {
       return CompletableFuture.failedFuture(
-          new AgatefieldException(ErrorKind.INTERNAL, "the account has no quota here"));
+          new AgatefieldException(ErrorKind.INTERNAL, "the account's quota is not held here"));
     }
     long now = clock.getAsLong();
     if (request.loan()) {
@@ -182,6 +224,12 @@
     return take(account.get(), request.tokens()).thenApply(answer -> answer);
   }
 
+  /** Returns whether this instance holds an account's quota in its region. */
+  boolean holds(String account) {
+    holders.see(fleet.answering());
+    return isHeldHere(account);
+  }
+
   private boolean isHeldHere(String account) {
     return holders
         .holder(account, region())
--- a/daemon/src/test/java/org/agatefield/daemon/forward/HeldQuotasTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/HeldQuotasTest.java
@@ -333,6 +333,25 @@
     assertQuotaHolds(perSecond);
   }
 
+  @Test
+  void holderThatLeavesHandsItsTokensToTheNextOne() {
+    ClientAccount account = account(4_200);
+    startFleet(account);
+    List<Member> holders =
+        members.values().stream().filter(member -> member.quotas.holds("account")).toList();
+    assertEquals(2, holders.size());
+    for (Member holder : holders) {
+      holder.quotas.handOver();
+    }
+    runUntil(now + 100);
+    holders.forEach(holder -> members.remove(holder.self.id()));
+    for (int request = 0; request < 4; request++) {
+      ask(account, new Random(request), Optional.empty());
+    }
+    runUntil(now + 400);
+    assertEquals(4, grants.size(), refused + " refused");
+  }
+
   @Test
   void lowerQuotaHoldsOneWindowAfterEachInstanceKnowsIt() {
     ClientAccount before = account(35 * REQUEST_TOKENS);
