Quotas: a leaving holder hands over whatever it kept lately

The buckets themselves say what was held: membership already shows the instance as leaving by the time it hands over, so that asking who holds an account named the next holder and handed nothing over. HeldQuotasTest, QuotaBucketTest: passed.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/HeldQuotas.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/HeldQuotas.java
@@ -155,15 +155,14 @@
             .toList();
     QuotaHolders next = new QuotaHolders();
     next.see(staying);
-    for (ClientAccount account : accounts.get().accounts()) {
-      if (account.quota().isPresent() && isHeldHere(account.name())) {
-        QuotaBucket bucket = bucket(account, now);
-        double tokens = bucket.lend(bucket.level(now), now);
-        next.holder(account.name(), region())
-            .ifPresent(
-                holder -> fleet.send(holder, new PeerMessage.QuotaReturn(account.name(), tokens)));
-      }
-    }
+    buckets
+        .drain(now)
+        .forEach(
+            (account, tokens) ->
+                next.holder(account, region())
+                    .ifPresent(
+                        holder ->
+                            fleet.send(holder, new PeerMessage.QuotaReturn(account, tokens))));
     LOGGER.info("quotas handed over to {} instances", staying.size());
   }
 
