Digests are loaded with the configuration, not with the first request

Change: one digest is made with the class, which the first configuration loads, and copied for each key. A waiting request whose accounts are gone from the configuration altogether needs no key.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -352,7 +352,8 @@
   /** Returns whether the key that let the request in has not been taken away meanwhile. */
   private boolean keyHolds() {
     ForwardingTable current = parts.table().get().orElse(table);
-    if (current == table || account.isEmpty() || route.open()) {
+    boolean needed = current.accounts().requiresKeys() && !route.open();
+    if (current == table || account.isEmpty() || !needed) {
       return true;
     }
     return terms.key().flatMap(current.accounts()::holderOf).isPresent();
--- a/forwarding/src/main/java/org/agatefield/forwarding/KeyDigest.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/KeyDigest.java
@@ -14,6 +14,9 @@
 public final class KeyDigest {
   private static final HexFormat HEX = HexFormat.of();
   private static final int BYTES = 32;
+  // Copied for each key, so that the provider is loaded with the first configuration and not with
+  // the first request.
+  private static final MessageDigest UNUSED = sha256();
 
   private final byte[] bytes;
 
@@ -24,8 +27,16 @@
   /** Returns the digest of a key as a client or the operator wrote it. */
   public static KeyDigest of(String key) {
     try {
-      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      MessageDigest digest = (MessageDigest) UNUSED.clone();
       return new KeyDigest(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
+    } catch (CloneNotSupportedException exception) {
+      throw new IllegalStateException("the platform's digests can be copied", exception);
+    }
+  }
+
+  private static MessageDigest sha256() {
+    try {
+      return MessageDigest.getInstance("SHA-256");
     } catch (NoSuchAlgorithmException exception) {
       throw new IllegalStateException("every Java platform has SHA-256", exception);
     }
