Log the rate limits that runners name, and each request sent to such a runner

RunnerDialect.rateLimit decodes the header (a decimal number; anything else is logged and ignored), RunnerLimits keeps what responses said, with one log line per change, one line per send to a limited runner and the gauge agatefield_runners_limited. No decision reads it yet.

Tests: PlatformDialectTest (decimals, values that are no rate), green with RunnerDirectoryTest, EngineControllerTest, RunnerNoticesTest.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -23,6 +23,7 @@
  * @param table the configuration in force; empty until one is known
  * @param selector selects runners
  * @param availability the leaving and backoff announcements of runners
+ * @param limits the request rates to which runners limit all instances together
  * @param sending decides whether a request is sent, waits or is refused
  * @param loads the estimated load of each runner
  * @param presence the models and adapters assumed to be loaded on each runner
@@ -46,6 +47,7 @@
     Supplier<Optional<ForwardingTable>> table,
     RunnerSelector selector,
     RunnerAvailability availability,
+    RunnerLimits limits,
     SendPolicy sending,
     RunnerLoads loads,
     ModelPresence presence,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -86,6 +86,7 @@
   private final ResponseMemory responseMemory = new ResponseMemory();
   private final WaitingRequests waiting;
   private final Set<RequestExchange> exchanges = new HashSet<>();
+  private final RunnerLimits limits = new RunnerLimits();
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
   private final SnapshotExchange snapshots;
@@ -262,6 +263,7 @@
             loads,
             presence,
             availability,
+            limits,
             new EarliestStartChooser(random));
     ingress =
         new IngressServer(
@@ -275,6 +277,7 @@
                 configuration::table,
                 selector,
                 availability,
+                limits,
                 new StartInTimePolicy(),
                 loads,
                 presence,
@@ -291,6 +294,7 @@
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
     metrics.registerGauge(
         "agatefield.forwarding.answer-bytes", (Gauge<Long>) responseMemory::totalBytes);
+    metrics.registerGauge("agatefield.runners.limited", (Gauge<Integer>) limits::count);
     metrics.registerGauge("agatefield.configuration.version", (Gauge<Long>) configuration::version);
     metrics.registerGauge(
         "agatefield.runners.age-milliseconds", (Gauge<Long>) runners::ageMilliseconds);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -94,6 +94,17 @@
   }
 
   void start(HttpServerRequest request, Supplier<MultiMap> headers, Buffer content) {
+    context
+        .limits()
+        .requestsPerSecond(runner)
+        .ifPresent(
+            limit ->
+                LOGGER.info(
+                    "request={} attempt={} runner={} limit_per_second={} sent=true",
+                    terms.id(),
+                    attemptNumber,
+                    runner.id(),
+                    limit));
     context.loads().sent(runner.id(), uncachedTokens);
     terms.prompt().ifPresent(prompt -> context.demand().running(service, prompt, runner.id(), 1));
     scheduleStallCheck();
@@ -152,11 +163,12 @@
   }
 
   @Override
-  public void headReceived(UpstreamResponse received) {
+  public void headReceived(ResponseKind kind, UpstreamResponse received) {
     RunnerDialect dialect = context.dialect().runners();
     if (dialect.isLeaving(received.headers())) {
       context.availability().leavingReported(runner);
     }
+    context.limits().responseReceived(runner, kind, dialect.rateLimit(received.headers()), sentAt);
     dialect
         .backoffMilliseconds(received.status(), received.headers())
         .ifPresent(backoff -> context.availability().backoffRequested(runner, backoff));
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -31,6 +31,7 @@
   private final RunnerLoads loads;
   private final ModelPresence presence;
   private final RunnerAvailability availability;
+  private final RunnerLimits limits;
   private final RunnerChooser choice;
   private final OutlierDetector outliers = new OutlierDetector(EJECTION_NANOSECONDS);
 
@@ -66,6 +67,7 @@
       RunnerLoads loads,
       ModelPresence presence,
       RunnerAvailability availability,
+      RunnerLimits limits,
       RunnerChooser choice) {
     this.localDomain = localDomain;
     this.regions = regions;
@@ -73,6 +75,7 @@
     this.loads = loads;
     this.presence = presence;
     this.availability = availability;
+    this.limits = limits;
     this.choice = choice;
     directory.listen(this);
   }
@@ -165,6 +168,7 @@
   public void runnerGone(String id) {
     presence.forget(id);
     availability.forget(id);
+    limits.forget(id);
     lastDataAt.remove(id);
     outliers.forget(id);
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
@@ -61,8 +61,8 @@
     /** Called when no connection could be opened. */
     void connectFailed(String cause);
 
-    /** Called with the response head, whatever its status. */
-    void headReceived(UpstreamResponse head);
+    /** Called with the response head, whatever its status and kind. */
+    void headReceived(ResponseKind kind, UpstreamResponse head);
 
     /** Called when the runner has not run the request and never will. */
     void rejected(ResponseKind kind, UpstreamResponse response);
@@ -170,7 +170,7 @@
     response.exceptionHandler(this::abort);
     head = new UpstreamResponse(response.statusCode(), response.headers(), body);
     kind = dialect.responseKind(response.statusCode(), response.headers(), requestId);
-    listener.headReceived(head);
+    listener.headReceived(kind, head);
     if (kind == ResponseKind.UNUSABLE) {
       failUnusable(response);
       return;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/wire/RunnerDialect.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/wire/RunnerDialect.java
@@ -23,6 +23,9 @@
    */
   OptionalLong backoffMilliseconds(int status, MultiMap headers);
 
+  /** Returns the request rate that the runner accepts according to a response. */
+  RateLimitAnnouncement rateLimit(MultiMap headers);
+
   /** Returns the path that accepts orders. */
   String orderPath();
 
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.OrderOutcome;
+import org.agatefield.daemon.forward.wire.RateLimitAnnouncement;
 import org.agatefield.daemon.forward.wire.ResponseKind;
 import org.agatefield.daemon.forward.wire.RunnerDialect;
 import org.agatefield.daemon.forward.wire.RunnerOrder;
@@ -73,6 +74,11 @@
       return OptionalLong.empty();
     }
 
+    @Override
+    public RateLimitAnnouncement rateLimit(MultiMap headers) {
+      return new RateLimitAnnouncement.NotLimited();
+    }
+
     @Override
     public String orderPath() {
       return "/order";
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -118,6 +118,7 @@
             new RunnerLoads(),
             new ModelPresence(),
             new RunnerAvailability(notice -> {}),
+            new RunnerLimits(),
             new FewestRunningChooser());
     directory.changed(entry("a", "ready"));
     RunnerEntry chosen = directory.entry("a").orElseThrow();
