Keep the rate limits of runners over all instances together

Cause: a limit that a runner states in its answers was known to no instance, and there was no means to keep a rate at a runner over all instances; leaving and backoff are per instance, quotas per client account.

Change: RunnerLimits keeps the latest announcement of each runner process, whichever instance received it (RunnerLimitNotice); an answer without a limit ends it only if its request was sent after the limit was last announced. RunnerPermits: one holder per runner, by rendezvous hashing in the runner's region, grants permits from one bucket that starts empty; a request takes a permit before each send, retries and resumed streams too; orders are charged. Without an answer of the holder nothing is sent there. The selector passes over runners whose permits are used up; if only such runners have the model, a request waits for its turn or is refused at once with the time of its turn. The planner orders no loads from limited runners and does not count them as replicas if their limit is below the demand. Instances of earlier builds refuse permit requests (unknown kind) and are passed over as holders. QuotaBucket: charge, and waits at rates below 1 a second were too short. RegionalHolders was QuotaHolders.

--- a/admission/src/main/java/org/agatefield/admission/QuotaBucket.java
+++ b/admission/src/main/java/org/agatefield/admission/QuotaBucket.java
@@ -1,7 +1,8 @@
 package org.agatefield.admission;
 
 /**
- * A token bucket with the quota of one client account that one instance may grant.
+ * A token bucket with the part of a shared rate, such as the quota of one client account, that one
+ * instance may grant.
  *
  * <p>Bounds accounts that request many times their quota at many instances. Invariant: over any
  * time span, the tokens granted or lent are at most the capacity plus the tokens earned and {@link
@@ -15,6 +16,7 @@
   // In multiples of the capacity; larger requests need a loan from other instances.
   private static final double LARGEST_GRANT_CAPACITIES = 2;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
+  private static final double MAXIMUM_WAIT_SECONDS = 60; // A rate of 0 never earns a token.
 
   private static final double UNMET_DECAY_MILLISECONDS = 250; // typical delay of retries
 
@@ -67,6 +69,12 @@
     level += tokens;
   }
 
+  /** Takes tokens that were used without a grant; they may be earned later. */
+  public void charge(double tokens, long nowMilliseconds) {
+    refill(nowMilliseconds);
+    level -= tokens;
+  }
+
   /** Returns granted tokens that were not used; tokens beyond the capacity are dropped. */
   public void refund(double tokens, long nowMilliseconds) {
     refill(nowMilliseconds);
@@ -92,15 +100,15 @@
 
   /**
    * Returns how long it takes to earn the tokens missing for a request, after those of requests
-   * that were refused shortly before.
+   * that were refused shortly before; at most one minute.
    */
   public long millisecondsUntil(double tokens, long nowMilliseconds) {
     double shortfall = shortfall(tokens, nowMilliseconds);
     if (shortfall <= 0) {
       return 0;
     }
-    double seconds = (shortfall + Math.max(0, unmet - tokens)) / Math.max(1, rate.perSecond());
-    return (long) Math.ceil(seconds * MILLISECONDS_PER_SECOND);
+    double seconds = (shortfall + Math.max(0, unmet - tokens)) / rate.perSecond();
+    return (long) Math.ceil(Math.min(MAXIMUM_WAIT_SECONDS, seconds) * MILLISECONDS_PER_SECOND);
   }
 
   private double requiredLevel(double tokens) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -72,6 +72,15 @@
     /** Returns the identifier of this instance that orders carry. */
     String holder();
 
+    /** Returns whether a runner limits the rate of requests. */
+    boolean isLimited(RunnerEntry runner);
+
+    /** Called when an order is sent to a runner. */
+    void orderSent(RunnerEntry runner);
+
+    /** Called with the response to an order or a report request. */
+    void responded(RunnerEntry runner, RunnerClient.Response response);
+
     /** Called when a runner has finished loading a model. */
     void loaded(String runner, String model);
 
@@ -196,7 +205,8 @@
   void tick() {
     long now = MonotonicClock.milliseconds();
     boolean waitingForOrder = current.isPresent() || busy || acceptedOrders < 0;
-    long interval = waitingForOrder ? POLL_MILLISECONDS : IDLE_POLL_MILLISECONDS;
+    boolean frequent = waitingForOrder && !planner.isLimited(runner);
+    long interval = frequent ? POLL_MILLISECONDS : IDLE_POLL_MILLISECONDS;
     if (!reading && now - reportAt >= interval) {
       readReport();
     }
@@ -274,11 +284,15 @@
     if (task.action() == Action.LOAD) {
       outstanding.sent(task.load(), lastOrderAt);
     }
+    planner.orderSent(runner);
     runnerClient
         .sendOrder(runner, dialect.encodeOrder(order))
         .whenComplete(
             (response, failure) -> {
               sending = false;
+              if (failure == null) {
+                planner.responded(runner, response);
+              }
               // Reports requested before this response may be older than the order.
               lastOrderAt = MonotonicClock.milliseconds();
               OrderOutcome outcome =
@@ -395,6 +409,9 @@
             (response, failure) -> {
               reading = false;
               reportAt = MonotonicClock.milliseconds();
+              if (failure == null) {
+                planner.responded(runner, response);
+              }
               if (failure != null || response.status() != SUCCESS) {
                 LOGGER.debug("runner={} report not read", runner.id());
                 return;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -24,6 +24,7 @@
  * @param selector selects runners
  * @param availability the leaving and backoff announcements of runners
  * @param limits the request rates to which runners limit all instances together
+ * @param permits distributes the rates of limited runners among the instances
  * @param sending decides whether a request is sent, waits or is refused
  * @param loads the estimated load of each runner
  * @param presence the models and adapters assumed to be loaded on each runner
@@ -48,6 +49,7 @@
     RunnerSelector selector,
     RunnerAvailability availability,
     RunnerLimits limits,
+    RunnerPermits permits,
     SendPolicy sending,
     RunnerLoads loads,
     ModelPresence presence,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -15,6 +15,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
@@ -28,6 +29,7 @@
 import org.agatefield.forwarding.AccountTable;
 import org.agatefield.forwarding.EarliestStartChooser;
 import org.agatefield.forwarding.ForwardingTable;
+import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.forwarding.StartInTimePolicy;
 import org.agatefield.model.AgatefieldException;
@@ -86,7 +88,6 @@
   private final ResponseMemory responseMemory = new ResponseMemory();
   private final WaitingRequests waiting;
   private final Set<RequestExchange> exchanges = new HashSet<>();
-  private final RunnerLimits limits = new RunnerLimits();
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
   private final SnapshotExchange snapshots;
@@ -96,6 +97,8 @@
   private LoadExchange loadExchange;
   private PlannerClient plannerClient;
   private RunnerAvailability availability;
+  private RunnerLimits limits;
+  private RunnerPermits permits;
   private FleetSize fleetSize;
   private RegionalQuotaPolicy quotas;
   private ModelPlanner planner;
@@ -184,6 +187,10 @@
     loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     availability = new RunnerAvailability(peers::broadcast);
     fleetSize = new FleetSize(() -> peers.alive().size());
+    limits = new RunnerLimits(MonotonicClock::milliseconds, peers::broadcast);
+    permits =
+        new RunnerPermits(
+            MonotonicClock::milliseconds, peers, fleetSize, limits, new DirectoryRunners());
     quotas =
         new RegionalQuotaPolicy(
             (delay, work) -> vertx.setTimer(delay, fired -> work.run()),
@@ -208,7 +215,9 @@
             loadExchange,
             plannerClient,
             availability,
-            quotas));
+            quotas,
+            limits,
+            permits));
     new EntryListeners(
             vertx,
             settings,
@@ -263,7 +272,7 @@
             loads,
             presence,
             availability,
-            limits,
+            permits,
             new EarliestStartChooser(random));
     ingress =
         new IngressServer(
@@ -278,6 +287,7 @@
                 selector,
                 availability,
                 limits,
+                permits,
                 new StartInTimePolicy(),
                 loads,
                 presence,
@@ -348,6 +358,8 @@
             runners,
             configuration,
             new DemandReplicaPolicy(),
+            limits,
+            permits,
             plannerClient);
     plannerClient.connectLocalPlanner(planner);
     planner.start();
@@ -376,6 +388,19 @@
     peers.close();
   }
 
+  /** Provides the runners of the directory with the regions of the settings. */
+  private final class DirectoryRunners implements RunnerPermits.Runners {
+    @Override
+    public Optional<RunnerEntry> entry(String id) {
+      return runners.entry(id);
+    }
+
+    @Override
+    public Optional<String> region(RunnerEntry runner) {
+      return Optional.ofNullable(settings.regions().get(runner.failureDomain()));
+    }
+  }
+
   /** Applies changed settings at run time; only the seeds can change. */
   public void reload(ForwardingSettings changed) {
     LOGGER.info("settings reloaded seeds={} before={}", changed.peers(), settings.peers());
@@ -395,6 +420,7 @@
     context.runOnContext(
         run -> {
           quotas.transferToNextHolders();
+          permits.stopGranting();
           planner.stop();
           lease.close();
         });
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingMetrics.java
@@ -23,6 +23,10 @@
     registry.counter(PREFIX + "refused." + reason).inc();
   }
 
+  void permitDenied() {
+    registry.counter(PREFIX + "permits-denied").inc();
+  }
+
   void sent(boolean repeat) {
     registry.counter(PREFIX + (repeat ? "repeats" : "sends")).inc();
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -34,7 +34,7 @@
  * by any thread.
  */
 final class ForwardingPeers
-    implements LoadExchange.Fleet, RegionalQuotaPolicy.Fleet, AutoCloseable {
+    implements LoadExchange.Fleet, RegionalQuotaPolicy.Fleet, RunnerPermits.Fleet, AutoCloseable {
   // Callers use a directory response that lists a dead instance for seconds, so dead instances are
   // detected in about two seconds.
   private static final long PROBE_MILLISECONDS = 600;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -8,9 +8,12 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.agatefield.daemon.core.LeaseView;
+import org.agatefield.daemon.forward.wire.OrderOutcome;
 import org.agatefield.daemon.forward.wire.RunnerDialect;
 import org.agatefield.forwarding.EnginePool;
 import org.agatefield.forwarding.ForwardingTable;
@@ -57,6 +60,8 @@
   private final RunnerDirectory runners;
   private final ConfigurationTracker configuration;
   private final ReplicaPolicy policy;
+  private final RunnerLimits limits;
+  private final RunnerPermits permits;
   private final Announcements announcements;
   private final DemandTracker demand = new DemandTracker();
   private final Map<String, EngineController> engines = new HashMap<>();
@@ -91,6 +96,8 @@
       RunnerDirectory runners,
       ConfigurationTracker configuration,
       ReplicaPolicy policy,
+      RunnerLimits limits,
+      RunnerPermits permits,
       Announcements announcements) {
     this.vertx = vertx;
     this.client = client;
@@ -101,6 +108,8 @@
     this.runners = runners;
     this.configuration = configuration;
     this.policy = policy;
+    this.limits = limits;
+    this.permits = permits;
     this.announcements = announcements;
     runners.listen(this);
   }
@@ -222,6 +231,8 @@
 
   private void plan(String service, EnginePool pool) {
     List<EngineView> views = new ArrayList<>();
+    long nowMilliseconds = MonotonicClock.milliseconds();
+    Map<String, DemandTracker.Demand> demands = demand.demands(nowMilliseconds);
     int loading = 0;
     for (RunnerEntry entry : List.copyOf(runners.all())) {
       if (!entry.service().equals(service)) {
@@ -233,7 +244,7 @@
       EngineController engine = engines.get(entry.id());
       if (engine != null) {
         loading += engine.isLoadingFromStore() ? 1 : 0;
-        views.add(view(entry, engine, pool));
+        views.add(view(entry, engine, pool, demands));
       }
     }
     long now = System.nanoTime();
@@ -246,8 +257,6 @@
                 new WeightStoreLimits(pool.loadsPerSecond(), concurrent, CONCURRENT_ADAPTER_LOADS),
                 now);
     int allowed = Math.min(budget.available(), Math.max(0, concurrent - loading));
-    long nowMilliseconds = MonotonicClock.milliseconds();
-    Map<String, DemandTracker.Demand> demands = demand.demands(nowMilliseconds);
     List<ReplicaMove> moves = policy.plan(views, sizes(pool), demands, allowed);
     logState(service, views, demands, allowed, nowMilliseconds);
     for (ReplicaMove move : moves) {
@@ -306,17 +315,33 @@
         runnerStates);
   }
 
-  private EngineView view(RunnerEntry entry, EngineController engine, EnginePool pool) {
+  private EngineView view(
+      RunnerEntry entry,
+      EngineController engine,
+      EnginePool pool,
+      Map<String, DemandTracker.Demand> demands) {
     double adapters = pool.adapterSlots() * largestAdapter(pool);
+    OptionalDouble limit = limits.requestsPerSecond(entry);
+    // A runner that accepts fewer requests than its models receive is no replica to rely on.
+    boolean belowDemand =
+        limit.isPresent() && limit.getAsDouble() < requestsPerSecond(engine, demands);
     return new EngineView(
         entry.id(),
         entry.failureDomain(),
         pool.weightsMegabytes(),
         adapters,
-        engine.possiblyHeld(),
+        belowDemand ? Set.of() : engine.possiblyHeld(),
         engine.inHostMemory(),
         engine.onDisk(),
-        engine.isReady() && !entry.draining());
+        engine.isReady() && !entry.draining() && limit.isEmpty());
+  }
+
+  private static double requestsPerSecond(
+      EngineController engine, Map<String, DemandTracker.Demand> demands) {
+    return engine.possiblyHeld().stream()
+        .mapToDouble(
+            model -> demands.getOrDefault(model, DemandTracker.Demand.NONE).requestsPerSecond())
+        .sum();
   }
 
   private static double largestAdapter(EnginePool pool) {
@@ -355,6 +380,23 @@
       return instance;
     }
 
+    @Override
+    public boolean isLimited(RunnerEntry runner) {
+      return limits.requestsPerSecond(runner).isPresent();
+    }
+
+    @Override
+    public void orderSent(RunnerEntry runner) {
+      permits.sentWithoutPermit(runner);
+    }
+
+    @Override
+    public void responded(RunnerEntry runner, RunnerClient.Response response) {
+      if (dialect.orderOutcome(response.status()) != OrderOutcome.INVALID) {
+        limits.callAnswered(runner, dialect.rateLimit(response.headers()));
+      }
+    }
+
     @Override
     public void loaded(String runner, String model) {
       announcements.loaded(runner, model);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
@@ -15,6 +15,8 @@
   private final PlannerClient planner;
   private final RunnerAvailability availability;
   private final RegionalQuotaPolicy quotas;
+  private final RunnerLimits limits;
+  private final RunnerPermits permits;
 
   /**
    * Creates an inbox.
@@ -27,13 +29,17 @@
       LoadExchange loads,
       PlannerClient planner,
       RunnerAvailability availability,
-      RegionalQuotaPolicy quotas) {
+      RegionalQuotaPolicy quotas,
+      RunnerLimits limits,
+      RunnerPermits permits) {
     this.snapshots = snapshots;
     this.relays = relays;
     this.loads = loads;
     this.planner = planner;
     this.availability = availability;
     this.quotas = quotas;
+    this.limits = limits;
+    this.permits = permits;
   }
 
   @Override
@@ -53,6 +59,8 @@
       planner.received(notice);
     } else if (message instanceof PeerMessage.RunnerNotice notice) {
       availability.noticeReceived(notice, MonotonicClock.milliseconds());
+    } else if (message instanceof PeerMessage.RunnerLimitNotice notice) {
+      limits.noticeReceived(notice);
     } else if (message instanceof PeerMessage.QuotaReturn returned) {
       quotas.tokensReturned(returned);
     }
@@ -69,6 +77,9 @@
     if (request instanceof PeerMessage.QuotaRequest query) {
       return quotas.answer(query);
     }
+    if (request instanceof PeerMessage.PermitRequest query) {
+      return CompletableFuture.completedFuture(permits.answer(query));
+    }
     if (request instanceof PeerMessage.AdapterRequest query) {
       return planner.answer(query);
     }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/QuotaHolders.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RegionalHolders.java
@@ -11,14 +11,15 @@
 import org.agatefield.routing.HomeInstances;
 
 /**
- * Determines which instance holds the quota of a client account in each region.
+ * Determines which instance of each region holds a shared rate, such as the quota of a client
+ * account.
  *
  * <p>Instances that see the same members choose the same holders. When an instance joins or leaves,
- * only the accounts that it holds move. Confined to one thread.
+ * only the rates that it holds move. Confined to one thread.
  */
-final class QuotaHolders {
+final class RegionalHolders {
   private final HomeInstances ranking = new HomeInstances(1, 1);
-  private final Map<String, Map<String, Instance>> holdersByAccount = new HashMap<>();
+  private final Map<String, Map<String, Instance>> holdersByKey = new HashMap<>();
   private final Map<String, List<Instance>> instancesByRegion = new TreeMap<>();
   private List<Instance> currentInstances = List.of();
 
@@ -28,7 +29,7 @@
       return;
     }
     currentInstances = answering;
-    holdersByAccount.clear();
+    holdersByKey.clear();
     instancesByRegion.clear();
     for (Instance instance : answering) {
       if (instance.state() == InstanceState.LIVE) {
@@ -44,31 +45,29 @@
     return instancesByRegion.getOrDefault(region, List.of()).size();
   }
 
-  /**
-   * Returns the holder of an account's quota in a region; empty if the region has no live instance.
-   */
-  Optional<Instance> holder(String account, String region) {
-    return Optional.ofNullable(holders(account).get(region));
+  /** Returns the holder of a rate in a region; empty if the region has no live instance. */
+  Optional<Instance> holder(String key, String region) {
+    return Optional.ofNullable(holders(key).get(region));
   }
 
-  /** Returns the holders of an account's quota in all other regions. */
-  List<Instance> others(String account, String region) {
-    return holders(account).entrySet().stream()
+  /** Returns the holders of a rate in all other regions. */
+  List<Instance> others(String key, String region) {
+    return holders(key).entrySet().stream()
         .filter(entry -> !entry.getKey().equals(region))
         .map(Map.Entry::getValue)
         .toList();
   }
 
-  private Map<String, Instance> holders(String account) {
-    return holdersByAccount.computeIfAbsent(account, this::choose);
+  private Map<String, Instance> holders(String key) {
+    return holdersByKey.computeIfAbsent(key, this::choose);
   }
 
-  private Map<String, Instance> choose(String account) {
+  private Map<String, Instance> choose(String key) {
     Map<String, Instance> chosen = new TreeMap<>();
     instancesByRegion.forEach(
         (region, instances) -> {
           List<String> ids = instances.stream().map(Instance::id).toList();
-          String first = ranking.homes(account, ids, 1).get(0);
+          String first = ranking.homes(key, ids, 1).get(0);
           instances.stream()
               .filter(instance -> instance.id().equals(first))
               .findFirst()
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RegionalQuotaPolicy.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RegionalQuotaPolicy.java
@@ -67,7 +67,7 @@
   private final QuotaTolerance tolerance;
   private final FleetSize fleetSize;
   private final Supplier<AccountTable> accounts;
-  private final QuotaHolders holders = new QuotaHolders();
+  private final RegionalHolders holders = new RegionalHolders();
   private final QuotaBuckets buckets = new QuotaBuckets();
   private final EqualShareQuotaPolicy localShares;
   private final Set<String> accountsWithoutHolder = new HashSet<>();
@@ -175,7 +175,7 @@
         fleet.answering().stream()
             .filter(instance -> !instance.id().equals(fleet.self().id()))
             .toList();
-    QuotaHolders next = new QuotaHolders();
+    RegionalHolders next = new RegionalHolders();
     next.update(staying);
     buckets
         .drain(now)
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -42,6 +42,8 @@
   private static final long MAXIMUM_QUOTA_WAIT_MILLISECONDS = 1_500;
   // The rest of the time is left for the response.
   private static final double QUOTA_TIME_SHARE = 0.4;
+  private static final double MILLISECONDS_PER_SECOND = 1_000;
+  private static final long MAXIMUM_RETRY_MILLISECONDS = 60_000; // A limit of 0 grants no permit.
   private static final int HIGHEST_PRIORITY = 0;
   private static final int LOWEST_PRIORITY = 9;
 
@@ -62,6 +64,7 @@
   private RequestAttempt attempt;
   private RunnerEntry chosenRunner;
   private boolean waiting;
+  private Optional<String> permitKey = Optional.empty();
   private long deadlineTimer = -1;
   private long retryAfter;
   private boolean quotaTaken;
@@ -227,6 +230,8 @@
       refuseOrWait(RefusalReason.NO_RUNNER);
     } else if (selection instanceof RunnerSelector.Selection.AllBackingOff backingOff) {
       waitForBackoff(backingOff.untilMilliseconds(), now);
+    } else if (selection instanceof RunnerSelector.Selection.AllLimited limited) {
+      waitForPermit(limited, now);
     } else if (selection instanceof RunnerSelector.Selection.ModelAbsent) {
       waitForModel(now);
     } else {
@@ -245,6 +250,31 @@
     perform(state.notChosen(RefusalReason.OVERLOADED));
   }
 
+  /**
+   * Queues the request if a permit is expected in time, after those for the requests that already
+   * wait for one; otherwise refuses it.
+   */
+  private void waitForPermit(RunnerSelector.Selection.AllLimited limited, long now) {
+    String key = service + '/' + terms.prompt().map(GenerationParameters::model).orElse("");
+    long expectedAt = limited.untilMilliseconds();
+    if (permitKey.isEmpty()) { // A request that already waits keeps its place.
+      long ahead = context.waiting().countWaitingForPermit(key);
+      expectedAt += (long) (MILLISECONDS_PER_SECOND * ahead / limited.permitsPerSecond());
+    }
+    if (expectedAt + FIRST_EVENT_MILLISECONDS <= startBy) {
+      permitKey = Optional.of(key);
+      startWaiting();
+      return;
+    }
+    retryAfter = Math.min(MAXIMUM_RETRY_MILLISECONDS, Math.max(0, expectedAt - now));
+    perform(state.notChosen(RefusalReason.OVERLOADED));
+  }
+
+  @Override
+  public Optional<String> permitKey() {
+    return permitKey;
+  }
+
   /**
    * Queues the request if its model is expected to be loaded in time, or if its load may still be
    * planned; otherwise refuses it.
@@ -276,13 +306,27 @@
                         Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
                         startBy - now));
     switch (decision) {
-      case SEND -> sendWithAdapter(found.runner(), now);
+      case SEND ->
+          context.permits().acquire(found.runner(), granted -> permitDecided(found, granted));
       case WAIT -> startWaiting();
       case REFUSE -> perform(state.notChosen(RefusalReason.OVERLOADED));
       default -> throw new IllegalStateException("unknown decision " + decision);
     }
   }
 
+  private void permitDecided(RunnerSelector.Selection.Found found, boolean granted) {
+    if (state.isOver()) {
+      return;
+    }
+    if (granted) {
+      permitKey = Optional.empty();
+      sendWithAdapter(found.runner(), MonotonicClock.milliseconds());
+      return;
+    }
+    context.metrics().permitDenied();
+    selectRunner();
+  }
+
   private void refuseOrWait(RefusalReason reason) {
     boolean servesModels =
         context
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerClient.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerClient.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.forward;
 
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
@@ -28,7 +29,7 @@
   private final RunnerDialect dialect;
 
   /** The response of a runner. Immutable. */
-  record Response(int status, Buffer body) {}
+  record Response(int status, MultiMap headers, Buffer body) {}
 
   RunnerClient(HttpClient client, RunnerDialect dialect) {
     this.client = client;
@@ -64,7 +65,10 @@
                     .compose(
                         response ->
                             BoundedBody.read(response, MAXIMUM_RESPONSE_BYTES)
-                                .map(body -> new Response(response.statusCode(), body)))
+                                .map(
+                                    body ->
+                                        new Response(
+                                            response.statusCode(), response.headers(), body)))
                     .timeout(CALL_TIMEOUT_MILLISECONDS, TimeUnit.MILLISECONDS)
                     .onFailure(cause -> request.reset()))
         .onSuccess(result::complete)
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -1,6 +1,7 @@
 package org.agatefield.daemon.forward;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -31,7 +32,7 @@
   private final RunnerLoads loads;
   private final ModelPresence presence;
   private final RunnerAvailability availability;
-  private final RunnerLimits limits;
+  private final RunnerPermits permits;
   private final RunnerChooser choice;
   private final OutlierDetector outliers = new OutlierDetector(EJECTION_NANOSECONDS);
 
@@ -53,6 +54,15 @@
      */
     record AllBackingOff(long untilMilliseconds) implements Selection {}
 
+    /**
+     * All suitable runners limit the rate of requests, or have asked for a backoff, and the first
+     * that will accept one is limited. Immutable.
+     *
+     * @param untilMilliseconds when the first permit may be available, in monotonic milliseconds
+     * @param permitsPerSecond the rate at which this instance can expect permits
+     */
+    record AllLimited(long untilMilliseconds, double permitsPerSecond) implements Selection {}
+
     /** The service has runners, but none has the model. */
     record ModelAbsent() implements Selection {}
 
@@ -67,7 +77,7 @@
       RunnerLoads loads,
       ModelPresence presence,
       RunnerAvailability availability,
-      RunnerLimits limits,
+      RunnerPermits permits,
       RunnerChooser choice) {
     this.localDomain = localDomain;
     this.regions = regions;
@@ -75,7 +85,7 @@
     this.loads = loads;
     this.presence = presence;
     this.availability = availability;
-    this.limits = limits;
+    this.permits = permits;
     this.choice = choice;
     directory.listen(this);
   }
@@ -93,13 +103,9 @@
       return new Selection.ModelAbsent();
     }
     List<RunnerEntry> available =
-        withModel.stream().filter(entry -> availability.backoffUntil(entry, now) <= now).toList();
+        withModel.stream().filter(entry -> availableAt(entry, now) <= now).toList();
     if (available.isEmpty()) {
-      return new Selection.AllBackingOff(
-          withModel.stream()
-              .mapToLong(each -> availability.backoffUntil(each, now))
-              .min()
-              .orElse(now));
+      return noneAvailable(withModel, now);
     }
     List<RunnerEntry> healthy = outliers.admitted(available, RunnerEntry::id, System.nanoTime());
     List<RunnerEntry> untried = without(healthy, tried);
@@ -115,6 +121,24 @@
     return new Selection.Found(directory.entry(chosen.id()).orElseThrow(), chosen);
   }
 
+  /** Returns when a runner accepts a request of this instance, in monotonic milliseconds. */
+  private long availableAt(RunnerEntry entry, long now) {
+    return Math.max(availability.backoffUntil(entry, now), permits.exhaustedUntil(entry, now));
+  }
+
+  private Selection noneAvailable(List<RunnerEntry> unavailable, long now) {
+    RunnerEntry first =
+        unavailable.stream()
+            .min(Comparator.comparingLong(entry -> availableAt(entry, now)))
+            .orElseThrow();
+    long until = availableAt(first, now);
+    if (permits.exhaustedUntil(first, now) <= now) {
+      return new Selection.AllBackingOff(until);
+    }
+    return new Selection.AllLimited(
+        until, unavailable.stream().mapToDouble(permits::expectedPerSecond).sum());
+  }
+
   /** Returns whether a runner that was selected earlier still accepts requests. */
   boolean isUsable(RunnerEntry runner) {
     long now = MonotonicClock.milliseconds();
@@ -168,7 +192,7 @@
   public void runnerGone(String id) {
     presence.forget(id);
     availability.forget(id);
-    limits.forget(id);
+    permits.runnerGone(id);
     lastDataAt.remove(id);
     outliers.forget(id);
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/WaitingRequests.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/WaitingRequests.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Holds requests that wait for a runner with capacity, most urgent first.
@@ -26,6 +27,9 @@
     /** The time by which the request must be answered, in monotonic milliseconds. */
     long deadline();
 
+    /** Identifies the limited runners from which the request needs a permit; empty if none. */
+    Optional<String> permitKey();
+
     /** Selects a runner again; the request is no longer waiting unless it registers again. */
     void retry();
   }
@@ -47,6 +51,13 @@
     return waiting.size();
   }
 
+  /** Returns the number of requests that wait for a permit of the given runners. */
+  long countWaitingForPermit(String key) {
+    return waiting.stream()
+        .filter(request -> request.permitKey().filter(key::equals).isPresent())
+        .count();
+  }
+
   /** Retries all waiting requests. */
   void retryAll() {
     if (waiting.isEmpty()) {
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -121,6 +121,17 @@
       return "planner";
     }
 
+    @Override
+    public boolean isLimited(RunnerEntry runner) {
+      return false;
+    }
+
+    @Override
+    public void orderSent(RunnerEntry runner) {}
+
+    @Override
+    public void responded(RunnerEntry runner, RunnerClient.Response response) {}
+
     @Override
     public void loaded(String runner, String model) {}
 
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -11,6 +11,8 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import org.agatefield.admission.FleetSize;
 import org.agatefield.daemon.forward.wire.StoredObjectDialect;
 import org.agatefield.forwarding.FewestRunningChooser;
 import org.agatefield.forwarding.ForwardingTable;
@@ -18,6 +20,8 @@
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.model.Address;
 import org.agatefield.model.FailureDomain;
+import org.agatefield.model.Instance;
+import org.agatefield.peer.PeerMessage;
 import org.agatefield.store.ObjectKey;
 import org.agatefield.store.ObjectKind;
 import org.agatefield.store.StoredObject;
@@ -118,7 +122,7 @@
             new RunnerLoads(),
             new ModelPresence(),
             new RunnerAvailability(notice -> {}),
-            new RunnerLimits(),
+            permitsWithoutLimits(),
             new FewestRunningChooser());
     directory.changed(entry("a", "ready"));
     RunnerEntry chosen = directory.entry("a").orElseThrow();
@@ -127,6 +131,42 @@
     assertFalse(selector.isUsable(chosen));
   }
 
+  /** Returns permits that no runner needs. */
+  private RunnerPermits permitsWithoutLimits() {
+    return new RunnerPermits(
+        MonotonicClock::milliseconds,
+        new RunnerPermits.Fleet() {
+          @Override
+          public Instance self() {
+            throw new UnsupportedOperationException();
+          }
+
+          @Override
+          public List<Instance> answering() {
+            return List.of();
+          }
+
+          @Override
+          public CompletableFuture<PeerMessage> request(
+              Instance instance, PeerMessage message, long limitMilliseconds) {
+            throw new UnsupportedOperationException();
+          }
+        },
+        new FleetSize(() -> 1),
+        new RunnerLimits(MonotonicClock::milliseconds, notice -> {}),
+        new RunnerPermits.Runners() {
+          @Override
+          public Optional<RunnerEntry> entry(String id) {
+            return directory.entry(id);
+          }
+
+          @Override
+          public Optional<String> region(RunnerEntry runner) {
+            return Optional.empty();
+          }
+        });
+  }
+
   @Test
   void runnerWithUnreadableEntryIsNotUsable() {
     directory.changed(entry("a", "ready"));
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -3,13 +3,18 @@
 import com.google.protobuf.ByteString;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.agatefield.model.ModelDemand;
 import org.agatefield.peer.generated.PeerProtocol;
 import org.agatefield.peer.generated.PeerProtocol.Envelope;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /** Converts forwarding and placement messages to and from protobuf. Stateless. */
 final class ForwardingCodec {
+  private static final Logger LOGGER = LogManager.getLogger(ForwardingCodec.class);
+
   private ForwardingCodec() {}
 
   /** Sets the message in the envelope; returns false if another codec handles its type. */
@@ -71,6 +76,20 @@
               .setTokens(returned.tokens()));
     } else if (message instanceof PeerMessage.RunnerNotice notice) {
       envelope.setRunnerNotice(encodeRunner(notice));
+    } else if (message instanceof PeerMessage.RunnerLimitNotice notice) {
+      envelope.setRunnerLimitNotice(encodeLimit(notice));
+    } else if (message instanceof PeerMessage.PermitRequest request) {
+      envelope.setPermitRequest(
+          PeerProtocol.PermitRequest.newBuilder()
+              .setLimit(encodeLimit(request.limit()))
+              .setWanted(request.wanted())
+              .setUsed(request.used()));
+    } else if (message instanceof PeerMessage.PermitAnswer answer) {
+      envelope.setPermitAnswer(
+          PeerProtocol.PermitAnswer.newBuilder()
+              .setGranted(answer.granted())
+              .setWaitMilliseconds((int) answer.waitMilliseconds())
+              .setNotResponsible(!answer.responsible()));
     } else {
       return false;
     }
@@ -124,6 +143,9 @@
               new PeerMessage.QuotaReturn(
                   envelope.getQuotaReturn().getAccount(), envelope.getQuotaReturn().getTokens()));
       case RUNNER_NOTICE -> Optional.of(decodeRunner(envelope.getRunnerNotice()));
+      case RUNNER_LIMIT_NOTICE -> decodeLimit(envelope.getRunnerLimitNotice()).map(each -> each);
+      case PERMIT_REQUEST -> decodePermitRequest(envelope.getPermitRequest());
+      case PERMIT_ANSWER -> Optional.of(decodePermitAnswer(envelope.getPermitAnswer()));
       default -> Optional.empty();
     };
   }
@@ -148,6 +170,46 @@
         notice.getQuietMilliseconds());
   }
 
+  private static PeerProtocol.RunnerLimitNotice encodeLimit(PeerMessage.RunnerLimitNotice notice) {
+    PeerProtocol.RunnerLimitNotice.Builder builder =
+        PeerProtocol.RunnerLimitNotice.newBuilder()
+            .setRunner(notice.runner())
+            .setBornMilliseconds(notice.startTimeMilliseconds())
+            .setAgeMilliseconds((int) notice.ageMilliseconds());
+    notice.requestsPerSecond().ifPresent(builder::setRequestsPerSecond);
+    return builder.build();
+  }
+
+  /** Returns the notice; empty if its limit is not a valid rate. */
+  private static Optional<PeerMessage.RunnerLimitNotice> decodeLimit(
+      PeerProtocol.RunnerLimitNotice notice) {
+    double perSecond = notice.getRequestsPerSecond();
+    if (!Double.isFinite(perSecond) || perSecond < 0) {
+      LOGGER.warn("ignoring invalid rate limit from a peer: {}", perSecond);
+      return Optional.empty();
+    }
+    return Optional.of(
+        new PeerMessage.RunnerLimitNotice(
+            notice.getRunner(),
+            notice.getBornMilliseconds(),
+            notice.hasRequestsPerSecond() ? OptionalDouble.of(perSecond) : OptionalDouble.empty(),
+            Integer.toUnsignedLong(notice.getAgeMilliseconds())));
+  }
+
+  private static Optional<PeerMessage> decodePermitRequest(PeerProtocol.PermitRequest request) {
+    int wanted = Math.max(0, request.getWanted());
+    int used = Math.max(0, request.getUsed());
+    return decodeLimit(request.getLimit())
+        .map(limit -> new PeerMessage.PermitRequest(limit, wanted, used));
+  }
+
+  private static PeerMessage decodePermitAnswer(PeerProtocol.PermitAnswer answer) {
+    return new PeerMessage.PermitAnswer(
+        Math.max(0, answer.getGranted()),
+        Integer.toUnsignedLong(answer.getWaitMilliseconds()),
+        !answer.getNotResponsible());
+  }
+
   private static PeerProtocol.ObjectsAnswer encodeObjects(PeerMessage.ObjectsAnswer answer) {
     PeerProtocol.ObjectsAnswer.Builder builder =
         PeerProtocol.ObjectsAnswer.newBuilder()
--- a/peer/src/main/java/org/agatefield/peer/PeerConnection.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerConnection.java
@@ -149,7 +149,7 @@
     }
     String reason =
         envelope.hasFailure() ? envelope.getFailure().getReason() : "the answer is of unknown kind";
-    future.completeExceptionally(failure("refused: " + reason, null));
+    future.completeExceptionally(new PeerRefusalException(reason));
   }
 
   @Override
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import org.agatefield.model.Address;
 import org.agatefield.model.DemandSample;
@@ -228,6 +229,41 @@
       long quietMilliseconds)
       implements PeerMessage {}
 
+  /**
+   * Forwards the request rate that a runner last announced to accept from all instances together.
+   * Immutable.
+   *
+   * @param runner the runner's identifier
+   * @param startTimeMilliseconds the wall-clock time of its start
+   * @param requestsPerSecond the limit, finite and 0 or more; empty if the runner no longer has one
+   * @param ageMilliseconds how long ago the runner announced it
+   */
+  record RunnerLimitNotice(
+      String runner,
+      long startTimeMilliseconds,
+      OptionalDouble requestsPerSecond,
+      long ageMilliseconds)
+      implements PeerMessage {}
+
+  /**
+   * Requests permits to send requests to a runner with a limit. Immutable.
+   *
+   * @param limit the limit as the requester knows it
+   * @param wanted the number of requests to be sent
+   * @param used the number of calls sent without a permit that count against the limit
+   */
+  record PermitRequest(RunnerLimitNotice limit, int wanted, int used) implements PeerMessage {}
+
+  /**
+   * Answers a permit request. Immutable.
+   *
+   * @param granted the number of permits
+   * @param waitMilliseconds time until the next permit; 0 if all wanted permits were granted
+   * @param responsible whether the answering instance grants permits for this runner
+   */
+  record PermitAnswer(int granted, long waitMilliseconds, boolean responsible)
+      implements PeerMessage {}
+
   /**
    * Requests the configuration and the runner entries that an instance knows. Immutable.
    *
