Leave the permits of limited runners to requests that no other runner can serve

Cause, by reading: any request could take a permit of a limited runner, so that models held only there had to be refused; the planner counted none of its models, so that all were loaded again elsewhere, evicting others.

Change: requests for models take a limited runner only if no other can start them in time, but for a quarter of the permits, which show when a limit ends; LimitedReplicas lets the planner count the least requested models that fit the limit; loads are ordered from runners with a limit of 4 a second or more; a request without a permit also waits for a replica that is being loaded.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.agatefield.daemon.core.LeaseView;
 import org.agatefield.daemon.forward.wire.OrderOutcome;
 import org.agatefield.daemon.forward.wire.RunnerDialect;
@@ -25,6 +26,7 @@
 import org.agatefield.model.WeightStoreLimits;
 import org.agatefield.placement.DemandTracker;
 import org.agatefield.placement.EngineView;
+import org.agatefield.placement.LimitedReplicas;
 import org.agatefield.placement.LoadBudget;
 import org.agatefield.placement.ModelProfile;
 import org.agatefield.placement.ReplicaMove;
@@ -44,6 +46,8 @@
   // Ratio of concurrent loads to loads per second of the weight stores in the data sheets.
   private static final double CONCURRENT_LOADS_PER_RATE = 3;
   private static final long STATE_LOG_MILLISECONDS = 1_000;
+  // A load takes two orders, which are a small part of this limit during the time of a load.
+  private static final double MINIMUM_LIMIT_FOR_LOADS_PER_SECOND = 4;
   private static final int RUNNERS_PER_SECOND_OF_LOG = 20; // Large fleets are logged less often.
   // Limit of the smaller weight store according to its data sheet.
   private static final int CONCURRENT_ADAPTER_LOADS = 24;
@@ -322,26 +326,31 @@
       Map<String, DemandTracker.Demand> demands) {
     double adapters = pool.adapterSlots() * largestAdapter(pool);
     OptionalDouble limit = limits.requestsPerSecond(entry);
-    // A runner that accepts fewer requests than its models receive is no replica to rely on.
-    boolean belowDemand =
-        limit.isPresent() && limit.getAsDouble() < requestsPerSecond(engine, demands);
+    Set<String> held = engine.possiblyHeld();
+    if (limit.isPresent()) {
+      held =
+          LimitedReplicas.countedModels(
+              held, modelsOfUnlimitedRunners(entry.service()), limit.getAsDouble(), demands);
+    }
+    boolean leavesPermitsForOrders =
+        limit.isEmpty() || limit.getAsDouble() >= MINIMUM_LIMIT_FOR_LOADS_PER_SECOND;
     return new EngineView(
         entry.id(),
         entry.failureDomain(),
         pool.weightsMegabytes(),
         adapters,
-        belowDemand ? Set.of() : engine.possiblyHeld(),
+        held,
         engine.inHostMemory(),
         engine.onDisk(),
-        engine.isReady() && !entry.draining() && limit.isEmpty());
+        engine.isReady() && !entry.draining() && leavesPermitsForOrders);
   }
 
-  private static double requestsPerSecond(
-      EngineController engine, Map<String, DemandTracker.Demand> demands) {
-    return engine.possiblyHeld().stream()
-        .mapToDouble(
-            model -> demands.getOrDefault(model, DemandTracker.Demand.NONE).requestsPerSecond())
-        .sum();
+  private Set<String> modelsOfUnlimitedRunners(String service) {
+    return engines.values().stream()
+        .filter(engine -> engine.runner().service().equals(service))
+        .filter(engine -> limits.requestsPerSecond(engine.runner()).isEmpty())
+        .flatMap(engine -> engine.possiblyHeld().stream())
+        .collect(Collectors.toSet());
   }
 
   private static double largestAdapter(EnginePool pool) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -252,7 +252,7 @@
 
   /**
    * Queues the request if a permit is expected in time, after those for the requests that already
-   * wait for one; otherwise refuses it.
+   * wait for one, or if another runner may load the model in time; otherwise refuses it.
    */
   private void waitForPermit(RunnerSelector.Selection.AllLimited limited, long now) {
     String key = service + '/' + terms.prompt().map(GenerationParameters::model).orElse("");
@@ -261,6 +261,7 @@
       long ahead = context.waiting().countWaitingForPermit(key);
       expectedAt += (long) (MILLISECONDS_PER_SECOND * ahead / limited.permitsPerSecond());
     }
+    expectedAt = Math.min(expectedAt, expectedReplicaAt(now));
     if (expectedAt + FIRST_EVENT_MILLISECONDS <= startBy) {
       permitKey = Optional.of(key);
       startWaiting();
@@ -270,6 +271,19 @@
     perform(state.notChosen(RefusalReason.OVERLOADED));
   }
 
+  /** Returns when another runner may have loaded the model, in monotonic milliseconds. */
+  private long expectedReplicaAt(long now) {
+    if (terms.prompt().isEmpty()) {
+      return Long.MAX_VALUE;
+    }
+    long readyAt =
+        context
+            .presence()
+            .expectedAt(terms.prompt().get().model(), now)
+            .orElse(arrivedAt + PLANNING_MILLISECONDS);
+    return readyAt > now ? readyAt : Long.MAX_VALUE;
+  }
+
   @Override
   public Optional<String> permitKey() {
     return permitKey;
@@ -294,26 +308,42 @@
   }
 
   private void sendOrWait(RunnerSelector.Selection.Found found, long now) {
-    SendPolicy.Decision decision =
-        terms.prompt().isEmpty()
-            ? SendPolicy.Decision.SEND
-            : context
-                .sending()
-                .decide(
-                    found.candidate(),
-                    new SendPolicy.Timing(
-                        route.objectiveMilliseconds(),
-                        Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
-                        startBy - now));
+    SendPolicy.Decision decision = decide(found, now);
+    Optional<RunnerSelector.Selection.Found> alternative =
+        found
+            .limitedAlternative()
+            .filter(limited -> decision != SendPolicy.Decision.SEND)
+            .filter(limited -> decide(limited, now) == SendPolicy.Decision.SEND);
+    if (alternative.isPresent()) {
+      sendWithPermit(alternative.get());
+      return;
+    }
     switch (decision) {
-      case SEND ->
-          context.permits().acquire(found.runner(), granted -> permitDecided(found, granted));
+      case SEND -> sendWithPermit(found);
       case WAIT -> startWaiting();
       case REFUSE -> perform(state.notChosen(RefusalReason.OVERLOADED));
       default -> throw new IllegalStateException("unknown decision " + decision);
     }
   }
 
+  private SendPolicy.Decision decide(RunnerSelector.Selection.Found found, long now) {
+    if (terms.prompt().isEmpty()) {
+      return SendPolicy.Decision.SEND;
+    }
+    return context
+        .sending()
+        .decide(
+            found.candidate(),
+            new SendPolicy.Timing(
+                route.objectiveMilliseconds(),
+                Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
+                startBy - now));
+  }
+
+  private void sendWithPermit(RunnerSelector.Selection.Found found) {
+    context.permits().acquire(found.runner(), granted -> permitDecided(found, granted));
+  }
+
   private void permitDecided(RunnerSelector.Selection.Found found, boolean granted) {
     if (state.isOver()) {
       return;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerPermits.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerPermits.java
@@ -45,6 +45,9 @@
   private static final double BURST_SECONDS = 0.25;
   // A runner that accepts nothing is still asked now and then whether its limit has ended.
   private static final double MINIMUM_PER_SECOND = 0.1;
+  // The part of the permits that requests use which other runners could serve.
+  private static final double CONFIRMATION_SHARE = 0.25;
+  private static final double MILLISECONDS_PER_SECOND = 1_000;
 
   private final LongSupplier clock;
   private final Fleet fleet;
@@ -55,6 +58,7 @@
   private final QuotaBuckets buckets = new QuotaBuckets();
   private final Map<String, PermitQueue> queues = new HashMap<>(); // By runner identifier.
   private final Map<String, Exhaustion> exhaustions = new HashMap<>(); // By runner identifier.
+  private final Map<String, Long> grantedAt = new HashMap<>(); // By runner identifier.
   private final Set<String> unsupportingInstances = new HashSet<>();
   private List<Instance> answering = List.of();
   private List<Instance> eligible = List.of();
@@ -113,7 +117,7 @@
    * after {@link #exhaustedUntil}.
    */
   void acquire(RunnerEntry runner, Consumer<Boolean> onDecision) {
-    if (limits.requestsPerSecond(runner).isEmpty()) {
+    if (!isLimited(runner)) {
       onDecision.accept(true);
       return;
     }
@@ -126,9 +130,30 @@
     requestPermits(runner);
   }
 
+  /** Returns whether requests to a runner need a permit. */
+  boolean isLimited(RunnerEntry runner) {
+    return limits.requestsPerSecond(runner).isPresent();
+  }
+
+  /**
+   * Returns whether requests that another runner can serve should leave the permits of a runner to
+   * those that cannot. From time to time it returns false for a limited runner too, as only the
+   * response to a request shows that a limit has ended.
+   */
+  boolean shouldSpare(RunnerEntry runner, long now) {
+    OptionalDouble limit = limits.requestsPerSecond(runner);
+    if (limit.isEmpty()) {
+      return false;
+    }
+    double perSecond = CONFIRMATION_SHARE * Math.max(MINIMUM_PER_SECOND, limit.getAsDouble());
+    double intervalMilliseconds = MILLISECONDS_PER_SECOND * fleet.answering().size() / perSecond;
+    Long last = grantedAt.get(runner.id());
+    return last != null && now - last < intervalMilliseconds;
+  }
+
   /** Records a call to a runner that was sent without a permit but counts against its limit. */
   void sentWithoutPermit(RunnerEntry runner) {
-    if (limits.requestsPerSecond(runner).isEmpty()) {
+    if (!isLimited(runner)) {
       return;
     }
     queue(runner).used++;
@@ -188,6 +213,7 @@
     limits.runnerGone(runner);
     buckets.forget(runner);
     exhaustions.remove(runner);
+    grantedAt.remove(runner);
     queues.computeIfPresent(runner, (id, queue) -> queue.requestOpen ? queue : null);
   }
 
@@ -253,6 +279,9 @@
           new Exhaustion(
               runner.startTimeMilliseconds(), limit.getAsDouble(), clock.getAsLong() + wait));
     }
+    if (answer.granted() > 0) {
+      grantedAt.put(runner.id(), clock.getAsLong());
+    }
     queue.requestOpen = false;
     for (int index = 0; index < decided.size(); index++) {
       decided.get(index).accept(index < answer.granted());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.agatefield.forwarding.GenerationParameters;
 import org.agatefield.forwarding.RunnerCandidate;
 import org.agatefield.forwarding.RunnerCandidate.Distance;
@@ -40,8 +41,14 @@
 
   /** The result of a selection. */
   sealed interface Selection {
-    /** A runner was selected. Immutable. */
-    record Found(RunnerEntry runner, RunnerCandidate candidate) implements Selection {}
+    /**
+     * A runner was selected. Immutable.
+     *
+     * @param limitedAlternative a runner with a limit, if one is suitable and the selected runner
+     *     has none; its permits are kept for requests that no other runner can start in time
+     */
+    record Found(RunnerEntry runner, RunnerCandidate candidate, Optional<Found> limitedAlternative)
+        implements Selection {}
 
     /** Only runners that this request has already tried are left. */
     record OnlyTried() implements Selection {}
@@ -115,10 +122,30 @@
     if (untried.isEmpty()) {
       return new Selection.OnlyTried();
     }
-    List<RunnerCandidate> candidates = new ArrayList<>(untried.size());
-    untried.forEach(entry -> candidates.add(candidate(entry, prompt, now)));
-    RunnerCandidate chosen = choice.choose(candidates).orElseThrow();
-    return new Selection.Found(directory.entry(chosen.id()).orElseThrow(), chosen);
+    // Requests of a plain service can go to any of its runners, so no permits are spared for
+    // others.
+    Map<Boolean, List<RunnerEntry>> spared =
+        untried.stream()
+            .collect(
+                Collectors.partitioningBy(
+                    entry -> prompt.isPresent() && permits.shouldSpare(entry, now)));
+    Optional<Selection.Found> limited = choose(spared.get(true), Optional.empty(), prompt, now);
+    return choose(spared.get(false), limited, prompt, now).or(() -> limited).orElseThrow();
+  }
+
+  private Optional<Selection.Found> choose(
+      List<RunnerEntry> entries,
+      Optional<Selection.Found> limitedAlternative,
+      Optional<GenerationParameters> prompt,
+      long now) {
+    List<RunnerCandidate> candidates = new ArrayList<>(entries.size());
+    entries.forEach(entry -> candidates.add(candidate(entry, prompt, now)));
+    return choice
+        .choose(candidates)
+        .map(
+            chosen ->
+                new Selection.Found(
+                    directory.entry(chosen.id()).orElseThrow(), chosen, limitedAlternative));
   }
 
   /** Returns when a runner accepts a request of this instance, in monotonic milliseconds. */
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerPermitsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerPermitsTest.java
@@ -443,6 +443,24 @@
     assertEquals(0, arrivals.size());
   }
 
+  @Test
+  void limitedRunnerIsSparedExceptToNoticeTheEndOfItsLimit() {
+    startFleet(4, 2);
+    Member member = members.get("i-0-0");
+    assertFalse(member.permits.shouldSpare(RUNNER, now));
+    member.sendRequest();
+    runUntil(1_000);
+    member.sendRequest(); // The holder's bucket is still empty.
+    runUntil(2_000);
+    member.sendRequest();
+    runUntil(2_100);
+    assertEquals(2, arrivals.size());
+    assertTrue(member.permits.shouldSpare(RUNNER, now));
+    // A quarter of 2 requests per second, shared by 4 instances.
+    assertTrue(member.permits.shouldSpare(RUNNER, 9_900));
+    assertFalse(member.permits.shouldSpare(RUNNER, 10_100));
+  }
+
   @Test
   void responseToEarlierRequestDoesNotEndLimit() {
     startFleet(1, 2);
