Planner: limited runners keep and load models whose requests fit their limit

Cause: the planner ordered no loads from limited runners, so that with some of the runners limited the models no longer fitted the memory of the others.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -46,8 +46,8 @@
   // Ratio of concurrent loads to loads per second of the weight stores in the data sheets.
   private static final double CONCURRENT_LOADS_PER_RATE = 3;
   private static final long STATE_LOG_MILLISECONDS = 1_000;
-  // A load takes two orders, which are a small part of this limit during the time of a load.
-  private static final double MINIMUM_LIMIT_FOR_LOADS_PER_SECOND = 4;
+  // A load takes two orders, which count against the limit like requests.
+  private static final double MINIMUM_LIMIT_FOR_LOADS_PER_SECOND = 0.5;
   private static final int RUNNERS_PER_SECOND_OF_LOG = 20; // Large fleets are logged less often.
   // Limit of the smaller weight store according to its data sheet.
   private static final int CONCURRENT_ADAPTER_LOADS = 24;
@@ -327,22 +327,25 @@
     double adapters = pool.adapterSlots() * largestAdapter(pool);
     OptionalDouble limit = limits.requestsPerSecond(entry);
     Set<String> held = engine.possiblyHeld();
+    Set<String> counted = held;
     if (limit.isPresent()) {
-      held =
+      counted =
           LimitedReplicas.countedModels(
               held, modelsOfUnlimitedRunners(entry.service()), limit.getAsDouble(), demands);
     }
-    boolean leavesPermitsForOrders =
-        limit.isEmpty() || limit.getAsDouble() >= MINIMUM_LIMIT_FOR_LOADS_PER_SECOND;
     return new EngineView(
         entry.id(),
         entry.failureDomain(),
         pool.weightsMegabytes(),
         adapters,
         held,
+        counted,
+        limit,
         engine.inHostMemory(),
         engine.onDisk(),
-        engine.isReady() && !entry.draining() && leavesPermitsForOrders);
+        engine.isReady()
+            && !entry.draining()
+            && limit.orElse(Double.MAX_VALUE) >= MINIMUM_LIMIT_FOR_LOADS_PER_SECOND);
   }
 
   private Set<String> modelsOfUnlimitedRunners(String service) {
--- a/placement/src/main/java/org/agatefield/placement/LimitedReplicas.java
+++ b/placement/src/main/java/org/agatefield/placement/LimitedReplicas.java
@@ -34,10 +34,10 @@
       Set<String> heldElsewhere,
       double requestsPerSecond,
       Map<String, DemandTracker.Demand> demands) {
-    double usable = USABLE_LIMIT_SHARE * requestsPerSecond;
-    if (held.stream().mapToDouble(model -> rate(model, demands)).sum() <= usable) {
+    if (fits(held, requestsPerSecond, demands)) {
       return Set.copyOf(held);
     }
+    double usable = USABLE_LIMIT_SHARE * requestsPerSecond;
     List<String> leastRequestedFirst = new ArrayList<>(held);
     leastRequestedFirst.removeIf(heldElsewhere::contains);
     leastRequestedFirst.sort(Comparator.comparingDouble(model -> rate(model, demands)));
@@ -52,6 +52,13 @@
     return counted;
   }
 
+  /** Returns whether the requests for the models fit a runner's limit. */
+  static boolean fits(
+      Set<String> models, double requestsPerSecond, Map<String, DemandTracker.Demand> demands) {
+    double demand = models.stream().mapToDouble(model -> rate(model, demands)).sum();
+    return demand <= USABLE_LIMIT_SHARE * requestsPerSecond;
+  }
+
   private static double rate(String model, Map<String, DemandTracker.Demand> demands) {
     return demands.getOrDefault(model, DemandTracker.Demand.NONE).requestsPerSecond();
   }
--- a/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
+++ b/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /**
@@ -64,7 +65,7 @@
     models.forEach(model -> sizes.put(model.name(), model));
     for (int index = 0; index < engines.size(); index++) {
       held.add(new HashSet<>(engines.get(index).held()));
-      for (String model : engines.get(index).held()) {
+      for (String model : engines.get(index).counted()) {
         holders.computeIfAbsent(model, ignored -> new ArrayList<>()).add(index);
       }
     }
@@ -127,11 +128,30 @@
   }
 
   private boolean mayLoad(ModelProfile model, int index, int storeLoads) {
+    if (!fitsLimit(model.name(), index)) {
+      return false;
+    }
     boolean served = !holders.getOrDefault(model.name(), List.of()).isEmpty();
     int reservedStoreLoads = served ? RESERVED_STORE_LOADS : 0;
     return !model.loadsFromStore(engines.get(index)) || storeLoads > reservedStoreLoads;
   }
 
+  /** Returns whether an engine with a request limit could serve the model besides its others. */
+  private boolean fitsLimit(String model, int index) {
+    OptionalDouble limit = engines.get(index).requestsPerSecond();
+    if (limit.isEmpty()) {
+      return true;
+    }
+    Set<String> models = new HashSet<>(held.get(index));
+    models.removeIf(each -> !countsAsHolder(each, index));
+    models.add(model);
+    return LimitedReplicas.fits(models, limit.getAsDouble(), demands);
+  }
+
+  private boolean countsAsHolder(String model, int index) {
+    return holders.getOrDefault(model, List.of()).contains(index);
+  }
+
   /** The number of replicas that share a model's load, and the load of their engines. */
   private record Replicas(int count, double level) {}
 
@@ -207,7 +227,7 @@
     double free = engine.capacityMegabytes() - engine.reservedMegabytes() - heldMegabytes(index);
     List<String> removable =
         held.get(index).stream()
-            .filter(each -> isEvictable(each))
+            .filter(each -> isEvictable(each, index))
             .sorted(Comparator.comparingDouble(each -> evictionCost(each, engine.id())))
             .toList();
     List<String> victims = new ArrayList<>();
@@ -225,13 +245,14 @@
    * Returns whether a replica may be unloaded. An idle model may lose its last replica, as it can
    * be loaded from disk again before the deadline of a request.
    */
-  private boolean isEvictable(String model) {
+  private boolean isEvictable(String model, int index) {
     DemandTracker.Demand demand = demandFor(model);
     boolean idle =
         demand.waiting() == 0
             && demand.running() == 0
             && demand.idleMilliseconds() >= MINIMUM_IDLE_MILLISECONDS;
-    return idle || holders.getOrDefault(model, List.of()).size() > 1;
+    int replicas = holders.getOrDefault(model, List.of()).size();
+    return idle || replicas > (countsAsHolder(model, index) ? 1 : 0);
   }
 
   private int runsAt(String model, String engine) {
