Pass over instances of earlier builds as permit holders: unwrap the peer's refusal

Change: ForwardingPeers.request fails with the failure itself. ForwardingPeersTest.requestThatPeerDoesNotSupportFailsWithRefusal failed before.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -194,7 +194,8 @@
   }
 
   /**
-   * Sends a request; the future completes on the daemon's event loop.
+   * Sends a request; the future completes on the daemon's event loop, with a {@link
+   * org.agatefield.peer.PeerRefusalException} if the instance does not support the request.
    *
    * @param limitMilliseconds the response timeout
    */
@@ -217,7 +218,7 @@
                     run -> {
                       limit.cancel(false);
                       if (failure != null) {
-                        answered.completeExceptionally(failure);
+                        answered.completeExceptionally(AgatefieldException.from(failure));
                       } else {
                         answered.complete(answer);
                       }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/ForwardingPeersTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/ForwardingPeersTest.java
@@ -2,6 +2,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
@@ -14,11 +15,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
 import org.agatefield.model.Address;
 import org.agatefield.model.FailureDomain;
 import org.agatefield.model.Instance;
 import org.agatefield.model.InstanceState;
 import org.agatefield.peer.PeerMessage;
+import org.agatefield.peer.PeerRefusalException;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -34,6 +37,7 @@
   private final class Member implements ForwardingPeers.Listener {
     private final List<PeerMessage> receivedMessages = new CopyOnWriteArrayList<>();
     private final ForwardingPeers peers;
+    private volatile boolean refusesRequests;
 
     Member(String id, String domain, List<Address> seeds) throws IOException {
       Address address = unusedAddress();
@@ -57,6 +61,9 @@
 
     @Override
     public CompletableFuture<PeerMessage> requested(PeerMessage request) {
+      if (refusesRequests) {
+        return CompletableFuture.failedFuture(new IllegalArgumentException("not supported"));
+      }
       return CompletableFuture.completedFuture(request);
     }
   }
@@ -73,6 +80,23 @@
     vertx.close().toCompletionStage().toCompletableFuture().join();
   }
 
+  @Test
+  void requestThatPeerDoesNotSupportFailsWithRefusal() throws IOException {
+    Member sender = new Member("sender", "small", List.of());
+    members.add(sender);
+    Member receiver = new Member("receiver", "small", List.of(sender.peers.self().peerAddress()));
+    members.add(receiver);
+    receiver.refusesRequests = true;
+    await().atMost(TIMEOUT).until(() -> sender.peers.answering().size() == 2);
+    CompletableFuture<PeerMessage> answer =
+        sender.peers.request(
+            receiver.peers.self(), new PeerMessage.SnapshotRequest(0), TIMEOUT.toMillis());
+    AtomicReference<Throwable> failure = new AtomicReference<>();
+    answer.whenComplete((message, cause) -> failure.set(cause));
+    await().atMost(TIMEOUT).until(answer::isDone);
+    assertInstanceOf(PeerRefusalException.class, failure.get());
+  }
+
   @Test
   void broadcastReachesEachInstanceOfLargeFailureDomainOnceThroughItsRelay() throws IOException {
     Member sender = new Member("sender", "small", List.of());
