HttpEngineClientTest: ask for the body of a response before it has ended

Now it is attached in the callback that delivers the response, and every harness call ends after 30 s.

--- a/engine/src/test/java/org/agatefield/engine/HttpEngineClientTest.java
+++ b/engine/src/test/java/org/agatefield/engine/HttpEngineClientTest.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
 import java.time.Duration;
@@ -18,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
 import org.agatefield.model.Address;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.LoadReport;
@@ -31,6 +33,8 @@
 
 /** Requirement REQ-WHOLE-ANSWER: tests the HTTP client against a simulated engine. */
 class HttpEngineClientTest {
+  private static final long HARNESS_TIMEOUT_SECONDS = 30;
+
   private static final Duration TIMEOUT = Duration.ofSeconds(30);
   private static final EngineClientOptions OPTIONS =
       new EngineClientOptions(
@@ -241,8 +245,8 @@
     return join(
         harnessClient
             .request(method, engine.port(), engine.host(), path)
-            .compose(request -> request.send(body))
-            .compose(response -> response.body()));
+            // The body must be requested before the response has ended, or it never arrives.
+            .compose(request -> request.send(body).compose(HttpClientResponse::body)));
   }
 
   private static AgatefieldException failure(Runnable action) {
@@ -255,6 +259,10 @@
   }
 
   private static <T> T join(Future<T> future) {
-    return future.toCompletionStage().toCompletableFuture().join();
+    return future
+        .toCompletionStage()
+        .toCompletableFuture()
+        .orTimeout(HARNESS_TIMEOUT_SECONDS, TimeUnit.SECONDS)
+        .join();
   }
 }
