Permits: no tight loop while a holder is unreachable, and a positive rate at a limit of 0

Found by reading: the report of an order to a limited runner was sent again at once after each failure, 101 times in 100 ms with a holder that refuses connections; with a limit of 0 the expected time of a permit was 0/0 or overflowed, so that requests waited to the end of their time instead of being refused. Two tests in RunnerPermitsTest failed before (101 requests, rate not positive) and pass.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerPermits.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerPermits.java
@@ -145,7 +145,7 @@
     if (limit.isEmpty()) {
       return false;
     }
-    double perSecond = CONFIRMATION_SHARE * Math.max(MINIMUM_PER_SECOND, limit.getAsDouble());
+    double perSecond = CONFIRMATION_SHARE * effectivePerSecond(limit.getAsDouble());
     double intervalMilliseconds = MILLISECONDS_PER_SECOND * fleet.answering().size() / perSecond;
     Long last = grantedAt.get(runner.id());
     return last != null && now - last < intervalMilliseconds;
@@ -180,7 +180,8 @@
    * request them.
    */
   double expectedPerSecond(RunnerEntry runner) {
-    return limits.requestsPerSecond(runner).orElse(0) / Math.max(1, fleet.answering().size());
+    double perSecond = effectivePerSecond(limits.requestsPerSecond(runner).orElse(0));
+    return perSecond / Math.max(1, fleet.answering().size());
   }
 
   /** Answers a permit request of another instance. */
@@ -286,7 +287,9 @@
     for (int index = 0; index < decided.size(); index++) {
       decided.get(index).accept(index < answer.granted());
     }
-    if (!queue.waiting.isEmpty() || queue.used > 0) {
+    // Calls whose report failed are reported with the next request.
+    boolean callsToReport = answer.responsible() && queue.used > 0;
+    if (!queue.waiting.isEmpty() || callsToReport) {
       requestPermits(runner);
     }
   }
@@ -299,8 +302,7 @@
     }
     buckets.removeUnused(id -> runners.entry(id).filter(this::isHolder).isPresent(), now);
     double visibleShare = (double) fleet.answering().size() / fleetSize.recentMaximum(now);
-    double perSecond =
-        Math.max(MINIMUM_PER_SECOND, limit.getAsDouble()) * Math.min(1, visibleShare);
+    double perSecond = effectivePerSecond(limit.getAsDouble()) * Math.min(1, visibleShare);
     TokenRate rate = new TokenRate(perSecond, BURST_PERMITS + BURST_SECONDS * perSecond);
     QuotaBucket bucket = buckets.bucket(runner.id(), rate, now);
     bucket.charge(used, now);
@@ -312,6 +314,10 @@
     return new PeerMessage.PermitAnswer(granted, wait, true);
   }
 
+  private static double effectivePerSecond(double limit) {
+    return Math.max(MINIMUM_PER_SECOND, limit);
+  }
+
   private boolean isHolder(RunnerEntry runner) {
     return holder(runner).filter(holder -> holder.id().equals(fleet.self().id())).isPresent();
   }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerPermitsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerPermitsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -85,6 +86,8 @@
     private List<Instance> answering = List.of();
     private boolean running = true;
     private boolean isolated;
+    private boolean failsImmediately;
+    private int requestCount;
     private long toldAt = Long.MAX_VALUE;
 
     Member(Instance self, boolean supportsPermits) {
@@ -128,7 +131,12 @@
 
     @Override
     public CompletableFuture<PeerMessage> request(Instance to, PeerMessage message, long limit) {
+      requestCount++;
       CompletableFuture<PeerMessage> answered = new CompletableFuture<>();
+      if (failsImmediately) {
+        schedule(1, () -> answered.completeExceptionally(new ConnectException("refused")));
+        return answered;
+      }
       schedule(limit, () -> answered.completeExceptionally(new TimeoutException("no answer")));
       Member receiver = members.get(to.id());
       long latency = latency(self, to);
@@ -443,6 +451,31 @@
     assertEquals(0, arrivals.size());
   }
 
+  @Test
+  void reportOfSentCallsIsNotRepeatedAtOnceWhileHolderIsUnreachable() {
+    startFleet(6, 5);
+    traffic(30, 5_000, new Random(11));
+    runUntil(5_000);
+    Member cut = members.get("i-1-0");
+    cut.isolated = true;
+    cut.failsImmediately = true;
+    runUntil(5_100);
+    final int before = cut.requestCount;
+    cut.permits.sentWithoutPermit(RUNNER);
+    runUntil(5_200);
+    assertEquals(1, cut.requestCount - before);
+  }
+
+  @Test
+  void expectedRateOfLimitOfZeroIsPositive() {
+    startFleet(4, 0);
+    Member member = members.get("i-0-0");
+    member.sendRequest();
+    runUntil(1_000);
+    assertTrue(member.permits.isLimited(RUNNER));
+    assertTrue(member.permits.expectedPerSecond(RUNNER) > 0);
+  }
+
   @Test
   void limitedRunnerIsSparedExceptToNoticeTheEndOfItsLimit() {
     startFleet(4, 2);
