--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerPermits.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerPermits.java
@@ -2,19 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.agatefield.admission.FleetSize;
-import org.agatefield.admission.QuotaBucket;
-import org.agatefield.admission.QuotaBuckets;
-import org.agatefield.admission.TokenRate;
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.model.Instance;
 import org.agatefield.peer.PeerMessage;
@@ -25,14 +20,10 @@
 /**
  * Distributes the request rates of limited runners among the instances.
  *
- * <p>One instance, the holder, grants the permits for a runner; it is chosen in the runner's region
- * by rendezvous hashing, so that instances with the same view agree on it. Limits can be far below
- * one request per second and instance, so shares per instance would be too small to use.
- * Invariants: a request is sent to a limited runner only with a permit; a holder's bucket starts
- * empty, and its rate is the limit times the share of the recent fleet that it sees, so that
- * neither a takeover nor a network partition exceeds the limit for long; an instance without an
- * answer of the holder sends nothing. Instances of earlier versions refuse permit requests and are
- * passed over as holders. Confined to one event loop.
+ * <p>One instance, the holder, grants the permits for a runner. Limits can be far below one request
+ * per second and instance, so equal shares would be too small to use. Invariants: a request is sent
+ * to a limited runner only with a permit; an instance without an answer of the holder sends
+ * nothing; at most one request for permits is open per runner. Confined to one event loop.
  */
 final class RunnerPermits {
   private static final Logger LOGGER = LogManager.getLogger(RunnerPermits.class);
@@ -40,29 +31,19 @@
   private static final long REQUEST_TIMEOUT_MILLISECONDS = 200;
   private static final long RETRY_MILLISECONDS = 150; // Within this time a new holder is noticed.
   private static final long MINIMUM_WAIT_MILLISECONDS = 20;
-  // A bucket has to exceed one permit by more than its rounding tolerance to grant it.
-  private static final double BURST_PERMITS = 1.25;
-  private static final double BURST_SECONDS = 0.25;
-  // A runner that accepts nothing is still asked now and then whether its limit has ended.
-  private static final double MINIMUM_PER_SECOND = 0.1;
   // The part of the permits that requests use which other runners could serve.
   private static final double CONFIRMATION_SHARE = 0.25;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
 
   private final LongSupplier clock;
   private final Fleet fleet;
-  private final FleetSize fleetSize;
   private final RunnerLimits limits;
   private final Runners runners;
-  private final RegionalHolders holders = new RegionalHolders();
-  private final QuotaBuckets buckets = new QuotaBuckets();
+  private final PermitHolders holders;
+  private final PermitIssuer issuer;
   private final Map<String, PermitQueue> queues = new HashMap<>(); // By runner identifier.
   private final Map<String, Exhaustion> exhaustions = new HashMap<>(); // By runner identifier.
   private final Map<String, Long> grantedAt = new HashMap<>(); // By runner identifier.
-  private final Set<String> unsupportingInstances = new HashSet<>();
-  private List<Instance> answering = List.of();
-  private List<Instance> eligible = List.of();
-  private boolean leaving;
 
   /** Provides the instances and the messaging that permits need. */
   interface Fleet {
@@ -106,9 +87,10 @@
       LongSupplier clock, Fleet fleet, FleetSize fleetSize, RunnerLimits limits, Runners runners) {
     this.clock = clock;
     this.fleet = fleet;
-    this.fleetSize = fleetSize;
     this.limits = limits;
     this.runners = runners;
+    this.holders = new PermitHolders(fleet, runners);
+    this.issuer = new PermitIssuer(clock, fleetSize, limits);
   }
 
   /**
@@ -145,7 +127,7 @@
     if (limit.isEmpty()) {
       return false;
     }
-    double perSecond = CONFIRMATION_SHARE * effectivePerSecond(limit.getAsDouble());
+    double perSecond = CONFIRMATION_SHARE * PermitIssuer.permitsPerSecond(limit.getAsDouble());
     double intervalMilliseconds = MILLISECONDS_PER_SECOND * fleet.answering().size() / perSecond;
     Long last = grantedAt.get(runner.id());
     return last != null && now - last < intervalMilliseconds;
@@ -180,7 +162,7 @@
    * request them.
    */
   double expectedPerSecond(RunnerEntry runner) {
-    double perSecond = effectivePerSecond(limits.requestsPerSecond(runner).orElse(0));
+    double perSecond = PermitIssuer.permitsPerSecond(limits.requestsPerSecond(runner).orElse(0));
     return perSecond / Math.max(1, fleet.answering().size());
   }
 
@@ -192,7 +174,7 @@
             .entry(request.limit().runner())
             .filter(
                 entry -> entry.startTimeMilliseconds() == request.limit().startTimeMilliseconds());
-    if (runner.isPresent() && isHolder(runner.get())) {
+    if (runner.isPresent() && holders.isSelf(runner.get())) {
       return grant(runner.get(), request.wanted(), request.used());
     }
     // The holder in this instance's view may be of a version without permits, as the requester
@@ -205,14 +187,13 @@
 
   /** Stops granting permits, because this instance is leaving. */
   void stopGranting() {
-    leaving = true;
-    updateEligible(fleet.answering());
+    holders.exclude(fleet.self().id());
   }
 
   /** Removes a runner whose entry was removed. */
   void runnerGone(String runner) {
     limits.runnerGone(runner);
-    buckets.forget(runner);
+    issuer.runnerGone(runner);
     exhaustions.remove(runner);
     grantedAt.remove(runner);
     queues.computeIfPresent(runner, (id, queue) -> queue.requestOpen ? queue : null);
@@ -232,7 +213,7 @@
     final int wanted = queue.waiting.size();
     final int used = queue.used;
     queue.used = 0;
-    Optional<Instance> holder = holder(runner);
+    Optional<Instance> holder = holders.holder(runner);
     if (holder.isEmpty() || holder.get().id().equals(fleet.self().id())) {
       // Without any eligible instance this one is the last that is left.
       decide(runner, wanted, grant(runner, wanted, used));
@@ -258,8 +239,7 @@
     queue(runner).used += used;
     LOGGER.info("runner={} permit holder={} failed=\"{}\"", runner.id(), holder.id(), failure);
     if (failure instanceof PeerRefusalException) {
-      unsupportingInstances.add(holder.id());
-      updateEligible(fleet.answering());
+      holders.exclude(holder.id());
       queue(runner).requestOpen = false;
       requestPermits(runner);
       return;
@@ -295,53 +275,7 @@
   }
 
   private PeerMessage.PermitAnswer grant(RunnerEntry runner, int wanted, int used) {
-    long now = clock.getAsLong();
-    OptionalDouble limit = limits.requestsPerSecond(runner);
-    if (limit.isEmpty()) {
-      return new PeerMessage.PermitAnswer(wanted, 0, true);
-    }
-    buckets.removeUnused(id -> runners.entry(id).filter(this::isHolder).isPresent(), now);
-    double visibleShare = (double) fleet.answering().size() / fleetSize.recentMaximum(now);
-    double perSecond = effectivePerSecond(limit.getAsDouble()) * Math.min(1, visibleShare);
-    TokenRate rate = new TokenRate(perSecond, BURST_PERMITS + BURST_SECONDS * perSecond);
-    QuotaBucket bucket = buckets.bucket(runner.id(), rate, now);
-    bucket.charge(used, now);
-    int granted = 0;
-    while (granted < wanted && bucket.tryTake(1, now)) {
-      granted++;
-    }
-    long wait = granted < wanted ? bucket.millisecondsUntil(1, now) : 0;
-    return new PeerMessage.PermitAnswer(granted, wait, true);
-  }
-
-  private static double effectivePerSecond(double limit) {
-    return Math.max(MINIMUM_PER_SECOND, limit);
-  }
-
-  private boolean isHolder(RunnerEntry runner) {
-    return holder(runner).filter(holder -> holder.id().equals(fleet.self().id())).isPresent();
-  }
-
-  /** Returns the holder for a runner, in the runner's region if any instance is there. */
-  private Optional<Instance> holder(RunnerEntry runner) {
-    List<Instance> current = fleet.answering();
-    if (current != answering) {
-      updateEligible(current);
-    }
-    String region = runners.region(runner).orElse("");
-    return holders
-        .holder(runner.id(), region)
-        .or(() -> holders.others(runner.id(), region).stream().findFirst());
-  }
-
-  private void updateEligible(List<Instance> current) {
-    answering = current;
-    unsupportingInstances.retainAll(current.stream().map(Instance::id).toList());
-    eligible =
-        current.stream()
-            .filter(instance -> !unsupportingInstances.contains(instance.id()))
-            .filter(instance -> !(leaving && instance.id().equals(fleet.self().id())))
-            .toList();
-    holders.update(eligible);
+    issuer.removeUnused(id -> runners.entry(id).filter(holders::isSelf).isPresent());
+    return issuer.grant(runner, wanted, used, fleet.answering().size());
   }
 }
