--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -43,7 +43,7 @@
   // The rest of the time is left for the response.
   private static final double QUOTA_TIME_SHARE = 0.4;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
-  private static final long MAXIMUM_RETRY_MILLISECONDS = 60_000; // A limit of 0 grants no permit.
+  private static final long MAXIMUM_RETRY_MILLISECONDS = 60_000; // Low limits give longer times.
   private static final int HIGHEST_PRIORITY = 0;
   private static final int LOWEST_PRIORITY = 9;
 
