Log what a runner had in hand when it crashed; count crashes

The logs could not tell a crash of a runner from a lost connection, nor which parts of prompts its requests had. A lost connection is now told apart by a connection that is refused, an entry that disappears or another process; one line a crash names the shared parts that were in hand without an answer, and agatefield.runners.crashes counts.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -23,6 +23,7 @@
  * @param table the configuration in force; empty until one is known
  * @param selector selects runners
  * @param availability the leaving and backoff announcements of runners
+ * @param crashes detects crashes of runners
  * @param limits the request rates to which runners limit all instances together
  * @param permits distributes the rates of limited runners among the instances
  * @param sending decides whether a request is sent, waits or is refused
@@ -48,6 +49,7 @@
     Supplier<Optional<ForwardingTable>> table,
     RunnerSelector selector,
     RunnerAvailability availability,
+    RunnerCrashDetector crashes,
     RunnerLimits limits,
     RunnerPermits permits,
     SendPolicy sending,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.forward;
 
+import com.codahale.metrics.Counter;
 import com.codahale.metrics.Gauge;
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Context;
@@ -9,6 +10,8 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpVersion;
 import io.vertx.core.http.PoolOptions;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -77,6 +80,7 @@
 
   private final Closer closer = new Closer();
   private final MetricRegistry metrics = new MetricRegistry();
+  private final Counter crashCount = metrics.counter("agatefield.runners.crashes");
   private final ForwardingSettings settings;
   private final PlatformDialect dialect;
   private final Vertx vertx;
@@ -274,6 +278,16 @@
             availability,
             permits,
             new EarliestStartChooser(random));
+    NetClient prober =
+        vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_MILLISECONDS));
+    closer.register(prober::close);
+    RunnerCrashDetector crashes =
+        new RunnerCrashDetector(
+            vertx,
+            new ConnectionProbe(prober),
+            MonotonicClock::milliseconds,
+            (runner, parts) -> crashCount.inc());
+    runners.listen(crashes);
     ingress =
         new IngressServer(
             new ForwardingContext(
@@ -286,6 +300,7 @@
                 configuration::table,
                 selector,
                 availability,
+                crashes,
                 limits,
                 permits,
                 new StartInTimePolicy(),
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -11,6 +11,7 @@
 import org.agatefield.daemon.forward.wire.RunnerDialect;
 import org.agatefield.forwarding.EventStreamSplitter;
 import org.agatefield.forwarding.ForwardedRequest;
+import org.agatefield.forwarding.GenerationParameters;
 import org.agatefield.forwarding.RequestAction;
 import org.agatefield.forwarding.RequestMetadata;
 import org.agatefield.forwarding.Route;
@@ -33,6 +34,9 @@
   // A fraction of the shortest stall timeout.
   private static final long STALL_CHECK_MILLISECONDS = 100;
 
+  // A runner that crashes on a prompt does so within a few engine steps of its first event.
+  private static final long SURVIVAL_MILLISECONDS = 250;
+
   private final ForwardingContext context;
   private final Route route;
   private final String service;
@@ -51,6 +55,7 @@
   private byte[] event;
   private long lastActivity = sentAt;
   private boolean began;
+  private long beganAt;
   private boolean released;
   private long stallTimer = -1;
 
@@ -188,17 +193,32 @@
     followUp.accept(state.rejected(attemptNumber));
   }
 
+  @Override
+  public void disconnected(String cause) {
+    terms
+        .prompt()
+        .filter(prompt -> !outlivedStart())
+        .ifPresent(prompt -> context.crashes().disconnected(runner, prompt.sharedParts()));
+    failed("broken off: " + cause, Optional.empty());
+  }
+
+  /** Returns whether the runner continued to run for a while after it had begun its response. */
+  private boolean outlivedStart() {
+    return began && MonotonicClock.milliseconds() - beganAt >= SURVIVAL_MILLISECONDS;
+  }
+
   @Override
   public void failed(String cause, Optional<UpstreamResponse> failure) {
     release();
     context.selector().failed(runner.id());
     LOGGER.info(
-        "request={} attempt={} runner={} failed=\"{}\" began={}",
+        "request={} attempt={} runner={} failed=\"{}\" began={} parts={}",
         terms.id(),
         attemptNumber,
         runner.id(),
         cause,
-        began);
+        began,
+        terms.prompt().map(GenerationParameters::sharedParts).orElse(List.of()));
     failure.ifPresent(response -> completeResponse = response);
     followUp.accept(state.failed(attemptNumber, failure.isPresent()));
   }
@@ -237,7 +257,8 @@
       return;
     }
     began = true;
-    long milliseconds = MonotonicClock.milliseconds() - sentAt;
+    beganAt = MonotonicClock.milliseconds();
+    long milliseconds = beganAt - sentAt;
     context.loads().prefillEnded(runner.id(), uncachedTokens);
     context.selector().responseStarted(runner.id(), milliseconds);
     if (terms.prompt().isPresent()) {
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
@@ -0,0 +1,148 @@
+package org.agatefield.daemon.forward;
+
+import io.vertx.core.Vertx;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BiConsumer;
+import java.util.function.LongSupplier;
+import org.agatefield.forwarding.RunnerEntry;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Distinguishes crashes of runners from the loss of single connections.
+ *
+ * <p>A runner has crashed if a connection to it was lost and it then refuses connections, its entry
+ * disappears, or another process takes its place. Runners that are leaving do not crash. Invariant:
+ * each crash is reported with the shared prompt parts of all requests that were lost with it before
+ * their responses had begun; requests whose loss is noticed later are reported separately with the
+ * same runner. Confined to one event loop.
+ */
+final class RunnerCrashDetector implements RunnerDirectory.Listener {
+  private static final Logger LOGGER = LogManager.getLogger(RunnerCrashDetector.class);
+  // The connections of a process are closed within milliseconds of each other.
+  private static final long COLLECTION_MILLISECONDS = 20;
+  // Entries of crashed runners disappear after three missed heartbeats.
+  private static final long RETENTION_MILLISECONDS = 10_000;
+
+  private final Vertx vertx;
+  private final ConnectionProbe probe;
+  private final LongSupplier clock;
+  private final BiConsumer<RunnerEntry, Set<String>> onCrash;
+  private final Map<String, Loss> losses = new HashMap<>(); // By runner identifier.
+
+  /** The connections that one process of a runner has lost. */
+  private static final class Loss {
+    private final RunnerEntry runner;
+    private final long at;
+    private final Set<String> parts = new HashSet<>();
+    private int requests;
+    private boolean crashed;
+    private boolean reporting;
+
+    Loss(RunnerEntry runner, long at) {
+      this.runner = runner;
+      this.at = at;
+    }
+  }
+
+  /**
+   * Creates a detector.
+   *
+   * @param clock returns monotonic milliseconds
+   * @param onCrash receives the crashed runner and the shared parts of the prompts lost with it
+   */
+  RunnerCrashDetector(
+      Vertx vertx,
+      ConnectionProbe probe,
+      LongSupplier clock,
+      BiConsumer<RunnerEntry, Set<String>> onCrash) {
+    this.vertx = vertx;
+    this.probe = probe;
+    this.clock = clock;
+    this.onCrash = onCrash;
+  }
+
+  /** Records that a request was lost with its connection before its response had begun. */
+  void disconnected(RunnerEntry runner, Collection<String> parts) {
+    if (runner.draining()) {
+      return;
+    }
+    long now = clock.getAsLong();
+    losses.values().removeIf(loss -> now - loss.at > RETENTION_MILLISECONDS);
+    Loss loss = losses.get(runner.id());
+    if (loss == null || loss.runner.startTimeMilliseconds() != runner.startTimeMilliseconds()) {
+      loss = new Loss(runner, now);
+      losses.put(runner.id(), loss);
+    }
+    loss.parts.addAll(parts);
+    loss.requests++;
+    if (!loss.reporting) {
+      loss.reporting = true;
+      Loss reported = loss;
+      vertx.setTimer(COLLECTION_MILLISECONDS, fired -> examine(reported));
+    }
+  }
+
+  @Override
+  public void runnerChanged(RunnerEntry entry, boolean newProcess) {
+    Loss loss = losses.get(entry.id());
+    if (newProcess
+        && loss != null
+        && loss.runner.startTimeMilliseconds() != entry.startTimeMilliseconds()) {
+      confirm(loss, "another process");
+    }
+  }
+
+  @Override
+  public void runnerGone(String id) {
+    Loss loss = losses.get(id);
+    if (loss != null) {
+      confirm(loss, "entry gone");
+    }
+  }
+
+  private void examine(Loss loss) {
+    if (loss.crashed) {
+      report(loss, "later loss");
+      return;
+    }
+    probe
+        .probe(loss.runner.address())
+        .onSuccess(
+            result -> {
+              loss.reporting = false;
+              if (result == ConnectionProbe.Result.REFUSED) {
+                confirm(loss, "connection refused");
+              } else {
+                LOGGER.info(
+                    "runner={} lost_requests={} crashed=unknown probe={}",
+                    loss.runner.id(),
+                    loss.requests,
+                    result);
+              }
+            });
+  }
+
+  private void confirm(Loss loss, String evidence) {
+    if (!loss.crashed) {
+      loss.crashed = true;
+      report(loss, evidence);
+    }
+  }
+
+  private void report(Loss loss, String evidence) {
+    loss.reporting = false;
+    LOGGER.info(
+        "runner={} born={} crashed=true evidence=\"{}\" lost_requests={} parts={}",
+        loss.runner.id(),
+        loss.runner.startTimeMilliseconds(),
+        evidence,
+        loss.requests,
+        loss.parts);
+    onCrash.accept(loss.runner, Set.copyOf(loss.parts));
+  }
+}
--- a/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
@@ -6,6 +6,7 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpClosedException;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
 import java.io.IOException;
@@ -21,10 +22,11 @@
  * Performs one attempt of a request at one runner, on a dedicated connection.
  *
  * <p>Invariants: exactly one of {@link Listener#withdrawn}, {@link Listener#connectFailed}, {@link
- * Listener#rejected}, {@link Listener#failed}, {@link Listener#responseReceived} and {@link
- * Listener#streamEnded} is called, unless the call is cancelled first; nothing is called after that
- * or after {@link #cancel()}. After the connection opens, sockets are read once more before the
- * request is sent, so that a disconnect of the caller is noticed. Confined to one event loop.
+ * Listener#rejected}, {@link Listener#failed}, {@link Listener#disconnected}, {@link
+ * Listener#responseReceived} and {@link Listener#streamEnded} is called, unless the call is
+ * cancelled first; nothing is called after that or after {@link #cancel()}. After the connection
+ * opens, sockets are read once more before the request is sent, so that a disconnect of the caller
+ * is noticed. Confined to one event loop.
  */
 final class UpstreamCall {
   private static final String EVENT_STREAM = "text/event-stream";
@@ -70,6 +72,12 @@
     /** Called when the request may have run; the response is present if it can be forwarded. */
     void failed(String cause, Optional<UpstreamResponse> response);
 
+    /**
+     * Called when the connection was closed or reset before the response was complete; the request
+     * may have run.
+     */
+    void disconnected(String cause);
+
     /** Called with a complete successful response. */
     void responseReceived(UpstreamResponse response);
 
@@ -222,14 +230,14 @@
   private void countInterimResponse() {
     interimResponses++;
     if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
-      abort(new IOException("too many interim responses"));
+      abort(new IllegalStateException("too many interim responses"));
     }
   }
 
   /** Fails the call if its response exceeds the available memory. */
   private void checkMemory(int bytes) {
     if (!finished && !memory.reserve(bytes)) {
-      abort(new IOException("response too large"));
+      abort(new IllegalStateException("response too large"));
     }
   }
 
@@ -248,7 +256,7 @@
     if (!stream) {
       listener.responseReceived(head);
     } else if (splitter.remainingBytes() > 0) {
-      listener.failed("stream ended within an event", Optional.empty());
+      listener.disconnected("stream ended within an event");
     } else {
       listener.streamEnded(head);
     }
@@ -259,7 +267,11 @@
       return;
     }
     request.reset();
-    listener.failed("broken off: " + cause.getMessage(), Optional.empty());
+    if (cause instanceof IOException || cause instanceof HttpClosedException) {
+      listener.disconnected(String.valueOf(cause.getMessage()));
+    } else {
+      listener.failed("broken off: " + cause.getMessage(), Optional.empty());
+    }
   }
 
   private boolean end() {
--- a/forwarding/src/main/java/org/agatefield/forwarding/GenerationParameters.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/GenerationParameters.java
@@ -23,6 +23,11 @@
     parts = List.copyOf(parts);
   }
 
+  /** Returns the identifiers of the parts that other requests may have too: all but the last. */
+  public List<String> sharedParts() {
+    return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
+  }
+
   /**
    * A part of a prompt. Immutable.
    *
