Quarantine parts of prompts that crash runners

Cause: nothing remembered what a runner had in hand when it ended; each instance saw only its own requests, and a broken request went on at the next runner with the part. Ruled out: load, models and orders (ends spread over models, orders unrelated), and repeats as the cause (they add ends, but distinct requests make most). Fix: instances share what was in hand at each crash (CrashEvidence) and which parts runners survived; CrashAttribution, a pure function of these facts, separates the culprit; it is quarantined at all instances and in the store, requests in hand with it are ended, new ones are refused as not run with the end of the quarantine as Retry-After. It ends when a runner survives the part, or after ten minutes.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -24,6 +24,7 @@
  * @param selector selects runners
  * @param availability the leaving and backoff announcements of runners
  * @param crashes detects crashes of runners
+ * @param quarantine keeps prompts that crash runners away from them
  * @param limits the request rates to which runners limit all instances together
  * @param permits distributes the rates of limited runners among the instances
  * @param sending decides whether a request is sent, waits or is refused
@@ -50,6 +51,7 @@
     RunnerSelector selector,
     RunnerAvailability availability,
     RunnerCrashDetector crashes,
+    PromptQuarantine quarantine,
     RunnerLimits limits,
     RunnerPermits permits,
     SendPolicy sending,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -103,6 +103,7 @@
   private RunnerAvailability availability;
   private RunnerLimits limits;
   private RunnerPermits permits;
+  private PromptQuarantine quarantine;
   private FleetSize fleetSize;
   private RegionalQuotaPolicy quotas;
   private ModelPlanner planner;
@@ -206,6 +207,15 @@
     HttpObjectStore store =
         closer.register(
             new HttpObjectStore(vertx, settings.store(), STORE_TIMEOUT, dialect.store()));
+    quarantine =
+        new PromptQuarantine(
+            MonotonicClock::milliseconds,
+            (delay, task) -> vertx.setTimer(Math.max(1, delay), fired -> task.run()),
+            peers,
+            new QuarantineRecords(
+                store, System::currentTimeMillis, task -> context.runOnContext(run -> task.run())),
+            random::nextInt,
+            part -> List.copyOf(exchanges).forEach(RequestExchange::promptQuarantined));
     createWatches(store);
     startForwarding(random);
     startPlanner(store, peers.self().id());
@@ -221,7 +231,8 @@
             availability,
             quotas,
             limits,
-            permits));
+            permits,
+            quarantine));
     new EntryListeners(
             vertx,
             settings,
@@ -234,6 +245,7 @@
               if (failure != null) {
                 started.completeExceptionally(failure);
               } else {
+                vertx.runOnContext(run -> quarantine.start());
                 // The timeout of the first response must not include the time that the start
                 // occupies the loop.
                 vertx.runOnContext(run -> informers.forEach(ObjectInformer::start));
@@ -286,7 +298,10 @@
             vertx,
             new ConnectionProbe(prober),
             MonotonicClock::milliseconds,
-            (runner, parts) -> crashCount.inc());
+            (runner, parts) -> {
+              crashCount.inc();
+              quarantine.crashed(runner, parts);
+            });
     runners.listen(crashes);
     ingress =
         new IngressServer(
@@ -301,6 +316,7 @@
                 selector,
                 availability,
                 crashes,
+                quarantine,
                 limits,
                 permits,
                 new StartInTimePolicy(),
@@ -319,6 +335,8 @@
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
     metrics.registerGauge(
         "agatefield.forwarding.answer-bytes", (Gauge<Long>) responseMemory::totalBytes);
+    metrics.registerGauge(
+        "agatefield.prompts.quarantined-parts", (Gauge<Integer>) quarantine::size);
     metrics.registerGauge("agatefield.runners.limited", (Gauge<Integer>) limits::count);
     metrics.registerGauge("agatefield.configuration.version", (Gauge<Long>) configuration::version);
     metrics.registerGauge(
@@ -394,6 +412,7 @@
     tasks.every(PlannerClient.NOTICE_MILLISECONDS, now -> plannerClient.announce());
     tasks.every(EXPIRY_CHECK_MILLISECONDS, runners::removeExpired);
     tasks.every(FleetSize.SAMPLE_INTERVAL_MILLISECONDS, fleetSize::sample);
+    tasks.every(PromptQuarantine.EXCHANGE_MILLISECONDS, quarantine::exchange);
     tasks.every(RegionalQuotaPolicy.REFRESH_MILLISECONDS, quotas::refresh);
     tasks.start();
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -34,7 +34,11 @@
  * by any thread.
  */
 final class ForwardingPeers
-    implements LoadExchange.Fleet, RegionalQuotaPolicy.Fleet, RunnerPermits.Fleet, AutoCloseable {
+    implements LoadExchange.Fleet,
+        RegionalQuotaPolicy.Fleet,
+        RunnerPermits.Fleet,
+        PromptQuarantine.Fleet,
+        AutoCloseable {
   // Callers use a directory response that lists a dead instance for seconds, so dead instances are
   // detected in about two seconds.
   private static final long PROBE_MILLISECONDS = 600;
@@ -176,8 +180,8 @@
     return view.relays();
   }
 
-  /** Sends a message to every other live instance without delivery guarantee. */
-  void broadcast(PeerMessage message) {
+  @Override
+  public void broadcast(PeerMessage message) {
     sendToNeighbours(message);
     relays().directPeers().forEach(instance -> send(instance, message));
     PeerMessage relayed = new PeerMessage.Relayed(message);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
@@ -17,6 +17,7 @@
   private final RegionalQuotaPolicy quotas;
   private final RunnerLimits limits;
   private final RunnerPermits permits;
+  private final PromptQuarantine quarantine;
 
   /**
    * Creates an inbox.
@@ -31,7 +32,8 @@
       RunnerAvailability availability,
       RegionalQuotaPolicy quotas,
       RunnerLimits limits,
-      RunnerPermits permits) {
+      RunnerPermits permits,
+      PromptQuarantine quarantine) {
     this.snapshots = snapshots;
     this.relays = relays;
     this.loads = loads;
@@ -40,6 +42,7 @@
     this.quotas = quotas;
     this.limits = limits;
     this.permits = permits;
+    this.quarantine = quarantine;
   }
 
   @Override
@@ -61,6 +64,8 @@
       availability.noticeReceived(notice, MonotonicClock.milliseconds());
     } else if (message instanceof PeerMessage.RunnerLimitNotice notice) {
       limits.noticeReceived(notice);
+    } else if (message instanceof PeerMessage.CrashEvidence evidence) {
+      quarantine.evidenceReceived(evidence);
     } else if (message instanceof PeerMessage.QuotaReturn returned) {
       quotas.tokensReturned(returned);
     }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -56,6 +56,7 @@
   private long lastActivity = sentAt;
   private boolean began;
   private long beganAt;
+  private boolean survivalRecorded;
   private boolean released;
   private long stallTimer = -1;
 
@@ -139,7 +140,9 @@
   @Override
   public boolean shouldSend() {
     long left = deadline - MonotonicClock.milliseconds();
-    return left >= MINIMUM_SEND_MILLISECONDS && context.selector().isUsable(runner);
+    return left >= MINIMUM_SEND_MILLISECONDS
+        && context.selector().isUsable(runner)
+        && context.quarantine().quarantinedUntil(sharedParts()).isEmpty();
   }
 
   @Override
@@ -195,13 +198,25 @@
 
   @Override
   public void disconnected(String cause) {
-    terms
-        .prompt()
-        .filter(prompt -> !outlivedStart())
-        .ifPresent(prompt -> context.crashes().disconnected(runner, prompt.sharedParts()));
+    if (outlivedStart()) {
+      recordSurvival();
+    } else if (terms.prompt().isPresent()) {
+      context.crashes().disconnected(runner, sharedParts());
+    }
     failed("broken off: " + cause, Optional.empty());
   }
 
+  private List<String> sharedParts() {
+    return terms.prompt().map(GenerationParameters::sharedParts).orElse(List.of());
+  }
+
+  private void recordSurvival() {
+    if (!survivalRecorded) {
+      survivalRecorded = true;
+      context.quarantine().survived(sharedParts());
+    }
+  }
+
   /** Returns whether the runner continued to run for a while after it had begun its response. */
   private boolean outlivedStart() {
     return began && MonotonicClock.milliseconds() - beganAt >= SURVIVAL_MILLISECONDS;
@@ -218,7 +233,7 @@
         runner.id(),
         cause,
         began,
-        terms.prompt().map(GenerationParameters::sharedParts).orElse(List.of()));
+        sharedParts());
     failure.ifPresent(response -> completeResponse = response);
     followUp.accept(state.failed(attemptNumber, failure.isPresent()));
   }
@@ -226,6 +241,7 @@
   @Override
   public void responseReceived(UpstreamResponse response) {
     markStarted();
+    recordSurvival();
     release();
     context.selector().succeeded(runner.id());
     completeResponse = response;
@@ -238,6 +254,9 @@
       lastActivity = MonotonicClock.milliseconds();
       context.selector().dataReceived(runner.id(), lastActivity);
       markStarted();
+      if (outlivedStart()) {
+        recordSurvival();
+      }
     }
     head = streamHead;
     event = next.bytes();
@@ -246,6 +265,9 @@
 
   @Override
   public void streamEnded(UpstreamResponse streamHead) {
+    if (began) {
+      recordSurvival();
+    }
     release();
     context.selector().succeeded(runner.id());
     completeResponse = streamHead;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -132,6 +132,9 @@
                 Math.max(1, deadline - MonotonicClock.milliseconds()),
                 fired -> perform(state.expired()));
     context.budgets().requested(service);
+    if (refuseQuarantined()) {
+      return;
+    }
     Optional<TokenQuota> quota = account.flatMap(ClientAccount::quota);
     if (quota.isEmpty()) {
       startForwarding();
@@ -220,7 +223,37 @@
     }
   }
 
+  /** Refuses the request if its prompt has a part that crashes runners. */
+  private boolean refuseQuarantined() {
+    OptionalLong until = quarantinedUntil();
+    if (until.isEmpty()) {
+      return false;
+    }
+    retryAfter = Math.max(0, until.getAsLong() - MonotonicClock.milliseconds());
+    perform(state.notChosen(RefusalReason.PROMPT_CRASHES_RUNNERS));
+    return true;
+  }
+
+  private OptionalLong quarantinedUntil() {
+    return terms
+        .prompt()
+        .map(prompt -> context.quarantine().quarantinedUntil(prompt.sharedParts()))
+        .orElse(OptionalLong.empty());
+  }
+
+  /** Ends the request if a part of its prompt has just been quarantined. */
+  void promptQuarantined() {
+    OptionalLong until = quarantinedUntil();
+    if (until.isPresent()) {
+      retryAfter = Math.max(0, until.getAsLong() - MonotonicClock.milliseconds());
+      perform(state.forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS));
+    }
+  }
+
   private void selectRunner() {
+    if (refuseQuarantined()) {
+      return;
+    }
     long now = MonotonicClock.milliseconds();
     RunnerSelector.Selection selection =
         context.selector().select(service, terms.prompt(), excluded, now);
@@ -422,6 +455,9 @@
       perform(state.notChosen(RefusalReason.UNKNOWN_KEY));
       return;
     }
+    if (refuseQuarantined()) {
+      return;
+    }
     if (!context.selector().isUsable(runner)) {
       startWaiting(); // The runner may have started to leave while its adapter was being loaded.
       return;
@@ -521,7 +557,12 @@
         refundQuota();
       }
       long retryMilliseconds = RetryDelay.milliseconds(refusal.reason(), retryAfter);
-      response.refuse(refusal.reason(), CallerResponse.jittered(retryMilliseconds));
+      // A quarantine lasts for minutes, so its end needs no jitter.
+      response.refuse(
+          refusal.reason(),
+          refusal.reason() == RefusalReason.PROMPT_CRASHES_RUNNERS
+              ? retryMilliseconds
+              : CallerResponse.jittered(retryMilliseconds));
       return "refused_" + refusal.reason();
     } else if (finalAction instanceof RequestAction.Fail failure) {
       response.fail(failure.reason());
--- /dev/null
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -0,0 +1,191 @@
+package org.agatefield.forwarding;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * Determines from the crashes of runners which shared parts of prompts cause them.
+ *
+ * <p>Every part that a crashed runner had in hand, and on which it had not begun a response, is a
+ * suspect of that crash. Parts on which a runner has recently begun a response and continued to run
+ * are sound. A part is a culprit if it is a suspect of several crashes at different times and no
+ * other part explains the same crashes as well.
+ *
+ * <p>Invariants: the result depends only on the recorded facts and their times, not on their order;
+ * crashes that a known culprit explains are not held against other parts; the size is bounded. Not
+ * thread safe. Reads no clock: all times are monotonic milliseconds of the caller.
+ */
+public final class CrashAttribution {
+  /** How long a crash remains evidence. */
+  public static final long EVIDENCE_MILLISECONDS = 600_000;
+
+  /** Parts that runners survived are not suspects of crashes within this time afterwards. */
+  public static final long SOUND_MILLISECONDS = 20_000;
+
+  // Runners that are lost together, for example with their failure domain, are one occurrence.
+  private static final long SEPARATE_MILLISECONDS = 200;
+  private static final int OCCURRENCES_OF_ONLY_SUSPECT = 2;
+  // Parts that always occur together cannot be told apart; then all of them are culprits.
+  private static final int OCCURRENCES_OF_EQUAL_SUSPECTS = 3;
+  private static final int MAXIMUM_CRASHES = 256;
+  private static final int MAXIMUM_PARTS_PER_CRASH = 256;
+  private static final int MAXIMUM_SURVIVALS = 8_192;
+
+  private final Map<Crash, Record> crashes = new LinkedHashMap<>();
+  private final Map<String, Long> survivals =
+      new LinkedHashMap<>() {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAXIMUM_SURVIVALS;
+        }
+      };
+
+  /**
+   * Identifies the crash of one process of a runner. Immutable.
+   *
+   * @param runner the runner's identifier
+   * @param startTimeMilliseconds the wall-clock time of the process's start
+   */
+  public record Crash(String runner, long startTimeMilliseconds) {}
+
+  private record Record(long at, Set<String> parts) {}
+
+  /**
+   * Records a crash, or further parts that were in hand at a crash that is already recorded.
+   *
+   * @param parts the shared parts on which the runner had not begun a response
+   */
+  public void crashed(Crash crash, Collection<String> parts, long at) {
+    crashes.values().removeIf(known -> at - known.at() > EVIDENCE_MILLISECONDS);
+    Record known = crashes.get(crash);
+    Set<String> all = new TreeSet<>(parts);
+    if (known != null) {
+      all.addAll(known.parts());
+    }
+    while (all.size() > MAXIMUM_PARTS_PER_CRASH) {
+      all.remove(all.iterator().next());
+    }
+    crashes.put(crash, new Record(known == null ? at : Math.min(known.at(), at), all));
+    if (crashes.size() > MAXIMUM_CRASHES) {
+      crashes.keySet().stream()
+          .min(Comparator.comparingLong(each -> crashes.get(each).at()))
+          .ifPresent(crashes::remove);
+    }
+  }
+
+  /** Records that a runner has begun a response on a part and continued to run. */
+  public void survived(String part, long at) {
+    Long before = survivals.remove(part); // Moves the part to the end of the order of removal.
+    survivals.put(part, before == null ? at : Math.max(before, at));
+  }
+
+  /** Returns when a runner last survived a part. */
+  public Optional<Long> lastSurvival(String part) {
+    return Optional.ofNullable(survivals.get(part));
+  }
+
+  /** Returns whether a part is no suspect of a crash at the given time. */
+  public boolean isSound(String part, long crashAt) {
+    Long survival = survivals.get(part);
+    return survival != null && crashAt - survival <= SOUND_MILLISECONDS;
+  }
+
+  /** Returns the parts that are suspects of at least one recorded crash. */
+  public Set<String> suspects() {
+    return crashesBySuspect(Set.of()).keySet();
+  }
+
+  /** Returns the crashes of which a part is a suspect. */
+  public Set<Crash> crashesOf(String part) {
+    return crashesBySuspect(Set.of()).getOrDefault(part, Set.of());
+  }
+
+  /**
+   * Returns the parts that are culprits besides those already known.
+   *
+   * @param known the known culprits
+   */
+  public Set<String> culprits(Set<String> known) {
+    Set<String> explaining = new HashSet<>(known);
+    Set<String> found = new TreeSet<>();
+    Set<String> next = strongest(explaining);
+    while (!next.isEmpty()) {
+      found.addAll(next);
+      explaining.addAll(next);
+      next = strongest(explaining);
+    }
+    return found;
+  }
+
+  /** Returns the culprits with the most occurrences among unexplained crashes. */
+  private Set<String> strongest(Set<String> explaining) {
+    Map<String, Set<Crash>> suspected = crashesBySuspect(explaining);
+    Set<String> best = new HashSet<>();
+    int most = 0;
+    for (Map.Entry<String, Set<Crash>> each : suspected.entrySet()) {
+      int occurrences = occurrences(each.getValue());
+      if (isCulprit(each.getKey(), occurrences, suspected) && occurrences >= most) {
+        if (occurrences > most) {
+          best.clear();
+        }
+        most = occurrences;
+        best.add(each.getKey());
+      }
+    }
+    return best;
+  }
+
+  private boolean isCulprit(String part, int occurrences, Map<String, Set<Crash>> suspected) {
+    if (occurrences < OCCURRENCES_OF_ONLY_SUSPECT) {
+      return false;
+    }
+    Set<Crash> own = suspected.get(part);
+    for (Map.Entry<String, Set<Crash>> other : suspected.entrySet()) {
+      boolean explainsAll = !other.getKey().equals(part) && other.getValue().containsAll(own);
+      boolean equal = explainsAll && other.getValue().size() == own.size();
+      if (explainsAll && !(equal && occurrences >= OCCURRENCES_OF_EQUAL_SUSPECTS)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private Map<String, Set<Crash>> crashesBySuspect(Set<String> explaining) {
+    Map<String, Set<Crash>> suspected = new HashMap<>();
+    crashes.forEach(
+        (crash, record) -> {
+          if (record.parts().stream().noneMatch(explaining::contains)) {
+            record.parts().stream()
+                .filter(part -> !isSound(part, record.at()))
+                .forEach(
+                    part -> suspected.computeIfAbsent(part, key -> new HashSet<>()).add(crash));
+          }
+        });
+    return suspected;
+  }
+
+  /** Returns the number of crashes, counting those close to each other once. */
+  private int occurrences(Set<Crash> of) {
+    List<Long> times = new ArrayList<>();
+    of.forEach(crash -> times.add(crashes.get(crash).at()));
+    times.sort(null);
+    int count = 0;
+    long counted = 0;
+    for (long at : times) {
+      if (count == 0 || at - counted >= SEPARATE_MILLISECONDS) {
+        count++;
+        counted = at;
+      }
+    }
+    return count;
+  }
+}
--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
@@ -196,6 +196,23 @@
     return actions;
   }
 
+  /**
+   * Handles that no runner may execute the request any more; cancels an open attempt. A stream that
+   * has begun continues.
+   */
+  public List<RequestAction> forbidden(RefusalReason reason) {
+    if (phase == Phase.OVER || streaming) {
+      return List.of();
+    }
+    List<RequestAction> actions = new ArrayList<>();
+    if (phase == Phase.OPEN) {
+      possibleRuns++;
+      actions.add(new RequestAction.Cancel(attempt));
+    }
+    actions.addAll(refuseOrFail(reason));
+    return actions;
+  }
+
   /** Handles a caller that closed its connection or cancelled the request. */
   public List<RequestAction> callerGone() {
     if (phase == Phase.OVER) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
@@ -23,5 +23,7 @@
   /** The client account has used up its quota. */
   OVER_QUOTA,
   /** Whether the client account's quota allows the request could not be determined. */
-  QUOTA_UNKNOWN
+  QUOTA_UNKNOWN,
+  /** A part of the prompt has crashed the runners that began to answer it. */
+  PROMPT_CRASHES_RUNNERS
 }
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -90,6 +90,8 @@
               .setGranted(answer.granted())
               .setWaitMilliseconds((int) answer.waitMilliseconds())
               .setNotResponsible(!answer.responsible()));
+    } else if (message instanceof PeerMessage.CrashEvidence evidence) {
+      envelope.setCrashEvidence(CrashEvidenceCodec.encode(evidence));
     } else {
       return false;
     }
@@ -145,6 +147,7 @@
       case RUNNER_NOTICE -> Optional.of(decodeRunner(envelope.getRunnerNotice()));
       case RUNNER_LIMIT_NOTICE -> decodeLimit(envelope.getRunnerLimitNotice()).map(each -> each);
       case PERMIT_REQUEST -> decodePermitRequest(envelope.getPermitRequest());
+      case CRASH_EVIDENCE -> Optional.of(CrashEvidenceCodec.decode(envelope.getCrashEvidence()));
       case PERMIT_ANSWER -> Optional.of(decodePermitAnswer(envelope.getPermitAnswer()));
       default -> Optional.empty();
     };
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -264,6 +264,50 @@
   record PermitAnswer(int granted, long waitMilliseconds, boolean responsible)
       implements PeerMessage {}
 
+  /**
+   * Shares evidence about crashes of runners and the prompt parts that cause them. Immutable.
+   *
+   * @param crashes crashes with the suspects of each
+   * @param survivals parts that are not the cause of earlier crashes
+   * @param quarantined parts with which no request may be sent to runners
+   */
+  record CrashEvidence(
+      List<RunnerCrash> crashes, List<PartSurvival> survivals, List<QuarantinedPart> quarantined)
+      implements PeerMessage {
+    /** Copies the lists. */
+    public CrashEvidence {
+      crashes = List.copyOf(crashes);
+      survivals = List.copyOf(survivals);
+      quarantined = List.copyOf(quarantined);
+    }
+  }
+
+  /**
+   * A crash of one process of a runner. Immutable.
+   *
+   * @param runner the runner's identifier
+   * @param startTimeMilliseconds the wall-clock time of the process's start
+   * @param parts the shared parts of the prompts that were lost before their responses had begun
+   */
+  record RunnerCrash(
+      String runner, long startTimeMilliseconds, long ageMilliseconds, List<String> parts) {
+    /** Copies the list. */
+    public RunnerCrash {
+      parts = List.copyOf(parts);
+    }
+  }
+
+  /** A part on which a runner has begun a response without crashing. Immutable. */
+  record PartSurvival(String part, long ageMilliseconds) {}
+
+  /**
+   * A part with which no request may be sent to runners. Immutable.
+   *
+   * @param ageMilliseconds how long ago its quarantine began
+   * @param remainingMilliseconds the time until its quarantine ends
+   */
+  record QuarantinedPart(String part, long ageMilliseconds, long remainingMilliseconds) {}
+
   /**
    * Requests the configuration and the runner entries that an instance knows. Immutable.
    *
--- a/store/src/main/java/org/agatefield/store/ObjectKind.java
+++ b/store/src/main/java/org/agatefield/store/ObjectKind.java
@@ -17,7 +17,9 @@
   /** The platform's list of live and leaving instances and upstreams; read-only. */
   INSTANCE("instances"),
   /** The runners' entries, on platforms that store them; read-only. */
-  RUNNER("runners");
+  RUNNER("runners"),
+  /** Prompt parts with which no request may be sent to runners. */
+  QUARANTINE("quarantines");
 
   private final String plural;
 
