A resumed stream is complete only if its new run added an event to it

What callers would see: a stream that broke off was ended as complete when the next runner answered with an empty stream; when it answered with a body that is no stream, the caller waited until its deadline. Cause: ForwardedRequest.ended ended an open stream whatever the attempt had brought, and answered returned no action while a stream was open. Both now count as failed attempts: the stream goes on at another runner or is aborted.

--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
@@ -19,6 +19,7 @@
  *       ran;
  *   <li>{@link RequestAction.Refuse} is returned only if no attempt may have run;
  *   <li>at most {@code maximumAttempts} attempts may have run, and at most one is open at a time;
+ *   <li>a stream ends as complete only with an attempt that added an event to it;
  *   <li>events of attempts that are over have no effect.
  * </ul>
  *
@@ -39,6 +40,7 @@
   private int sends;
   private int possibleRuns;
   private boolean streaming;
+  private boolean attemptHasEvent;
   private boolean nextSendRepeats;
 
   private enum Phase {
@@ -76,6 +78,7 @@
     phase = Phase.OPEN;
     runner = chosenRunner;
     attempt++;
+    attemptHasEvent = false;
     sends++;
     return List.of(new RequestAction.Send(attempt, chosenRunner, resumeAfter));
   }
@@ -144,11 +147,14 @@
     return actions;
   }
 
-  /** Handles a complete answer that is to be passed on. */
+  /** Handles a complete answer that is to be passed on; it cannot continue a stream. */
   public List<RequestAction> answered(int eventAttempt) {
-    if (!isOpen(eventAttempt) || streaming) {
+    if (!isOpen(eventAttempt)) {
       return List.of();
     }
+    if (streaming) {
+      return failed(eventAttempt, false);
+    }
     return finish(new RequestAction.Deliver(eventAttempt));
   }
 
@@ -157,6 +163,7 @@
     if (!isOpen(eventAttempt)) {
       return List.of();
     }
+    attemptHasEvent = true;
     eventId.ifPresent(id -> resumeAfter = Optional.of(id));
     if (streaming) {
       return List.of(new RequestAction.ContinueStream(eventAttempt));
@@ -165,11 +172,17 @@
     return List.of(new RequestAction.BeginStream(eventAttempt));
   }
 
-  /** Handles the end of a stream according to the protocol. */
+  /**
+   * Handles the end of a stream according to the protocol. An attempt that continues a stream
+   * without adding an event does not prove that the stream is complete.
+   */
   public List<RequestAction> ended(int eventAttempt) {
     if (!isOpen(eventAttempt)) {
       return List.of();
     }
+    if (streaming && !attemptHasEvent) {
+      return failed(eventAttempt, false);
+    }
     return finish(
         streaming
             ? new RequestAction.EndStream(eventAttempt)
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
@@ -36,6 +36,7 @@
     LATE_EVENT,
     LATE_FAILURE,
     EXPIRED,
+    FORBIDDEN,
     CALLER_GONE
   }
 
@@ -44,7 +45,7 @@
     return Arbitraries.of(Step.class).list().ofMinSize(1).ofMaxSize(40);
   }
 
-  @Property(tries = 3_000, seed = "4711")
+  @Property(tries = 30_000, seed = "4711")
   void everyOrderOfEventsKeepsTheInvariants(
       @ForAll RetryMode retryMode,
       @ForAll("steps") List<Step> steps,
@@ -82,6 +83,7 @@
       case LATE_EVENT -> request.event(over, Optional.of("late"));
       case LATE_FAILURE -> request.failed(over, true);
       case EXPIRED -> request.expired();
+      case FORBIDDEN -> request.forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS);
       case CALLER_GONE -> request.callerGone();
     };
   }
@@ -94,6 +96,7 @@
     private int attempt;
     private int events;
     private boolean open;
+    private boolean attemptHasEvent;
     private boolean over;
     private boolean streaming;
 
@@ -127,6 +130,7 @@
               send.resumeAfter().isPresent(), "stream restarted after events were delivered");
         }
         attempt = send.attempt();
+        attemptHasEvent = false;
         mayHaveRun.add(attempt);
         assertTrue(mayHaveRun.size() <= maximumAttempts, "more runs than allowed");
         open = true;
@@ -138,10 +142,14 @@
         assertTrue(open, "event delivered for an attempt that is over");
         streaming = true;
         events++;
+        attemptHasEvent = true;
+      } else if (action instanceof RequestAction.EndStream) {
+        assertTrue(attemptHasEvent, "stream ended as complete by an attempt without events");
+        open = false;
       } else if (action instanceof RequestAction.Deliver) {
         assertFalse(streaming, "complete answer delivered after events");
       } else {
-        open = action instanceof RequestAction.EndStream && open;
+        open = false;
       }
       if (action instanceof RequestAction.Choose || action instanceof RequestAction.Cancel) {
         open = false;
@@ -181,6 +189,50 @@
     assertEquals(new RequestAction.Send(2, "b", Optional.of("7")), next);
   }
 
+  private static ForwardedRequest resumedStream(RetryAllowance allowance) {
+    ForwardedRequest request =
+        new ForwardedRequest(RetryMode.RESUME, 3, Optional.empty(), allowance);
+    request.start();
+    request.chosen("a");
+    request.event(1, Optional.of("7"));
+    request.failed(1, false);
+    request.chosen("b");
+    return request;
+  }
+
+  @Test
+  void answerThatIsNoStreamDoesNotContinueStream() {
+    assertEquals(
+        List.of(new RequestAction.Choose(Set.of("a", "b"))), resumedStream(() -> true).answered(2));
+  }
+
+  @Test
+  void resumedStreamThatEndsWithoutEventDoesNotEndTheStreamAsComplete() {
+    assertEquals(
+        List.of(new RequestAction.Choose(Set.of("a", "b"))), resumedStream(() -> true).ended(2));
+    ForwardedRequest last = new ForwardedRequest(RetryMode.RESUME, 2, Optional.empty(), () -> true);
+    last.start();
+    last.chosen("a");
+    last.event(1, Optional.of("7"));
+    last.failed(1, false);
+    last.chosen("b");
+    assertEquals(List.of(new RequestAction.AbortStream()), last.ended(2));
+  }
+
+  @Test
+  void forbiddenRequestThatWasSentFailsAndOneThatWasNotIsRefused() {
+    ForwardedRequest sent = new ForwardedRequest(RetryMode.RESUME, 2, Optional.empty(), () -> true);
+    sent.start();
+    assertEquals(
+        List.of(new RequestAction.Refuse(RefusalReason.PROMPT_CRASHES_RUNNERS)),
+        new ForwardedRequest(RetryMode.RESUME, 2, Optional.empty(), () -> true)
+            .forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS));
+    sent.chosen("a");
+    assertEquals(
+        List.of(new RequestAction.Cancel(1), new RequestAction.Fail(FailureReason.RUNNER_FAILED)),
+        sent.forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS));
+  }
+
   @Test
   void streamThatCannotResumeIsAbortedInsteadOfEnded() {
     ForwardedRequest request =
