Number quarantines, choose the narrowest of equal suspects, and store each quarantine once

Cause: three instances that were cut off convicted the deadly part and one that always came with it in their five seconds of traffic. After the cut their messages arrived seconds late, so that the age of the quarantine was taken as newer than survivals seen elsewhere; merging start times made it younger with each exchange. Fix: quarantines of a part are numbered and their ends spread by number; an instance that has seen a runner survive the part in the last 20 s objects; of suspects that nothing separates only those at the greatest position in their prompts are convicted. Found by the simulation on the way: an instance that learnt of a quarantine before it drew the conclusion itself never stored it, so that a kill of all could lose it, and instances of an earlier build might be the two that were to store it. Each instance now stores in turn until one says that it is stored. The end of a quarantine by time no longer counts as survival.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -207,13 +207,15 @@
     HttpObjectStore store =
         closer.register(
             new HttpObjectStore(vertx, settings.store(), STORE_TIMEOUT, dialect.store()));
+    PromptQuarantine.Timers timers =
+        (delay, task) ->
+            context.runOnContext(run -> vertx.setTimer(Math.max(1, delay), fired -> task.run()));
     quarantine =
         new PromptQuarantine(
             MonotonicClock::milliseconds,
-            (delay, task) -> vertx.setTimer(Math.max(1, delay), fired -> task.run()),
+            timers,
             peers,
-            new QuarantineRecords(
-                store, System::currentTimeMillis, task -> context.runOnContext(run -> task.run())),
+            new QuarantineRecords(store, System::currentTimeMillis, timers),
             random::nextInt,
             part -> List.copyOf(exchanges).forEach(RequestExchange::promptQuarantined));
     createWatches(store);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/QuarantineRecords.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/QuarantineRecords.java
@@ -3,13 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.agatefield.store.ObjectKey;
 import org.agatefield.store.ObjectKind;
@@ -24,84 +21,110 @@
  * Keeps the quarantined prompt parts in the platform's store, so that they survive the end of all
  * instances.
  *
- * <p>Calls that fail are logged and tried again by {@link #retry}. Times in the store are
- * wall-clock times, since no process outlives its monotonic clock. Confined to one event loop.
+ * <p>Times in the store are wall-clock times, since no process outlives its monotonic clock.
+ * Confined to one event loop.
  */
 final class QuarantineRecords implements PromptQuarantine.Records {
   private static final Logger LOGGER = LogManager.getLogger(QuarantineRecords.class);
-  private static final String SINCE_FIELD = "since_ms";
+  private static final String NUMBER_FIELD = "number";
   private static final String UNTIL_FIELD = "until_ms";
+  private static final long DELETE_RETRY_MILLISECONDS = 2_000;
 
   private final ObjectStore store;
   private final LongSupplier wallClock;
-  private final Consumer<Runnable> eventLoop;
-  private final Set<Entry> unsaved = new HashSet<>();
-  private final Set<String> undeleted = new HashSet<>();
-
-  private record Entry(String part, long sinceWallMilliseconds, long untilWallMilliseconds) {}
+  private final PromptQuarantine.Timers timers;
 
   /**
    * Creates the records of a store.
    *
    * @param wallClock returns the time of day in milliseconds
-   * @param eventLoop runs the completion of calls
+   * @param timers run the completion of calls on the event loop
    */
-  QuarantineRecords(ObjectStore store, LongSupplier wallClock, Consumer<Runnable> eventLoop) {
+  QuarantineRecords(ObjectStore store, LongSupplier wallClock, PromptQuarantine.Timers timers) {
     this.store = store;
     this.wallClock = wallClock;
-    this.eventLoop = eventLoop;
+    this.timers = timers;
   }
 
   @Override
-  public void save(String part, long ageMilliseconds, long remainingMilliseconds) {
-    long now = wallClock.getAsLong();
-    Entry entry = new Entry(part, now - ageMilliseconds, now + remainingMilliseconds);
-    undeleted.remove(part);
-    unsaved.add(entry);
-    create(entry);
+  public CompletableFuture<Void> save(PromptQuarantine.Quarantined part) {
+    JsonNode content =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put(NUMBER_FIELD, part.number())
+            .put(UNTIL_FIELD, wallClock.getAsLong() + part.remainingMilliseconds());
+    return onEventLoop(
+        store
+            .create(key(part.part()), UUID.randomUUID().toString(), content)
+            .handle(
+                (created, failure) -> {
+                  if (failure != null && failureOf(failure) == StoreFailure.CONFLICT) {
+                    return replace(part, content);
+                  }
+                  return failure == null
+                      ? CompletableFuture.completedFuture(created)
+                      : CompletableFuture.<StoredObject>failedFuture(failure);
+                })
+            .thenCompose(result -> result)
+            .thenAccept(saved -> {}));
   }
 
-  @Override
-  public void delete(String part) {
-    unsaved.removeIf(entry -> entry.part().equals(part));
-    undeleted.add(part);
-    deleteStored(part);
+  /** Replaces the object of a quarantine with a lower number. */
+  private CompletableFuture<StoredObject> replace(
+      PromptQuarantine.Quarantined part, JsonNode content) {
+    return store
+        .get(key(part.part()))
+        .thenCompose(
+            previous ->
+                previous.content().path(NUMBER_FIELD).asInt() >= part.number()
+                    ? CompletableFuture.completedFuture(previous)
+                    : store.update(previous, UUID.randomUUID().toString(), content));
   }
 
   @Override
-  public void retry() {
-    List.copyOf(unsaved).forEach(this::create);
-    List.copyOf(undeleted).forEach(this::deleteStored);
+  public void delete(String part) {
+    onEventLoop(store.get(key(part)).thenCompose(store::delete))
+        .whenComplete(
+            (done, failure) -> {
+              if (failure == null || failureOf(failure) == StoreFailure.NOT_FOUND) {
+                return;
+              }
+              LOGGER.info("part={} deleted=false failure=\"{}\"", part, failure.getMessage());
+              timers.after(DELETE_RETRY_MILLISECONDS, () -> delete(part));
+            });
   }
 
   @Override
   public CompletableFuture<List<PromptQuarantine.Quarantined>> load() {
-    CompletableFuture<List<PromptQuarantine.Quarantined>> loaded = new CompletableFuture<>();
-    store
-        .list(ObjectKind.QUARANTINE)
-        .whenComplete(
-            (list, failure) ->
-                eventLoop.accept(
-                    () -> {
-                      if (failure != null) {
-                        loaded.completeExceptionally(failure);
-                      } else {
-                        loaded.complete(current(list.objects()));
-                      }
-                    }));
-    return loaded;
+    return onEventLoop(store.list(ObjectKind.QUARANTINE))
+        .thenApply(list -> current(list.objects()));
+  }
+
+  private <T> CompletableFuture<T> onEventLoop(CompletableFuture<T> call) {
+    CompletableFuture<T> result = new CompletableFuture<>();
+    call.whenComplete(
+        (value, failure) ->
+            timers.after(
+                0,
+                () -> {
+                  if (failure == null) {
+                    result.complete(value);
+                  } else {
+                    result.completeExceptionally(failure);
+                  }
+                }));
+    return result;
   }
 
   private List<PromptQuarantine.Quarantined> current(List<StoredObject> objects) {
     long now = wallClock.getAsLong();
     List<PromptQuarantine.Quarantined> current = new ArrayList<>();
     for (StoredObject object : objects) {
-      long since = object.content().path(SINCE_FIELD).asLong();
       long until = object.content().path(UNTIL_FIELD).asLong();
       if (until > now) {
         current.add(
             new PromptQuarantine.Quarantined(
-                object.key().name(), Math.max(0, now - since), until - now));
+                object.key().name(), object.content().path(NUMBER_FIELD).asInt(), until - now));
       } else {
         delete(object.key().name());
       }
@@ -109,71 +132,6 @@
     return current;
   }
 
-  private void create(Entry entry) {
-    JsonNode content =
-        JsonNodeFactory.instance
-            .objectNode()
-            .put(SINCE_FIELD, entry.sinceWallMilliseconds())
-            .put(UNTIL_FIELD, entry.untilWallMilliseconds());
-    store
-        .create(key(entry.part()), UUID.randomUUID().toString(), content)
-        .whenComplete((object, failure) -> eventLoop.accept(() -> saved(entry, content, failure)));
-  }
-
-  private void saved(Entry entry, JsonNode content, Throwable failure) {
-    if (failure == null) {
-      unsaved.remove(entry);
-      LOGGER.info("quarantined={} stored=true", entry.part());
-    } else if (failureOf(failure) == StoreFailure.CONFLICT) {
-      replace(entry, content);
-    } else {
-      LOGGER.info("quarantined={} stored=false failed=\"{}\"", entry.part(), failure.getMessage());
-    }
-  }
-
-  /** Replaces an object of an earlier quarantine, unless it ends at least as late. */
-  private void replace(Entry entry, JsonNode content) {
-    store
-        .get(key(entry.part()))
-        .thenCompose(
-            previous ->
-                previous.content().path(UNTIL_FIELD).asLong() >= entry.untilWallMilliseconds()
-                    ? CompletableFuture.completedFuture(previous)
-                    : store.update(previous, UUID.randomUUID().toString(), content))
-        .whenComplete(
-            (object, failure) ->
-                eventLoop.accept(
-                    () -> {
-                      if (failure == null) {
-                        unsaved.remove(entry);
-                      } else {
-                        LOGGER.info(
-                            "quarantined={} stored=false failed=\"{}\"",
-                            entry.part(),
-                            failure.getMessage());
-                      }
-                    }));
-  }
-
-  private void deleteStored(String part) {
-    store
-        .get(key(part))
-        .thenCompose(store::delete)
-        .whenComplete(
-            (done, failure) ->
-                eventLoop.accept(
-                    () -> {
-                      if (failure == null || failureOf(failure) == StoreFailure.NOT_FOUND) {
-                        undeleted.remove(part);
-                      } else {
-                        LOGGER.info(
-                            "quarantined={} deleted=false failed=\"{}\"",
-                            part,
-                            failure.getMessage());
-                      }
-                    }));
-  }
-
   private static StoreFailure failureOf(Throwable failure) {
     Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
     return cause instanceof StoreException exception
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
@@ -1,11 +1,9 @@
 package org.agatefield.daemon.forward;
 
 import io.vertx.core.Vertx;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
 import org.agatefield.forwarding.RunnerEntry;
@@ -31,14 +29,14 @@
   private final Vertx vertx;
   private final ConnectionProbe probe;
   private final LongSupplier clock;
-  private final BiConsumer<RunnerEntry, Set<String>> onCrash;
+  private final BiConsumer<RunnerEntry, Map<String, Integer>> onCrash;
   private final Map<String, Loss> losses = new HashMap<>(); // By runner identifier.
 
   /** The connections that one process of a runner has lost. */
   private static final class Loss {
     private final RunnerEntry runner;
     private final long at;
-    private final Set<String> parts = new HashSet<>();
+    private final Map<String, Integer> positions = new HashMap<>();
     private int requests;
     private boolean crashed;
     private boolean reporting;
@@ -53,21 +51,26 @@
    * Creates a detector.
    *
    * @param clock returns monotonic milliseconds
-   * @param onCrash receives the crashed runner and the shared parts of the prompts lost with it
+   * @param onCrash receives the crashed runner and the shared parts of the prompts lost with it,
+   *     with the greatest position of each
    */
   RunnerCrashDetector(
       Vertx vertx,
       ConnectionProbe probe,
       LongSupplier clock,
-      BiConsumer<RunnerEntry, Set<String>> onCrash) {
+      BiConsumer<RunnerEntry, Map<String, Integer>> onCrash) {
     this.vertx = vertx;
     this.probe = probe;
     this.clock = clock;
     this.onCrash = onCrash;
   }
 
-  /** Records that a request was lost with its connection before its response had begun. */
-  void disconnected(RunnerEntry runner, Collection<String> parts) {
+  /**
+   * Records that a request was lost with its connection before its response had begun.
+   *
+   * @param parts the shared parts of its prompt in order
+   */
+  void disconnected(RunnerEntry runner, List<String> parts) {
     if (runner.draining()) {
       return;
     }
@@ -78,7 +81,9 @@
       loss = new Loss(runner, now);
       losses.put(runner.id(), loss);
     }
-    loss.parts.addAll(parts);
+    for (int position = 0; position < parts.size(); position++) {
+      loss.positions.merge(parts.get(position), position, Math::max);
+    }
     loss.requests++;
     if (!loss.reporting) {
       loss.reporting = true;
@@ -142,7 +147,7 @@
         loss.runner.startTimeMilliseconds(),
         evidence,
         loss.requests,
-        loss.parts);
-    onCrash.accept(loss.runner, Set.copyOf(loss.parts));
+        loss.positions.keySet());
+    onCrash.accept(loss.runner, Map.copyOf(loss.positions));
   }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
@@ -0,0 +1,372 @@
+package org.agatefield.daemon.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.agatefield.forwarding.RunnerEntry;
+import org.agatefield.model.Address;
+import org.agatefield.model.FailureDomain;
+import org.agatefield.model.Instance;
+import org.agatefield.model.InstanceState;
+import org.agatefield.peer.PeerMessage;
+import org.junit.jupiter.api.Test;
+
+/** Simulates instances that share what they know about prompts that crash runners. */
+class PromptQuarantineTest {
+  private static final int INSTANCES = 5;
+  private static final long LATENCY_MILLISECONDS = 15;
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final List<Simulated> instances = new ArrayList<>();
+  private final Map<String, Stored> store = new HashMap<>();
+  private Random random = new Random(35);
+  private boolean storeAvailable = true;
+  private long now;
+  private long scheduled;
+  private int crashes;
+
+  private record Event(long at, long order, Runnable action) {}
+
+  private record Stored(int number, long until) {}
+
+  private void after(long milliseconds, Runnable action) {
+    events.add(new Event(now + milliseconds, scheduled++, action));
+  }
+
+  private void runFor(long milliseconds) {
+    long end = now + milliseconds;
+    while (!events.isEmpty() && events.peek().at() <= end) {
+      Event next = events.poll();
+      now = next.at();
+      next.action().run();
+    }
+    now = end;
+  }
+
+  /** One instance over all its processes. */
+  private final class Simulated
+      implements PromptQuarantine.Fleet, PromptQuarantine.Records, PromptQuarantine.Timers {
+    private final Instance self;
+    private final List<PeerMessage> held = new ArrayList<>();
+    private PromptQuarantine quarantine;
+    private boolean cut;
+    private boolean earlierBuild;
+    private int process;
+
+    Simulated(int index) {
+      self =
+          new Instance(
+              "entry-" + index,
+              new Address("10.0.0." + index, 1),
+              new Address("10.0.0." + index, 2),
+              new FailureDomain("region", "domain"),
+              InstanceState.LIVE);
+      start();
+    }
+
+    void start() {
+      process++;
+      int started = process;
+      quarantine =
+          new PromptQuarantine(
+              () -> now, this, this, this, bound -> random.nextInt(bound), part -> {});
+      quarantine.start();
+      exchange(started);
+    }
+
+    private void exchange(int started) {
+      after(
+          PromptQuarantine.EXCHANGE_MILLISECONDS,
+          () -> {
+            if (process == started) {
+              quarantine.exchange(now);
+              exchange(started);
+            }
+          });
+    }
+
+    @Override
+    public void after(long milliseconds, Runnable task) {
+      int started = process;
+      PromptQuarantineTest.this.after(
+          milliseconds,
+          () -> {
+            if (process == started) {
+              task.run();
+            }
+          });
+    }
+
+    @Override
+    public Instance self() {
+      return self;
+    }
+
+    @Override
+    public List<Instance> answering() {
+      return instances.stream()
+          .filter(other -> other == this || (!cut && !other.cut))
+          .map(Simulated::self)
+          .toList();
+    }
+
+    @Override
+    public void broadcast(PeerMessage message) {
+      instances.stream().filter(other -> other != this).forEach(other -> deliver(other, message));
+    }
+
+    @Override
+    public void send(Instance instance, PeerMessage message) {
+      instances.stream()
+          .filter(other -> other.self.equals(instance))
+          .forEach(other -> deliver(other, message));
+    }
+
+    /** Delivers a message after the latency, or once the instances are no longer cut off. */
+    private void deliver(Simulated to, PeerMessage message) {
+      if (cut || to.cut) {
+        to.held.add(message);
+        return;
+      }
+      PromptQuarantineTest.this.after(
+          LATENCY_MILLISECONDS + random.nextInt(30), () -> to.receive(message));
+    }
+
+    private void receive(PeerMessage message) {
+      if (!earlierBuild) {
+        quarantine.evidenceReceived((PeerMessage.CrashEvidence) message);
+      }
+    }
+
+    void heal() {
+      cut = false;
+      List<PeerMessage> late = List.copyOf(held);
+      held.clear();
+      late.forEach(this::receive);
+    }
+
+    @Override
+    public CompletableFuture<Void> save(PromptQuarantine.Quarantined part) {
+      if (!storeAvailable) {
+        return CompletableFuture.failedFuture(new IllegalStateException("store unavailable"));
+      }
+      store.put(part.part(), new Stored(part.number(), now + part.remainingMilliseconds()));
+      return CompletableFuture.completedFuture(null);
+    }
+
+    @Override
+    public void delete(String part) {
+      store.remove(part);
+    }
+
+    @Override
+    public CompletableFuture<List<PromptQuarantine.Quarantined>> load() {
+      if (!storeAvailable) {
+        return CompletableFuture.failedFuture(new IllegalStateException("store unavailable"));
+      }
+      return CompletableFuture.completedFuture(
+          store.entrySet().stream()
+              .filter(each -> each.getValue().until() > now)
+              .map(
+                  each ->
+                      new PromptQuarantine.Quarantined(
+                          each.getKey(), each.getValue().number(), each.getValue().until() - now))
+              .toList());
+    }
+
+    boolean isQuarantined(String part) {
+      return quarantine.quarantinedUntil(List.of(part)).isPresent();
+    }
+  }
+
+  private void startAll() {
+    for (int index = 0; index < INSTANCES; index++) {
+      instances.add(new Simulated(index));
+    }
+    runFor(100);
+  }
+
+  private void crash(Simulated at, String... parts) {
+    crashes++;
+    Map<String, Integer> positions = new HashMap<>();
+    for (String part : parts) {
+      positions.put(part, positions.size());
+    }
+    RunnerEntry runner =
+        new RunnerEntry(
+            "i-" + crashes,
+            crashes,
+            "service",
+            new Address("10.1.0.1", 80),
+            "domain",
+            96,
+            false,
+            OptionalLong.empty(),
+            java.util.Optional.empty(),
+            Set.of(),
+            Set.of());
+    at.quarantine.crashed(runner, positions);
+  }
+
+  private long quarantinedAt(String part) {
+    return instances.stream().filter(each -> each.isQuarantined(part)).count();
+  }
+
+  @Test
+  void crashesAtDifferentInstancesConvictTheirCommonPartEverywhere() {
+    startAll();
+    crash(instances.get(0), "a", "deadly");
+    runFor(1_000);
+    crash(instances.get(3), "b", "deadly");
+    runFor(400);
+    assertEquals(INSTANCES, quarantinedAt("deadly"));
+    assertEquals(0, quarantinedAt("a") + quarantinedAt("b"));
+    assertEquals(Set.of("deadly"), store.keySet());
+  }
+
+  @Test
+  void survivalAtAnotherInstanceClearsSuspect() {
+    startAll();
+    instances.get(4).quarantine.survived(List.of("sound"));
+    crash(instances.get(0), "sound");
+    runFor(1_000);
+    crash(instances.get(1), "sound");
+    runFor(2_000);
+    assertEquals(0, quarantinedAt("sound"));
+  }
+
+  @Test
+  void survivalInFlightEndsQuarantineEverywhere() {
+    startAll();
+    crash(instances.get(0), "sound");
+    runFor(1_000);
+    crash(instances.get(1), "sound");
+    runFor(1_000);
+    assertEquals(INSTANCES, quarantinedAt("sound"));
+    instances.get(2).quarantine.survived(List.of("sound"));
+    runFor(5_000);
+    assertEquals(0, quarantinedAt("sound"));
+    assertTrue(store.isEmpty());
+  }
+
+  @Test
+  void quarantineOfInstancesThatWereCutOffYieldsToThoseThatServedThePart() {
+    startAll();
+    Simulated alone = instances.get(0);
+    alone.cut = true;
+    crash(alone, "sound");
+    runFor(1_000);
+    crash(alone, "sound");
+    runFor(500);
+    assertTrue(alone.isQuarantined("sound"));
+    for (int second = 0; second < 12; second++) {
+      instances.get(1).quarantine.survived(List.of("sound"));
+      runFor(1_000);
+    }
+    instances.forEach(Simulated::heal);
+    runFor(6_000);
+    assertEquals(0, quarantinedAt("sound"));
+  }
+
+  @Test
+  void lateMessagesDoNotRenewAnEndedQuarantine() {
+    startAll();
+    Simulated late = instances.get(4);
+    crash(instances.get(0), "sound");
+    runFor(1_000);
+    crash(instances.get(1), "sound");
+    runFor(20);
+    late.cut = true;
+    runFor(3_000);
+    instances.get(2).quarantine.survived(List.of("sound"));
+    runFor(3_000);
+    instances.forEach(Simulated::heal);
+    runFor(5_000);
+    assertEquals(0, quarantinedAt("sound"));
+  }
+
+  @Test
+  void quarantineEndsAfterItsTimeAndOneMoreCrashOfTwoRenewsIt() {
+    startAll();
+    crash(instances.get(0), "deadly");
+    runFor(1_000);
+    crash(instances.get(1), "deadly");
+    runFor(PromptQuarantine.DURATION_MILLISECONDS + 5_000);
+    assertEquals(0, quarantinedAt("deadly"));
+    assertTrue(store.isEmpty());
+    crash(instances.get(0), "deadly");
+    runFor(1_000);
+    crash(instances.get(1), "deadly");
+    runFor(1_000);
+    assertEquals(INSTANCES, quarantinedAt("deadly"));
+  }
+
+  @Test
+  void instanceThatIsCutOffFromOthersLearnsFromTheStoreAfterItsFirstCrash() {
+    startAll();
+    Simulated alone = instances.get(0);
+    alone.cut = true;
+    crash(instances.get(1), "deadly");
+    runFor(1_000);
+    crash(instances.get(2), "deadly");
+    runFor(4_000);
+    assertFalse(alone.isQuarantined("deadly"));
+    crash(alone, "deadly");
+    runFor(1_500);
+    assertTrue(alone.isQuarantined("deadly"));
+  }
+
+  @Property(tries = 300, seed = "3503")
+  void knowledgeHoldsThroughCutsRestartsKillsOfAllAndEarlierBuilds(@ForAll long luck) {
+    instances.clear();
+    store.clear();
+    events.clear();
+    storeAvailable = true;
+    random = new Random(luck);
+    startAll();
+    for (int number = 0; number < 2 + random.nextInt(3); number++) {
+      crash(instances.get(random.nextInt(INSTANCES)), "deadly", "new" + number);
+      runFor(300 + random.nextInt(2_000));
+    }
+    runFor(4_000);
+    assertEquals(INSTANCES, quarantinedAt("deadly"));
+    for (int step = 0; step < 12; step++) {
+      trouble();
+      runFor(random.nextInt(3_000));
+    }
+    storeAvailable = true;
+    instances.forEach(instance -> instance.earlierBuild = false);
+    instances.forEach(Simulated::heal);
+    runFor(10_000);
+    assertEquals(INSTANCES, quarantinedAt("deadly"));
+  }
+
+  private void trouble() {
+    Simulated instance = instances.get(random.nextInt(INSTANCES));
+    switch (random.nextInt(6)) {
+      case 0 -> instance.cut = true;
+      case 1 -> instance.heal();
+      case 2 -> instance.start();
+      case 3 -> storeAvailable = !storeAvailable;
+      case 4 -> instance.earlierBuild = !instance.earlierBuild;
+      default -> {
+        instances.forEach(each -> each.held.clear());
+        instances.forEach(Simulated::start);
+      }
+    }
+  }
+}
--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -1,7 +1,6 @@
 package org.agatefield.forwarding;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.TreeSet;
 
 /**
@@ -18,7 +18,8 @@
  * <p>Every part that a crashed runner had in hand, and on which it had not begun a response, is a
  * suspect of that crash. Parts on which a runner has recently begun a response and continued to run
  * are sound. A part is a culprit if it is a suspect of several crashes at different times and no
- * other part explains the same crashes as well.
+ * other part explains the same crashes as well. Of parts that nothing separates, those at the
+ * greatest position are culprits, as the fewest other prompts contain them.
  *
  * <p>Invariants: the result depends only on the recorded facts and their times, not on their order;
  * crashes that a known culprit explains are not held against other parts; the size is bounded. Not
@@ -34,7 +35,6 @@
   // Runners that are lost together, for example with their failure domain, are one occurrence.
   private static final long SEPARATE_MILLISECONDS = 200;
   private static final int OCCURRENCES_OF_ONLY_SUSPECT = 2;
-  // Parts that always occur together cannot be told apart; then all of them are culprits.
   private static final int OCCURRENCES_OF_EQUAL_SUSPECTS = 3;
   private static final int MAXIMUM_CRASHES = 256;
   private static final int MAXIMUM_PARTS_PER_CRASH = 256;
@@ -57,22 +57,23 @@
    */
   public record Crash(String runner, long startTimeMilliseconds) {}
 
-  private record Record(long at, Set<String> parts) {}
+  private record Record(long at, Map<String, Integer> positions) {}
 
   /**
    * Records a crash, or further parts that were in hand at a crash that is already recorded.
    *
-   * @param parts the shared parts on which the runner had not begun a response
+   * @param positions the shared parts on which the runner had not begun a response, with the
+   *     position of each in its prompt
    */
-  public void crashed(Crash crash, Collection<String> parts, long at) {
+  public void crashed(Crash crash, Map<String, Integer> positions, long at) {
     crashes.values().removeIf(known -> at - known.at() > EVIDENCE_MILLISECONDS);
     Record known = crashes.get(crash);
-    Set<String> all = new TreeSet<>(parts);
+    Map<String, Integer> all = new TreeMap<>(positions);
     if (known != null) {
-      all.addAll(known.parts());
+      known.positions().forEach((part, position) -> all.merge(part, position, Math::max));
     }
     while (all.size() > MAXIMUM_PARTS_PER_CRASH) {
-      all.remove(all.iterator().next());
+      all.remove(all.keySet().iterator().next());
     }
     crashes.put(crash, new Record(known == null ? at : Math.min(known.at(), at), all));
     if (crashes.size() > MAXIMUM_CRASHES) {
@@ -152,19 +153,28 @@
     for (Map.Entry<String, Set<Crash>> other : suspected.entrySet()) {
       boolean explainsAll = !other.getKey().equals(part) && other.getValue().containsAll(own);
       boolean equal = explainsAll && other.getValue().size() == own.size();
-      if (explainsAll && !(equal && occurrences >= OCCURRENCES_OF_EQUAL_SUSPECTS)) {
+      boolean decided = equal && occurrences >= OCCURRENCES_OF_EQUAL_SUSPECTS;
+      if (explainsAll && !(decided && position(part, own) >= position(other.getKey(), own))) {
         return false;
       }
     }
     return true;
   }
 
+  /** Returns the greatest position of a part in the prompts of the given crashes. */
+  private int position(String part, Set<Crash> of) {
+    return of.stream()
+        .mapToInt(crash -> crashes.get(crash).positions().getOrDefault(part, 0))
+        .max()
+        .orElse(0);
+  }
+
   private Map<String, Set<Crash>> crashesBySuspect(Set<String> explaining) {
     Map<String, Set<Crash>> suspected = new HashMap<>();
     crashes.forEach(
         (crash, record) -> {
-          if (record.parts().stream().noneMatch(explaining::contains)) {
-            record.parts().stream()
+          if (record.positions().keySet().stream().noneMatch(explaining::contains)) {
+            record.positions().keySet().stream()
                 .filter(part -> !isSound(part, record.at()))
                 .forEach(
                     part -> suspected.computeIfAbsent(part, key -> new HashSet<>()).add(crash));
--- a/peer/src/main/java/org/agatefield/peer/CrashEvidenceCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/CrashEvidenceCodec.java
@@ -1,5 +1,7 @@
 package org.agatefield.peer;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.agatefield.peer.generated.PeerProtocol;
 
 /** Converts evidence about crashes of runners to and from protobuf. Stateless. */
@@ -9,12 +11,13 @@
   static PeerProtocol.CrashEvidence encode(PeerMessage.CrashEvidence evidence) {
     PeerProtocol.CrashEvidence.Builder builder = PeerProtocol.CrashEvidence.newBuilder();
     for (PeerMessage.RunnerCrash crash : evidence.crashes()) {
-      builder.addCrashes(
+      PeerProtocol.RunnerCrash.Builder encoded =
           PeerProtocol.RunnerCrash.newBuilder()
               .setRunner(crash.runner())
               .setBornMilliseconds(crash.startTimeMilliseconds())
-              .setAgeMilliseconds((int) crash.ageMilliseconds())
-              .addAllParts(crash.parts()));
+              .setAgeMilliseconds((int) crash.ageMilliseconds());
+      crash.positions().forEach((part, position) -> encoded.addParts(part).addPositions(position));
+      builder.addCrashes(encoded);
     }
     for (PeerMessage.PartSurvival survival : evidence.survivals()) {
       builder.addSurvivals(
@@ -26,8 +29,15 @@
       builder.addQuarantined(
           PeerProtocol.QuarantinedPart.newBuilder()
               .setPart(part.part())
-              .setAgeMilliseconds((int) part.ageMilliseconds())
-              .setRemainingMilliseconds((int) part.remainingMilliseconds()));
+              .setNumber(part.number())
+              .setRemainingMilliseconds((int) part.remainingMilliseconds())
+              .setStored(part.stored()));
+    }
+    for (PeerMessage.EndedQuarantine ended : evidence.ended()) {
+      builder.addEnded(
+          PeerProtocol.EndedQuarantine.newBuilder()
+              .setPart(ended.part())
+              .setNumber(ended.number()));
     }
     return builder.build();
   }
@@ -41,7 +51,7 @@
                         crash.getRunner(),
                         crash.getBornMilliseconds(),
                         Integer.toUnsignedLong(crash.getAgeMilliseconds()),
-                        crash.getPartsList()))
+                        positions(crash)))
             .toList(),
         evidence.getSurvivalsList().stream()
             .map(
@@ -54,8 +64,21 @@
                 part ->
                     new PeerMessage.QuarantinedPart(
                         part.getPart(),
-                        Integer.toUnsignedLong(part.getAgeMilliseconds()),
-                        Integer.toUnsignedLong(part.getRemainingMilliseconds())))
+                        part.getNumber(),
+                        Integer.toUnsignedLong(part.getRemainingMilliseconds()),
+                        part.getStored()))
+            .toList(),
+        evidence.getEndedList().stream()
+            .map(each -> new PeerMessage.EndedQuarantine(each.getPart(), each.getNumber()))
             .toList());
   }
+
+  private static Map<String, Integer> positions(PeerProtocol.RunnerCrash crash) {
+    Map<String, Integer> positions = new HashMap<>();
+    for (int index = 0; index < crash.getPartsCount(); index++) {
+      int position = index < crash.getPositionsCount() ? crash.getPositions(index) : 0;
+      positions.put(crash.getParts(index), position);
+    }
+    return positions;
+  }
 }
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -1,6 +1,7 @@
 package org.agatefield.peer;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -270,15 +271,20 @@
    * @param crashes crashes with the suspects of each
    * @param survivals parts that are not the cause of earlier crashes
    * @param quarantined parts with which no request may be sent to runners
+   * @param ended quarantines that are over
    */
   record CrashEvidence(
-      List<RunnerCrash> crashes, List<PartSurvival> survivals, List<QuarantinedPart> quarantined)
+      List<RunnerCrash> crashes,
+      List<PartSurvival> survivals,
+      List<QuarantinedPart> quarantined,
+      List<EndedQuarantine> ended)
       implements PeerMessage {
     /** Copies the lists. */
     public CrashEvidence {
       crashes = List.copyOf(crashes);
       survivals = List.copyOf(survivals);
       quarantined = List.copyOf(quarantined);
+      ended = List.copyOf(ended);
     }
   }
 
@@ -287,26 +293,38 @@
    *
    * @param runner the runner's identifier
    * @param startTimeMilliseconds the wall-clock time of the process's start
-   * @param parts the shared parts of the prompts that were lost before their responses had begun
+   * @param positions the shared parts of the prompts that were lost before their responses had
+   *     begun, with the greatest position of each in its prompts
    */
   record RunnerCrash(
-      String runner, long startTimeMilliseconds, long ageMilliseconds, List<String> parts) {
-    /** Copies the list. */
+      String runner,
+      long startTimeMilliseconds,
+      long ageMilliseconds,
+      Map<String, Integer> positions) {
+    /** Copies the map. */
     public RunnerCrash {
-      parts = List.copyOf(parts);
+      positions = Map.copyOf(positions);
     }
   }
 
   /** A part on which a runner has begun a response without crashing. Immutable. */
   record PartSurvival(String part, long ageMilliseconds) {}
 
+  /**
+   * The end of all quarantines of a part up to a number. Immutable.
+   *
+   * @param number the number of the last quarantine that is over
+   */
+  record EndedQuarantine(String part, int number) {}
+
   /**
    * A part with which no request may be sent to runners. Immutable.
    *
-   * @param ageMilliseconds how long ago its quarantine began
+   * @param number counts the quarantines of the part from 1
    * @param remainingMilliseconds the time until its quarantine ends
+   * @param stored whether the store holds it
    */
-  record QuarantinedPart(String part, long ageMilliseconds, long remainingMilliseconds) {}
+  record QuarantinedPart(String part, int number, long remainingMilliseconds, boolean stored) {}
 
   /**
    * Requests the configuration and the runner entries that an instance knows. Immutable.
