--- a/daemon/src/main/java/org/agatefield/daemon/http/ServiceHandler.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ServiceHandler.java
@@ -111,7 +111,7 @@
             call,
             serviceRequest(service, attributes, body),
             dependencies.dispatcher(),
-            runner -> client.sendOnce(runner, upstreamRequest))
+            runner -> client.send(runner, upstreamRequest))
         .copy();
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/http/UpstreamServiceClient.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/UpstreamServiceClient.java
@@ -25,9 +25,9 @@
  * Sends calls to the runners of plain services and reads complete answers.
  *
  * <p>Invariants: an exchange is returned only if its whole body was received; a failure has {@code
- * RunState.NO} only if no connection was made. Each non-repeatable call uses a new connection,
- * since a pooled connection that the runner has just closed would look like a lost call. Safe for
- * use by any thread.
+ * RunState.NO} only if no connection was made. Each call uses a new connection: on a kept one, a
+ * late response to an earlier call would be taken for the response to the next, and a connection
+ * that the runner has just closed would look like a lost call. Safe for use by any thread.
  */
 final class UpstreamServiceClient {
   private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -45,35 +45,20 @@
           "transfer-encoding",
           "upgrade");
 
-  private final HttpClient pooled;
-  private final HttpClient unpooled;
+  private final HttpClient client;
 
   UpstreamServiceClient(Vertx vertx) {
+    HttpClientOptions options =
+        new HttpClientOptions()
+            .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
+            .setTcpNoDelay(true)
+            .setKeepAlive(false);
     PoolOptions pool = new PoolOptions().setHttp1MaxSize(CONNECTIONS_PER_RUNNER);
-    this.pooled = vertx.createHttpClient(options(true), pool);
-    this.unpooled = vertx.createHttpClient(options(false), pool);
+    this.client = vertx.createHttpClient(options, pool);
   }
 
-  private static HttpClientOptions options(boolean keepAlive) {
-    return new HttpClientOptions()
-        .setConnectTimeout(CONNECT_TIMEOUT_MILLISECONDS)
-        .setTcpNoDelay(true)
-        .setKeepAlive(keepAlive);
-  }
-
-  /** Sends a call that may be sent again. */
+  /** Sends a call. */
   CompletableFuture<ServiceResponse> send(Address runner, UpstreamServiceRequest upstreamRequest) {
-    return connect(pooled, runner, upstreamRequest);
-  }
-
-  /** Sends a call that must not be sent again. */
-  CompletableFuture<ServiceResponse> sendOnce(
-      Address runner, UpstreamServiceRequest upstreamRequest) {
-    return connect(unpooled, runner, upstreamRequest);
-  }
-
-  private static CompletableFuture<ServiceResponse> connect(
-      HttpClient client, Address runner, UpstreamServiceRequest upstreamRequest) {
     CompletableFuture<ServiceResponse> result = new CompletableFuture<>();
     RequestOptions target =
         new RequestOptions()
