--- a/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
@@ -3,11 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
@@ -43,8 +42,6 @@
   // Twice the time in which a message reaches every region.
   private static final long SETTLE_MILLISECONDS = 150;
   private static final int MAXIMUM_REPLY_DELAY_MILLISECONDS = 50;
-  // Older crashes have reached every instance that was not cut off.
-  private static final long EXCHANGED_EVIDENCE_MILLISECONDS = 30_000;
   private static final long LOAD_INTERVAL_MILLISECONDS = 3_000;
   private static final long CHECK_AFTER_CRASH_MILLISECONDS = 1_000;
   // The next instance stores a quarantine if the one before it has not done so within this time.
@@ -56,12 +53,8 @@
   private final Records records;
   private final IntUnaryOperator random;
   private final Consumer<String> onQuarantined;
-  private final CrashAttribution attribution = new CrashAttribution();
-  private final Map<String, Entry> quarantined = new HashMap<>();
-  private final Map<String, Ended> ended = new HashMap<>();
-  private final Map<CrashAttribution.Crash, RecentCrash> recent = new HashMap<>();
-  private final Set<String> suspected = new HashSet<>();
-  private final Map<String, Long> sharedSurvivals = new HashMap<>();
+  private final SharedCrashEvidence evidence = new SharedCrashEvidence();
+  private final QuarantinedParts quarantined = new QuarantinedParts();
   private boolean evaluationScheduled;
   private boolean loaded;
   private long lastLoadAt;
@@ -105,26 +98,6 @@
    */
   record Quarantined(String part, int number, long remainingMilliseconds) {}
 
-  /** A quarantined part. */
-  private static final class Entry {
-    private final int number;
-    private final long until;
-    private final long adoptedAt;
-    private boolean stored;
-    private boolean saving;
-
-    Entry(int number, long until, long adoptedAt, boolean stored) {
-      this.number = number;
-      this.until = until;
-      this.adoptedAt = adoptedAt;
-      this.stored = stored;
-    }
-  }
-
-  private record Ended(int number, long at) {}
-
-  private record RecentCrash(long at, Map<String, Integer> positions) {}
-
   /**
    * Creates a quarantine that is empty until it has learnt from other instances or the store.
    *
@@ -163,14 +136,7 @@
    * if none is quarantined.
    */
   OptionalLong quarantinedUntil(Collection<String> parts) {
-    if (quarantined.isEmpty()) {
-      return OptionalLong.empty();
-    }
-    return parts.stream()
-        .map(quarantined::get)
-        .filter(entry -> entry != null && entry.until > clock.getAsLong())
-        .mapToLong(entry -> entry.until)
-        .max();
+    return quarantined.until(parts, clock.getAsLong());
   }
 
   /**
@@ -182,7 +148,7 @@
   void crashed(RunnerEntry runner, Map<String, Integer> positions) {
     long now = clock.getAsLong();
     Map<String, Integer> suspects = new HashMap<>(positions);
-    suspects.keySet().removeIf(part -> attribution.isSound(part, now));
+    suspects.keySet().removeIf(part -> evidence.isSound(part, now));
     if (suspects.isEmpty()) {
       return;
     }
@@ -191,7 +157,7 @@
     record(crash, suspects, now);
     fleet.broadcast(
         new PeerMessage.CrashEvidence(
-            List.of(message(crash, recent.get(crash), now)), List.of(), List.of(), List.of()));
+            List.of(evidence.crashMessage(crash, now)), List.of(), List.of(), List.of()));
     timers.after(CHECK_AFTER_CRASH_MILLISECONDS, () -> checkStore(suspects.keySet()));
   }
 
@@ -200,10 +166,8 @@
     long now = clock.getAsLong();
     List<String> news = new ArrayList<>();
     for (String part : parts) {
-      attribution.survived(part, now);
-      boolean suspect = suspected.remove(part);
-      if (suspect || quarantined.containsKey(part)) {
-        acquit(part, now);
+      boolean suspect = evidence.survived(part, now);
+      if (acquit(part, now) || suspect) {
         news.add(part);
       }
     }
@@ -211,79 +175,62 @@
   }
 
   /** Applies what another instance knows. */
-  void evidenceReceived(PeerMessage.CrashEvidence evidence) {
+  void evidenceReceived(PeerMessage.CrashEvidence received) {
     long now = clock.getAsLong();
-    evidence.ended().forEach(each -> endReceived(each, now));
-    evidence.survivals().forEach(each -> survivalReceived(each, now));
-    for (PeerMessage.RunnerCrash crash : evidence.crashes()) {
-      long at = now - crash.ageMilliseconds();
-      record(
-          new CrashAttribution.Crash(crash.runner(), crash.startTimeMilliseconds()),
-          crash.positions(),
-          at);
-      // Several instances may know that a part is sound; the first reply spares the others.
-      timers.after(
-          random.applyAsInt(MAXIMUM_REPLY_DELAY_MILLISECONDS),
-          () -> shareSurvivals(crash.positions().keySet(), at));
+    for (PeerMessage.EndedQuarantine each : received.ended()) {
+      quarantined.end(each.part(), each.number(), "another instance ended it", now);
+    }
+    List<String> news = new ArrayList<>();
+    for (PeerMessage.PartSurvival survival : received.survivals()) {
+      long at = now - survival.ageMilliseconds();
+      evidence.survived(survival.part(), at);
+      evidence.survivalShared(survival.part(), at);
+      if (evidence.isSound(survival.part(), now) && acquit(survival.part(), now)) {
+        news.add(survival.part());
+      }
     }
-    List<String> objections = new ArrayList<>();
-    for (PeerMessage.QuarantinedPart part : evidence.quarantined()) {
-      boolean known = quarantined.containsKey(part.part());
-      boolean valid = part.number() > endedNumber(part.part());
-      if (valid && !known && attribution.isSound(part.part(), now)) {
-        ended.put(part.part(), new Ended(part.number(), now));
-        objections.add(part.part());
+    received.crashes().forEach(crash -> crashReceived(crash, now));
+    for (PeerMessage.QuarantinedPart part : received.quarantined()) {
+      if (objects(part, now)) {
+        quarantined.end(part.part(), part.number(), "a runner survived it", now);
+        news.add(part.part());
       } else {
-        adopt(
-            new Quarantined(part.part(), part.number(), part.remainingMilliseconds()),
-            part.stored(),
-            "peer");
+        Quarantined culprit =
+            new Quarantined(part.part(), part.number(), part.remainingMilliseconds());
+        adopt(culprit, part.stored(), "peer");
       }
     }
-    share(objections);
+    share(news);
   }
 
-  private void endReceived(PeerMessage.EndedQuarantine end, long now) {
-    if (end.number() > endedNumber(end.part())) {
-      ended.put(end.part(), new Ended(end.number(), now));
-    }
-    Entry entry = quarantined.get(end.part());
-    if (entry != null && entry.number <= end.number()) {
-      release(end.part(), "another instance ended it");
-    }
+  private void crashReceived(PeerMessage.RunnerCrash crash, long now) {
+    long at = now - crash.ageMilliseconds();
+    record(
+        new CrashAttribution.Crash(crash.runner(), crash.startTimeMilliseconds()),
+        crash.positions(),
+        at);
+    // Several instances may know that a part is sound; the first reply spares the others.
+    timers.after(
+        random.applyAsInt(MAXIMUM_REPLY_DELAY_MILLISECONDS),
+        () -> share(evidence.unsharedSound(crash.positions().keySet(), at)));
   }
 
-  private void survivalReceived(PeerMessage.PartSurvival survival, long now) {
-    String part = survival.part();
-    long at = now - survival.ageMilliseconds();
-    attribution.survived(part, at);
-    sharedSurvivals.merge(part, at, Math::max);
-    suspected.remove(part);
-    if (quarantined.containsKey(part) && attribution.isSound(part, now)) {
-      acquit(part, now);
-      share(List.of(part));
-    }
+  /** Returns whether this instance knows that a part is sound that another one quarantines. */
+  private boolean objects(PeerMessage.QuarantinedPart part, long now) {
+    return !quarantined.contains(part.part())
+        && part.number() > quarantined.endedNumber(part.part())
+        && evidence.isSound(part.part(), now);
   }
 
-  /** Ends the quarantine of a part that a runner has survived. */
-  private void acquit(String part, long now) {
-    sharedSurvivals.put(part, now);
-    Entry entry = quarantined.get(part);
-    if (entry != null) {
-      ended.put(part, new Ended(Math.max(entry.number, endedNumber(part)), now));
-      release(part, "a runner survived it");
-      records.delete(part);
+  /** Ends the quarantine of a part that a runner has survived; returns whether there was one. */
+  private boolean acquit(String part, long now) {
+    Optional<QuarantinedParts.Entry> entry = quarantined.entry(part);
+    if (entry.isEmpty()) {
+      return false;
     }
-  }
-
-  private void release(String part, String cause) {
-    Entry entry = quarantined.remove(part);
-    LOGGER.warn("part={} quarantined=false number={} cause=\"{}\"", part, entry.number, cause);
-  }
-
-  private int endedNumber(String part) {
-    Ended last = ended.get(part);
-    return last == null ? 0 : last.number();
+    quarantined.end(part, entry.get().number(), "a runner survived it", now);
+    records.delete(part);
+    return true;
   }
 
   /** Shares that runners have survived parts, and that the quarantines of these are over. */
@@ -292,193 +239,118 @@
       return;
     }
     long now = clock.getAsLong();
-    List<PeerMessage.PartSurvival> survivals = new ArrayList<>();
-    for (String part : parts) {
-      long at = attribution.lastSurvival(part).orElse(now);
-      survivals.add(new PeerMessage.PartSurvival(part, Math.max(0, now - at)));
-    }
+    List<PeerMessage.PartSurvival> survivals = evidence.survivalMessages(parts, now);
+    survivals.forEach(each -> evidence.survivalShared(each.part(), now - each.ageMilliseconds()));
     fleet.broadcast(
-        new PeerMessage.CrashEvidence(List.of(), survivals, List.of(), endedAmong(parts)));
-  }
-
-  private List<PeerMessage.EndedQuarantine> endedAmong(Collection<String> parts) {
-    return parts.stream()
-        .filter(ended::containsKey)
-        .map(part -> new PeerMessage.EndedQuarantine(part, ended.get(part).number()))
-        .toList();
+        new PeerMessage.CrashEvidence(
+            List.of(), survivals, List.of(), quarantined.endedMessages(parts)));
   }
 
   /** Sends what is known to a random instance, ends quarantines, and reads the store if needed. */
   void exchange(long now) {
     endExpired(now);
-    forgetOld(now);
-    quarantined.forEach(this::saveInTurn);
+    evidence.forgetOld(now);
+    quarantined.forgetEnded(DURATION_MILLISECONDS, now);
+    quarantined.parts().forEach(this::saveInTurn);
     if (!loaded) {
       load();
     }
     List<Instance> others =
         fleet.answering().stream().filter(each -> !each.id().equals(fleet.self().id())).toList();
-    boolean nothing = quarantined.isEmpty() && recent.isEmpty() && ended.isEmpty();
-    if (nothing || others.isEmpty()) {
+    if (others.isEmpty() || (quarantined.isEmpty() && evidence.isEmpty())) {
       return;
     }
-    fleet.send(others.get(random.applyAsInt(others.size())), evidence(now));
-  }
-
-  private PeerMessage.CrashEvidence evidence(long now) {
-    List<PeerMessage.RunnerCrash> crashes = new ArrayList<>();
-    recent.forEach((crash, each) -> crashes.add(message(crash, each, now)));
-    List<PeerMessage.QuarantinedPart> parts = new ArrayList<>();
-    quarantined.forEach((part, entry) -> parts.add(message(part, entry, now)));
-    return new PeerMessage.CrashEvidence(crashes, List.of(), parts, endedAmong(ended.keySet()));
-  }
-
-  private static PeerMessage.RunnerCrash message(
-      CrashAttribution.Crash crash, RecentCrash known, long now) {
-    return new PeerMessage.RunnerCrash(
-        crash.runner(),
-        crash.startTimeMilliseconds(),
-        Math.max(0, now - known.at()),
-        known.positions());
+    fleet.send(
+        others.get(random.applyAsInt(others.size())),
+        new PeerMessage.CrashEvidence(
+            evidence.crashMessages(now),
+            List.of(),
+            quarantined.messages(quarantined.parts(), now),
+            quarantined.endedMessages()));
   }
 
-  private static PeerMessage.QuarantinedPart message(String part, Entry entry, long now) {
-    return new PeerMessage.QuarantinedPart(
-        part, entry.number, Math.max(0, entry.until - now), entry.stored);
+  private void endExpired(long now) {
+    for (String part : quarantined.expire(now)) {
+      if (rank() == 0) {
+        records.delete(part);
+      }
+    }
   }
 
   private void record(CrashAttribution.Crash crash, Map<String, Integer> positions, long at) {
-    attribution.crashed(crash, positions, at);
-    Map<String, Integer> all = new HashMap<>(positions);
-    RecentCrash known = recent.get(crash);
-    if (known != null) {
-      known.positions().forEach((part, position) -> all.merge(part, position, Math::max));
-    }
-    recent.put(crash, new RecentCrash(known == null ? at : Math.min(known.at(), at), all));
-    positions.keySet().stream()
-        .filter(part -> !attribution.isSound(part, at))
-        .filter(part -> !quarantined.containsKey(part))
-        .forEach(suspected::add);
+    evidence.crashed(crash, positions, at);
     if (!evaluationScheduled) {
       evaluationScheduled = true;
       timers.after(SETTLE_MILLISECONDS, this::evaluate);
     }
   }
 
-  private void shareSurvivals(Collection<String> parts, long crashAt) {
-    long now = clock.getAsLong();
-    List<String> news = new ArrayList<>();
-    for (String part : parts) {
-      Long shared = sharedSurvivals.get(part);
-      boolean known = shared != null && crashAt - shared <= CrashAttribution.SOUND_MILLISECONDS;
-      if (attribution.isSound(part, crashAt) && !known) {
-        sharedSurvivals.put(part, attribution.lastSurvival(part).orElse(now));
-        news.add(part);
-      }
+  private void evaluate() {
+    evaluationScheduled = false;
+    for (String part : evidence.culprits(quarantined.parts())) {
+      int number = quarantined.endedNumber(part) + 1;
+      adopt(
+          new Quarantined(part, number, DURATION_MILLISECONDS),
+          false,
+          "crashes " + evidence.crashesOf(part));
+      announce(part);
     }
-    share(news);
   }
 
-  private void evaluate() {
-    evaluationScheduled = false;
-    for (String part : attribution.culprits(quarantined.keySet())) {
-      Quarantined culprit = new Quarantined(part, endedNumber(part) + 1, DURATION_MILLISECONDS);
-      adopt(culprit, false, "crashes " + attribution.crashesOf(part));
-      announce(part, quarantined.get(part));
+  private void adopt(Quarantined culprit, boolean stored, String cause) {
+    long remaining = Math.min(DURATION_MILLISECONDS, culprit.remainingMilliseconds());
+    boolean isNew =
+        quarantined.begin(
+            culprit.part(), culprit.number(), remaining, stored, cause, clock.getAsLong());
+    if (isNew) {
+      saveInTurn(culprit.part());
+      onQuarantined.accept(culprit.part());
     }
   }
 
+  private void announce(String part) {
+    long now = clock.getAsLong();
+    fleet.broadcast(
+        new PeerMessage.CrashEvidence(
+            List.of(), List.of(), quarantined.messages(List.of(part), now), List.of()));
+  }
+
   /** Stores a quarantine unless another instance has done so or is to do so first. */
-  private void saveInTurn(String part, Entry entry) {
+  private void saveInTurn(String part) {
+    QuarantinedParts.Entry entry = quarantined.entry(part).orElseThrow();
     long now = clock.getAsLong();
-    boolean turn = now - entry.adoptedAt >= SAVE_TURN_MILLISECONDS * rank();
-    if (entry.stored || entry.saving || !turn) {
+    boolean turn = now - entry.beganAt() >= SAVE_TURN_MILLISECONDS * rank();
+    if (!turn || !entry.needsSaving()) {
       return;
     }
-    entry.saving = true;
+    entry.savingStarted();
     records
-        .save(new Quarantined(part, entry.number, Math.max(0, entry.until - now)))
+        .save(new Quarantined(part, entry.number(), Math.max(0, entry.until() - now)))
         .whenComplete(
             (done, failure) -> {
-              entry.saving = false;
-              entry.stored = failure == null;
+              entry.savingEnded(failure == null);
               LOGGER.info(
                   "part={} number={} stored={} failure=\"{}\"",
                   part,
-                  entry.number,
-                  entry.stored,
+                  entry.number(),
+                  failure == null,
                   failure == null ? "" : failure.getMessage());
-              if (entry.stored && quarantined.get(part) == entry) {
-                announce(part, entry);
+              if (failure == null) {
+                announce(part);
               }
             });
   }
 
-  private void announce(String part, Entry entry) {
-    fleet.broadcast(
-        new PeerMessage.CrashEvidence(
-            List.of(), List.of(), List.of(message(part, entry, clock.getAsLong())), List.of()));
-  }
-
+  /** Returns the place of this instance among those that may store a quarantine. */
   private int rank() {
     List<String> ids = fleet.answering().stream().map(Instance::id).sorted().toList();
     return ids.indexOf(fleet.self().id());
   }
 
-  private void adopt(Quarantined culprit, boolean stored, String cause) {
-    long now = clock.getAsLong();
-    String part = culprit.part();
-    Entry before = quarantined.get(part);
-    if (before != null && before.number == culprit.number()) {
-      before.stored |= stored;
-    }
-    boolean over = culprit.number() <= endedNumber(part) || culprit.remainingMilliseconds() <= 0;
-    if (over || (before != null && before.number >= culprit.number())) {
-      return;
-    }
-    long remaining = Math.min(DURATION_MILLISECONDS, culprit.remainingMilliseconds());
-    Entry entry = new Entry(culprit.number(), now + remaining, now, stored);
-    quarantined.put(part, entry);
-    suspected.remove(part);
-    saveInTurn(part, entry);
-    if (before == null) {
-      LOGGER.warn(
-          "part={} quarantined=true number={} cause=\"{}\" for_ms={}",
-          part,
-          culprit.number(),
-          cause,
-          remaining);
-      onQuarantined.accept(part);
-    }
-  }
-
-  private void endExpired(long now) {
-    for (String part : List.copyOf(quarantined.keySet())) {
-      Entry entry = quarantined.get(part);
-      if (entry.until <= now) {
-        ended.put(part, new Ended(entry.number, now));
-        release(part, "time is over");
-        if (rank() == 0) {
-          records.delete(part);
-        }
-      }
-    }
-  }
-
-  private void forgetOld(long now) {
-    recent.values().removeIf(crash -> now - crash.at() > EXCHANGED_EVIDENCE_MILLISECONDS);
-    ended.values().removeIf(each -> now - each.at() > DURATION_MILLISECONDS);
-    sharedSurvivals.values().removeIf(at -> now - at > DURATION_MILLISECONDS);
-    if (recent.isEmpty()) {
-      suspected.retainAll(attribution.suspects());
-    }
-  }
-
   /** Reads the store if suspects are still unexplained, since other instances may be cut off. */
   private void checkStore(Collection<String> suspects) {
-    boolean explained = suspects.stream().anyMatch(quarantined::containsKey);
-    boolean sound = suspects.stream().noneMatch(suspected::contains);
-    if (!explained && !sound && clock.getAsLong() - lastLoadAt >= LOAD_INTERVAL_MILLISECONDS) {
+    boolean explained = suspects.stream().anyMatch(quarantined::contains);
+    if (!explained && suspects.stream().anyMatch(evidence::isSuspected)) {
       load();
     }
   }
@@ -503,11 +375,10 @@
   }
 
   private void adoptStored(Quarantined part) {
-    boolean known = quarantined.containsKey(part.part());
+    boolean known = quarantined.contains(part.part());
     adopt(part, true, "store");
-    Entry entry = quarantined.get(part.part());
-    if (!known && entry != null) {
-      announce(part.part(), entry);
+    if (!known) {
+      announce(part.part());
     }
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/SharedCrashEvidence.java
@@ -0,0 +1,122 @@
+package org.agatefield.daemon.forward;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.agatefield.forwarding.CrashAttribution;
+import org.agatefield.peer.PeerMessage;
+
+/**
+ * The evidence about crashes of runners that one instance has collected, and what of it the other
+ * instances have been told.
+ *
+ * <p>All times are monotonic milliseconds of the caller. Confined to one event loop.
+ */
+final class SharedCrashEvidence {
+  // Older crashes have reached every instance that was not cut off.
+  private static final long EXCHANGED_MILLISECONDS = 30_000;
+
+  private final CrashAttribution attribution = new CrashAttribution();
+  private final Map<CrashAttribution.Crash, RecentCrash> recent = new HashMap<>();
+  private final Set<String> suspected = new HashSet<>();
+  private final Map<String, Long> sharedSurvivals = new HashMap<>();
+
+  private record RecentCrash(long at, Map<String, Integer> positions) {}
+
+  /** Records a crash with its suspects and the greatest position of each in its prompts. */
+  void crashed(CrashAttribution.Crash crash, Map<String, Integer> positions, long at) {
+    attribution.crashed(crash, positions, at);
+    Map<String, Integer> all = new HashMap<>(positions);
+    RecentCrash known = recent.get(crash);
+    if (known != null) {
+      known.positions().forEach((part, position) -> all.merge(part, position, Math::max));
+    }
+    recent.put(crash, new RecentCrash(known == null ? at : Math.min(known.at(), at), all));
+    positions.keySet().stream()
+        .filter(part -> !attribution.isSound(part, at))
+        .forEach(suspected::add);
+  }
+
+  /** Records that a runner survived a part; returns whether the part was suspected. */
+  boolean survived(String part, long at) {
+    attribution.survived(part, at);
+    return suspected.remove(part);
+  }
+
+  /** Notes that the other instances know that a part was survived at a time. */
+  void survivalShared(String part, long at) {
+    sharedSurvivals.merge(part, at, Math::max);
+  }
+
+  /** Returns those of the suspects of a crash that are sound as only this instance may know. */
+  List<String> unsharedSound(Collection<String> suspects, long crashAt) {
+    List<String> sound = new ArrayList<>();
+    for (String part : suspects) {
+      Long shared = sharedSurvivals.get(part);
+      boolean known = shared != null && crashAt - shared <= CrashAttribution.SOUND_MILLISECONDS;
+      if (attribution.isSound(part, crashAt) && !known) {
+        sound.add(part);
+      }
+    }
+    return sound;
+  }
+
+  boolean isSound(String part, long at) {
+    return attribution.isSound(part, at);
+  }
+
+  boolean isSuspected(String part) {
+    return suspected.contains(part);
+  }
+
+  /** Returns the parts that cause crashes besides those that are quarantined. */
+  Set<String> culprits(Set<String> quarantined) {
+    return attribution.culprits(quarantined);
+  }
+
+  Set<CrashAttribution.Crash> crashesOf(String part) {
+    return attribution.crashesOf(part);
+  }
+
+  /** Returns whether there is no crash to tell other instances about. */
+  boolean isEmpty() {
+    return recent.isEmpty();
+  }
+
+  void forgetOld(long now) {
+    recent.values().removeIf(crash -> now - crash.at() > EXCHANGED_MILLISECONDS);
+    sharedSurvivals.values().removeIf(at -> now - at > CrashAttribution.EVIDENCE_MILLISECONDS);
+    if (recent.isEmpty()) {
+      suspected.retainAll(attribution.suspects());
+    }
+  }
+
+  /** Returns the recent crashes for another instance. */
+  List<PeerMessage.RunnerCrash> crashMessages(long now) {
+    return recent.keySet().stream().map(crash -> crashMessage(crash, now)).toList();
+  }
+
+  /** Returns a recent crash for another instance. */
+  PeerMessage.RunnerCrash crashMessage(CrashAttribution.Crash crash, long now) {
+    RecentCrash known = recent.get(crash);
+    return new PeerMessage.RunnerCrash(
+        crash.runner(),
+        crash.startTimeMilliseconds(),
+        Math.max(0, now - known.at()),
+        known.positions());
+  }
+
+  /** Returns the survivals of parts for another instance. */
+  List<PeerMessage.PartSurvival> survivalMessages(Collection<String> parts, long now) {
+    List<PeerMessage.PartSurvival> messages = new ArrayList<>();
+    for (String part : parts) {
+      long at = attribution.lastSurvival(part).orElse(now);
+      messages.add(new PeerMessage.PartSurvival(part, Math.max(0, now - at)));
+    }
+    return messages;
+  }
+}
