A request that the stall limit cancels counts as in hand if its runner has just crashed

What callers saw: one more runner ended, and sound requests on it were lost. Fix: a stalled request with an answer not begun is examined like a lost connection; a runner that accepts connections was only slow, and the request is forgotten. Evidence: RunnerCrashDetectorTest (five cases, new).

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -356,6 +356,9 @@
       return;
     }
     context.selector().failed(runner.id());
+    if (!began && terms.prompt().isPresent()) {
+      context.crashes().stalled(runner, sharedParts());
+    }
     LOGGER.info(
         "request={} attempt={} runner={} silent_ms={} began={}",
         terms.id(),
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
@@ -38,6 +38,7 @@
     private final long at;
     private final Map<String, Integer> positions = new HashMap<>();
     private int requests;
+    private boolean disconnected;
     private boolean crashed;
     private boolean reporting;
 
@@ -71,6 +72,20 @@
    * @param parts the shared parts of its prompt in order
    */
   void disconnected(RunnerEntry runner, List<String> parts) {
+    lost(runner, parts, true);
+  }
+
+  /**
+   * Records that a request was cancelled because the runner had sent nothing for too long; it may
+   * have crashed meanwhile.
+   *
+   * @param parts the shared parts of its prompt in order
+   */
+  void stalled(RunnerEntry runner, List<String> parts) {
+    lost(runner, parts, false);
+  }
+
+  private void lost(RunnerEntry runner, List<String> parts, boolean disconnected) {
     if (runner.draining()) {
       return;
     }
@@ -85,6 +100,7 @@
       loss.positions.merge(parts.get(position), position, Math::max);
     }
     loss.requests++;
+    loss.disconnected |= disconnected;
     if (!loss.reporting) {
       loss.reporting = true;
       Loss reported = loss;
@@ -122,6 +138,10 @@
               loss.reporting = false;
               if (result == ConnectionProbe.Result.REFUSED) {
                 confirm(loss, "connection refused");
+                return;
+              }
+              if (!loss.disconnected && result == ConnectionProbe.Result.LISTENING) {
+                losses.remove(loss.runner.id(), loss); // It was only slow.
               } else {
                 LOGGER.info(
                     "runner={} lost_requests={} crashed=unknown probe={}",
