--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerCrashDetectorTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerCrashDetectorTest.java
@@ -117,7 +117,7 @@
   }
 
   @Test
-  void stalledRequestOfSlowRunnerIsNotInHandAtALaterCrash() throws Exception {
+  void stalledRequestOfSlowRunnerIsNotInHandAtLaterCrashes() throws Exception {
     onEventLoop(() -> detector.stalled(runner(1, false), List.of("a")));
     Thread.sleep(NO_CRASH_MILLISECONDS);
     onEventLoop(() -> detector.runnerChanged(runner(2, false), true));
