--- a/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
@@ -285,7 +285,7 @@
   @Test
   void lateMessagesDoNotRenewAnEndedQuarantine() {
     startAll();
-    Simulated late = instances.get(4);
+    final Simulated late = instances.get(4);
     crash(instances.get(0), "sound");
     runFor(1_000);
     crash(instances.get(1), "sound");
