--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -217,7 +217,7 @@
             peers,
             new QuarantineRecords(store, System::currentTimeMillis, timers),
             random::nextInt,
-            part -> List.copyOf(exchanges).forEach(RequestExchange::promptQuarantined));
+            part -> List.copyOf(exchanges).forEach(RequestExchange::endQuarantined));
     createWatches(store);
     startForwarding(random);
     startPlanner(store, peers.self().id());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -225,31 +225,31 @@
 
   /** Refuses the request if its prompt has a part that crashes runners. */
   private boolean refuseQuarantined() {
-    OptionalLong until = quarantinedUntil();
-    if (until.isEmpty()) {
-      return false;
+    boolean quarantined = isPromptQuarantined();
+    if (quarantined) {
+      perform(state.notChosen(RefusalReason.PROMPT_CRASHES_RUNNERS));
     }
-    retryAfter = Math.max(0, until.getAsLong() - MonotonicClock.milliseconds());
-    perform(state.notChosen(RefusalReason.PROMPT_CRASHES_RUNNERS));
-    return true;
+    return quarantined;
   }
 
-  private OptionalLong quarantinedUntil() {
-    return terms
-        .prompt()
-        .map(prompt -> context.quarantine().quarantinedUntil(prompt.sharedParts()))
-        .orElse(OptionalLong.empty());
-  }
-
-  /** Ends the request if a part of its prompt has just been quarantined. */
-  void promptQuarantined() {
-    OptionalLong until = quarantinedUntil();
-    if (until.isPresent()) {
-      retryAfter = Math.max(0, until.getAsLong() - MonotonicClock.milliseconds());
+  /** Ends the request, sent or not, if a part of its prompt has just been quarantined. */
+  void endQuarantined() {
+    if (isPromptQuarantined()) {
       perform(state.forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS));
     }
   }
 
+  /** Returns whether the prompt is quarantined; callers may retry when the quarantine ends. */
+  private boolean isPromptQuarantined() {
+    OptionalLong until =
+        terms
+            .prompt()
+            .map(prompt -> context.quarantine().quarantinedUntil(prompt.sharedParts()))
+            .orElse(OptionalLong.empty());
+    until.ifPresent(end -> retryAfter = Math.max(0, end - MonotonicClock.milliseconds()));
+    return until.isPresent();
+  }
+
   private void selectRunner() {
     if (refuseQuarantined()) {
       return;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
@@ -40,7 +40,7 @@
     private int requests;
     private boolean disconnected;
     private boolean crashed;
-    private boolean reporting;
+    private boolean examining;
 
     Loss(RunnerEntry runner, long at) {
       this.runner = runner;
@@ -101,8 +101,8 @@
     }
     loss.requests++;
     loss.disconnected |= disconnected;
-    if (!loss.reporting) {
-      loss.reporting = true;
+    if (!loss.examining) {
+      loss.examining = true;
       Loss reported = loss;
       vertx.setTimer(COLLECTION_MILLISECONDS, fired -> examine(reported));
     }
@@ -135,7 +135,7 @@
         .probe(loss.runner.address())
         .onSuccess(
             result -> {
-              loss.reporting = false;
+              loss.examining = false;
               if (result == ConnectionProbe.Result.REFUSED) {
                 confirm(loss, "connection refused");
                 return;
@@ -160,7 +160,7 @@
   }
 
   private void report(Loss loss, String evidence) {
-    loss.reporting = false;
+    loss.examining = false;
     LOGGER.info(
         "runner={} born={} crashed=true evidence=\"{}\" lost_requests={} parts={}",
         loss.runner.id(),
--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -40,7 +40,7 @@
   private static final int MAXIMUM_PARTS_PER_CRASH = 256;
   private static final int MAXIMUM_SURVIVALS = 8_192;
 
-  private final Map<Crash, Record> crashes = new LinkedHashMap<>();
+  private final Map<Crash, RecordedCrash> crashes = new LinkedHashMap<>();
   private final Map<String, Long> survivals =
       new LinkedHashMap<>() {
         @Override
@@ -57,7 +57,7 @@
    */
   public record Crash(String runner, long startTimeMilliseconds) {}
 
-  private record Record(long at, Map<String, Integer> positions) {}
+  private record RecordedCrash(long at, Map<String, Integer> positions) {}
 
   /**
    * Records a crash, or further parts that were in hand at a crash that is already recorded.
@@ -67,7 +67,7 @@
    */
   public void crashed(Crash crash, Map<String, Integer> positions, long at) {
     crashes.values().removeIf(known -> at - known.at() > EVIDENCE_MILLISECONDS);
-    Record known = crashes.get(crash);
+    RecordedCrash known = crashes.get(crash);
     Map<String, Integer> all = new TreeMap<>(positions);
     if (known != null) {
       known.positions().forEach((part, position) -> all.merge(part, position, Math::max));
@@ -75,7 +75,7 @@
     while (all.size() > MAXIMUM_PARTS_PER_CRASH) {
       all.remove(all.keySet().iterator().next());
     }
-    crashes.put(crash, new Record(known == null ? at : Math.min(known.at(), at), all));
+    crashes.put(crash, new RecordedCrash(known == null ? at : Math.min(known.at(), at), all));
     if (crashes.size() > MAXIMUM_CRASHES) {
       crashes.keySet().stream()
           .min(Comparator.comparingLong(each -> crashes.get(each).at()))
