--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -207,7 +207,7 @@
     HttpObjectStore store =
         closer.register(
             new HttpObjectStore(vertx, settings.store(), STORE_TIMEOUT, dialect.store()));
-    PromptQuarantine.Timers timers =
+    Timers timers =
         (delay, task) ->
             context.runOnContext(run -> vertx.setTimer(Math.max(1, delay), fired -> task.run()));
     quarantine =
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
@@ -39,7 +39,7 @@
   static final long DURATION_MILLISECONDS = 600_000;
 
   private static final Logger LOGGER = LogManager.getLogger(PromptQuarantine.class);
-  // Twice the time in which a message reaches every region.
+  // Covers a report to another region, the delay of its reply, and the way back.
   private static final long SETTLE_MILLISECONDS = 150;
   private static final int MAXIMUM_REPLY_DELAY_MILLISECONDS = 50;
   private static final long LOAD_INTERVAL_MILLISECONDS = 3_000;
@@ -59,11 +59,6 @@
   private boolean loaded;
   private long lastLoadAt;
 
-  /** Runs tasks later on the event loop. */
-  interface Timers {
-    void after(long milliseconds, Runnable task);
-  }
-
   /** Provides the other instances. */
   interface Fleet {
     Instance self();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/QuarantineRecords.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/QuarantineRecords.java
@@ -32,7 +32,7 @@
 
   private final ObjectStore store;
   private final LongSupplier wallClock;
-  private final PromptQuarantine.Timers timers;
+  private final Timers timers;
 
   /**
    * Creates the records of a store.
@@ -40,7 +40,7 @@
    * @param wallClock returns the time of day in milliseconds
    * @param timers run the completion of calls on the event loop
    */
-  QuarantineRecords(ObjectStore store, LongSupplier wallClock, PromptQuarantine.Timers timers) {
+  QuarantineRecords(ObjectStore store, LongSupplier wallClock, Timers timers) {
     this.store = store;
     this.wallClock = wallClock;
     this.timers = timers;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RegionalQuotaPolicy.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RegionalQuotaPolicy.java
@@ -100,12 +100,6 @@
         Instance instance, PeerMessage message, long limitMilliseconds);
   }
 
-  /** Schedules tasks on the event loop. */
-  @FunctionalInterface
-  interface Timers {
-    void after(long milliseconds, Runnable task);
-  }
-
   /**
    * Creates a policy that holds no quota yet.
    *
--- a/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
@@ -59,7 +59,7 @@
 
   /** One instance over all its processes. */
   private final class Simulated
-      implements PromptQuarantine.Fleet, PromptQuarantine.Records, PromptQuarantine.Timers {
+      implements PromptQuarantine.Fleet, PromptQuarantine.Records, Timers {
     private final Instance self;
     private final List<PeerMessage> held = new ArrayList<>();
     private PromptQuarantine quarantine;
