--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingMetrics.java
@@ -23,6 +23,11 @@
     registry.counter(PREFIX + "refused." + reason).inc();
   }
 
+  /** Records that a runner sent nothing for one request for longer than its stall timeout. */
+  void stalled() {
+    registry.counter(PREFIX + "stalls").inc();
+  }
+
   void permitDenied() {
     registry.counter(PREFIX + "permits-denied").inc();
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -355,6 +355,7 @@
     if (actions.isEmpty()) {
       return;
     }
+    context.metrics().stalled();
     context.selector().failed(runner.id());
     if (!began && terms.prompt().isPresent()) {
       context.crashes().stalled(runner, sharedParts());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -548,9 +548,9 @@
     } else if (finalAction instanceof RequestAction.EndStream) {
       response.endStream();
       return "streamed";
-    } else if (finalAction instanceof RequestAction.AbortStream) {
+    } else if (finalAction instanceof RequestAction.AbortStream aborted) {
       response.abort();
-      return "stream_aborted";
+      return "stream_aborted_" + aborted.reason();
     } else if (finalAction instanceof RequestAction.Refuse refusal) {
       context.metrics().refused(refusal.reason().name());
       if (quotaTaken) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
@@ -200,7 +200,7 @@
       actions.add(new RequestAction.Cancel(attempt));
     }
     if (streaming) {
-      actions.addAll(finish(new RequestAction.AbortStream()));
+      actions.addAll(finish(new RequestAction.AbortStream(AbortReason.DEADLINE)));
     } else if (possibleRuns > 0) {
       actions.addAll(finish(new RequestAction.Fail(FailureReason.DEADLINE)));
     } else {
@@ -278,15 +278,17 @@
 
   private List<RequestAction> resumeOrAbort() {
     boolean resumable = retryMode == RetryMode.RESUME && resumeAfter.isPresent();
-    if (resumable && tryRunAgain()) {
-      return List.of(choose());
+    if (!resumable) {
+      return finish(new RequestAction.AbortStream(AbortReason.NOT_RESUMABLE));
     }
-    return finish(new RequestAction.AbortStream());
+    return tryRunAgain()
+        ? List.of(choose())
+        : finish(new RequestAction.AbortStream(AbortReason.RETRIES_EXHAUSTED));
   }
 
   private List<RequestAction> refuseOrFail(RefusalReason reason) {
     if (streaming) {
-      return finish(new RequestAction.AbortStream());
+      return finish(new RequestAction.AbortStream(AbortReason.NO_RUNNER));
     }
     if (possibleRuns > 0) {
       return finish(new RequestAction.Fail(FailureReason.RUNNER_FAILED));
--- a/forwarding/src/main/java/org/agatefield/forwarding/RequestAction.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RequestAction.java
@@ -35,7 +35,7 @@
   record EndStream(int attempt) implements Final {}
 
   /** Abort the stream so that the caller can tell that it is incomplete. Immutable. */
-  record AbortStream() implements Final {}
+  record AbortStream(AbortReason reason) implements Final {}
 
   /** Answer that the request has not run and will not run. Immutable. */
   record Refuse(RefusalReason reason) implements Final {}
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
@@ -216,7 +216,8 @@
     last.event(1, Optional.of("7"));
     last.failed(1, false);
     last.chosen("b");
-    assertEquals(List.of(new RequestAction.AbortStream()), last.ended(2));
+    assertEquals(
+        List.of(new RequestAction.AbortStream(AbortReason.RETRIES_EXHAUSTED)), last.ended(2));
   }
 
   @Test
