Give up an attempt at a silent runner only for a runner that takes its place

What callers saw: requests ended with 502, and streams were cut after their first events, though their runner was sound and only silent for a second or two.

Cause: on a stall the attempt was cancelled first; only then were the retry budget, the selection, the start policy and the quarantine asked, and each of them could say no. A runner's silence is no reason to end an answer sooner.

Change: a stall looks for another runner while the attempt stays open. The runner found, its permit, its adapter and the retry budget come first; then the attempt is cancelled and the request sent on in one step.

ForwardedRequestTest: the property now asks that a cancelled attempt has a successor or a final action in the same step; its Trace took Choose for the end of the open attempt, which was the fault itself.

Why it works: no path leads from a stall to a final action any more; ForwardedRequest.notChosen leaves an open attempt alone, and chosen is the only place that cancels it.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -58,6 +58,7 @@
   private long beganAt;
   private boolean survivalRecorded;
   private boolean released;
+  private boolean stalled;
   private long stallTimer = -1;
 
   /** The request that an attempt serves. Immutable. */
@@ -133,6 +134,9 @@
   }
 
   void cancel() {
+    if (stalled && !began && terms.prompt().isPresent()) {
+      context.crashes().stalled(runner, sharedParts());
+    }
     call.cancel();
     release();
   }
@@ -252,6 +256,7 @@
   public void eventReceived(UpstreamResponse streamHead, EventStreamSplitter.Event next) {
     if (!next.empty()) {
       lastActivity = MonotonicClock.milliseconds();
+      stalled = false;
       context.selector().dataReceived(runner.id(), lastActivity);
       markStarted();
       if (outlivedStart()) {
@@ -350,23 +355,22 @@
     return StallTimeouts.milliseconds(route, began, deadline - lastActivity, runnerSilent);
   }
 
+  /** Looks for another runner until one replaces this attempt or the silent runner continues. */
   private void stalled(long silent) {
     List<RequestAction> actions = state.stalled(attemptNumber);
-    if (actions.isEmpty()) {
-      return;
-    }
-    context.metrics().stalled();
-    context.selector().failed(runner.id());
-    if (!began && terms.prompt().isPresent()) {
-      context.crashes().stalled(runner, sharedParts());
+    if (!actions.isEmpty() && !stalled) {
+      stalled = true;
+      context.metrics().stalled();
+      context.selector().failed(runner.id());
+      LOGGER.info(
+          "request={} attempt={} runner={} silent_ms={} began={}",
+          terms.id(),
+          attemptNumber,
+          runner.id(),
+          silent,
+          began);
     }
-    LOGGER.info(
-        "request={} attempt={} runner={} silent_ms={} began={}",
-        terms.id(),
-        attemptNumber,
-        runner.id(),
-        silent,
-        began);
+    scheduleStallCheck();
     followUp.accept(actions);
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -194,7 +194,7 @@
   @Override
   public void retry() {
     stopWaiting();
-    if (!state.isOver()) {
+    if (state.seeksRunner()) {
       selectRunner();
     }
   }
@@ -267,6 +267,8 @@
       waitForPermit(limited, now);
     } else if (selection instanceof RunnerSelector.Selection.ModelAbsent) {
       waitForModel(now);
+    } else if (state.isReplacing()) {
+      perform(state.notChosen(RefusalReason.NO_RUNNER));
     } else {
       excluded = Set.of();
       startWaiting();
@@ -378,7 +380,7 @@
   }
 
   private void permitDecided(RunnerSelector.Selection.Found found, boolean granted) {
-    if (state.isOver()) {
+    if (!state.seeksRunner()) {
       return;
     }
     if (granted) {
@@ -438,7 +440,7 @@
   }
 
   private void adapterEnsured(RunnerEntry runner, String model, String adapter, boolean present) {
-    if (state.isOver()) {
+    if (!state.seeksRunner()) {
       return;
     }
     if (present) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
@@ -19,6 +19,8 @@
  *       ran;
  *   <li>{@link RequestAction.Refuse} is returned only if no attempt may have run;
  *   <li>at most {@code maximumAttempts} attempts may have run, and at most one is open at a time;
+ *   <li>an attempt whose runner is silent is cancelled only together with the send that replaces
+ *       it;
  *   <li>a stream ends as complete only with an attempt that added an event to it;
  *   <li>events of attempts that are over have no effect.
  * </ul>
@@ -41,6 +43,7 @@
   private int possibleRuns;
   private boolean streaming;
   private boolean attemptHasEvent;
+  private boolean replacing;
   private boolean nextSendRepeats;
 
   private enum Phase {
@@ -70,21 +73,37 @@
     return List.of(choose());
   }
 
-  /** Handles the choice of a runner. */
+  /** Handles the choice of a runner; cancels the open attempt that the new one replaces. */
   public List<RequestAction> chosen(String chosenRunner) {
-    if (phase != Phase.CHOOSING) {
+    if (phase == Phase.CHOOSING) {
+      return List.of(send(chosenRunner));
+    }
+    if (!replacing) {
+      return List.of();
+    }
+    replacing = false;
+    if (chosenRunner.equals(runner) || !tryRunAgain()) {
       return List.of();
     }
+    int replaced = attempt;
+    possibleRuns++;
+    triedRunners.add(runner);
+    return List.of(new RequestAction.Cancel(replaced), send(chosenRunner));
+  }
+
+  private RequestAction send(String chosenRunner) {
     phase = Phase.OPEN;
+    replacing = false;
     runner = chosenRunner;
     attempt++;
     attemptHasEvent = false;
     sends++;
-    return List.of(new RequestAction.Send(attempt, chosenRunner, resumeAfter));
+    return new RequestAction.Send(attempt, chosenRunner, resumeAfter);
   }
 
-  /** Handles the case that no runner can take the request. */
+  /** Handles the case that no runner can take the request; an open attempt continues. */
   public List<RequestAction> notChosen(RefusalReason reason) {
+    replacing = false;
     return phase == Phase.CHOOSING ? refuseOrFail(reason) : List.of();
   }
 
@@ -127,24 +146,23 @@
       return List.of(choose());
     }
     if (deliverable) {
-      phase = Phase.OVER;
-      return List.of(new RequestAction.Deliver(eventAttempt));
+      return finish(new RequestAction.Deliver(eventAttempt));
     }
     return finish(new RequestAction.Fail(FailureReason.RUNNER_FAILED));
   }
 
   /**
-   * Handles a runner that has sent nothing for too long; cancels the attempt if another one is
-   * possible.
+   * Handles a runner that has sent nothing for too long; looks for a runner that can replace it.
+   * The attempt stays open until one is chosen, since a runner may fall silent and then continue.
    */
   public List<RequestAction> stalled(int eventAttempt) {
-    if (!isOpen(eventAttempt) || !canRunAgain()) {
+    if (!isOpen(eventAttempt) || replacing || !canRunAgain() || sends >= MAXIMUM_SENDS) {
       return List.of();
     }
-    List<RequestAction> actions = new ArrayList<>();
-    actions.add(new RequestAction.Cancel(eventAttempt));
-    actions.addAll(failed(eventAttempt, false));
-    return actions;
+    replacing = true;
+    Set<String> avoided = new HashSet<>(triedRunners);
+    avoided.add(runner);
+    return List.of(new RequestAction.Choose(Set.copyOf(avoided)));
   }
 
   /** Handles a complete answer that is to be passed on; it cannot continue a stream. */
@@ -164,6 +182,7 @@
       return List.of();
     }
     attemptHasEvent = true;
+    replacing = false;
     eventId.ifPresent(id -> resumeAfter = Optional.of(id));
     if (streaming) {
       return List.of(new RequestAction.ContinueStream(eventAttempt));
@@ -244,6 +263,16 @@
     return phase == Phase.OVER;
   }
 
+  /** Returns whether the request needs a runner, for its first send or for another one. */
+  public boolean seeksRunner() {
+    return phase == Phase.CHOOSING || replacing;
+  }
+
+  /** Returns whether a runner is sought only to replace one that is silent. */
+  public boolean isReplacing() {
+    return replacing;
+  }
+
   /** Returns whether an attempt is open or may have run. */
   public boolean mayHaveRun() {
     return possibleRuns > 0 || phase == Phase.OPEN;
@@ -260,6 +289,7 @@
 
   private RequestAction choose() {
     phase = Phase.CHOOSING;
+    replacing = false;
     return new RequestAction.Choose(Set.copyOf(triedRunners));
   }
 
@@ -298,6 +328,7 @@
 
   private List<RequestAction> finish(RequestAction.Final action) {
     phase = Phase.OVER;
+    replacing = false;
     return List.of(action);
   }
 }
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
@@ -114,10 +114,17 @@
         mayHaveRun.remove(attempt);
         open = false;
       }
+      if (step == Step.STALLED && !actions.isEmpty()) {
+        assertInstanceOf(RequestAction.Choose.class, actions.get(0));
+        assertEquals(1, actions.size(), "the attempt at a silent runner ended without a successor");
+        return;
+      }
       for (RequestAction action : actions) {
         assertFalse(over, "action after the final action");
         check(action);
       }
+      boolean cancelled = actions.stream().anyMatch(RequestAction.Cancel.class::isInstance);
+      assertTrue(!cancelled || open || over, "cancelled without a successor or a final action");
     }
 
     private void check(RequestAction action) {
@@ -234,6 +241,42 @@
         sent.forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS));
   }
 
+  private static ForwardedRequest silentStream(RetryAllowance allowance) {
+    ForwardedRequest request =
+        new ForwardedRequest(RetryMode.RESUME, 2, Optional.empty(), allowance);
+    request.start();
+    request.chosen("a");
+    request.event(1, Optional.of("7"));
+    assertEquals(List.of(new RequestAction.Choose(Set.of("a"))), request.stalled(1));
+    return request;
+  }
+
+  @Test
+  void silentRunnerIsReplacedInOneStepOnceAnotherOneIsChosen() {
+    assertEquals(
+        List.of(new RequestAction.Cancel(1), new RequestAction.Send(2, "b", Optional.of("7"))),
+        silentStream(() -> true).chosen("b"));
+  }
+
+  @Test
+  void streamOfSilentRunnerContinuesWithoutRetryBudgetOrOtherRunner() {
+    ForwardedRequest withoutBudget = silentStream(() -> false);
+    assertEquals(List.of(), withoutBudget.chosen("b"));
+    assertEquals(
+        List.of(new RequestAction.ContinueStream(1)), withoutBudget.event(1, Optional.of("8")));
+    ForwardedRequest withoutRunner = silentStream(() -> true);
+    assertEquals(List.of(), withoutRunner.notChosen(RefusalReason.OVERLOADED));
+    assertEquals(List.of(new RequestAction.EndStream(1)), withoutRunner.ended(1));
+  }
+
+  @Test
+  void runnerThatSendsAgainIsNotReplaced() {
+    ForwardedRequest request = silentStream(() -> true);
+    request.event(1, Optional.of("8"));
+    assertEquals(List.of(), request.chosen("b"));
+    assertEquals(List.of(new RequestAction.EndStream(1)), request.ended(1));
+  }
+
   @Test
   void streamThatCannotResumeIsAbortedInsteadOfEnded() {
     ForwardedRequest request =
