Log the store's era

Nothing read the header Store-Era, so that a store that came back from an older copy looked like a short outage, and nobody could say which instance had noticed. The dialects read it, and the client logs its first value and each new one (dependency=store era= before=). No change of behaviour.

--- a/store/src/main/java/org/agatefield/store/HttpCall.java
+++ b/store/src/main/java/org/agatefield/store/HttpCall.java
@@ -1,6 +1,7 @@
 package org.agatefield.store;
 
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -20,7 +21,7 @@
  */
 final class HttpCall {
   /** A response of the store. Immutable as long as {@code body} is not modified. */
-  record Answer(boolean write, int status, Buffer body) {}
+  record Answer(boolean write, int status, MultiMap headers, Buffer body) {}
 
   private static final int MAXIMUM_ANSWER_BYTES = 16 * 1_048_576; // a list page is about 1 MB
 
@@ -67,7 +68,7 @@
 
   private Future<Answer> read(HttpClientResponse response) {
     return BoundedBody.read(response, MAXIMUM_ANSWER_BYTES)
-        .map(body -> new Answer(write, response.statusCode(), body));
+        .map(body -> new Answer(write, response.statusCode(), response.headers(), body));
   }
 
   private void succeed(Answer answer) {
--- a/store/src/main/java/org/agatefield/store/HttpObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/HttpObjectStore.java
@@ -32,6 +32,7 @@
   private final StoreDialect dialect;
   private final HttpClient client;
   private final HttpClient watchClient;
+  private final StoreEra era = new StoreEra();
   private final Closer closer = new Closer();
 
   /**
@@ -133,7 +134,12 @@
   }
 
   private CompletableFuture<HttpCall.Answer> call(HttpMethod method, String path, Buffer body) {
-    return HttpCall.start(vertx, client, options(method, path), body, timeout);
+    return HttpCall.start(vertx, client, options(method, path), body, timeout)
+        .thenApply(
+            answer -> {
+              era.observe(dialect.era(answer.headers()));
+              return answer;
+            });
   }
 
   private RequestOptions options(HttpMethod method, String path) {
--- a/store/src/main/java/org/agatefield/store/KubernetesDialect.java
+++ b/store/src/main/java/org/agatefield/store/KubernetesDialect.java
@@ -1,15 +1,18 @@
 package org.agatefield.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpMethod;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Implements the Kubernetes API conventions. Stateless and safe for use by any thread. */
 final class KubernetesDialect implements StoreDialect {
   private static final String BASE_PATH = "/apis/agatefield.org/v1/namespaces/default/";
+  private static final String ERA_HEADER = "Store-Era";
 
   @Override
   public String kindPath(ObjectKind kind) {
@@ -67,6 +70,11 @@
     return StatusTable.failureOf(write, status, body.path("reason").asText());
   }
 
+  @Override
+  public OptionalLong era(MultiMap headers) {
+    return EraHeader.parse(headers, ERA_HEADER);
+  }
+
   @Override
   public AutoCloseable watch(WatchCall call) {
     String query =
--- a/store/src/main/java/org/agatefield/store/StoreDialect.java
+++ b/store/src/main/java/org/agatefield/store/StoreDialect.java
@@ -1,8 +1,10 @@
 package org.agatefield.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Defines the paths, bodies, failures and watches of an object API.
@@ -47,6 +49,9 @@
    */
   StoreFailure failureOf(boolean write, int status, JsonNode body);
 
+  /** Returns the era that the headers of a response name; empty if they name none. */
+  OptionalLong era(MultiMap headers);
+
   /** Starts a watch, which ends when the result is closed. */
   AutoCloseable watch(WatchCall call);
 }
