--- a/standin/src/main/java/org/agatefield/standin/store/ObjectTable.java
+++ b/standin/src/main/java/org/agatefield/standin/store/ObjectTable.java
@@ -17,9 +17,10 @@
 /**
  * Stores the objects of the stand-in store, with versions, conditional writes and a change log.
  *
- * <p>Invariants: every write to any kind increases the version, and no version is reused; the log
- * holds the latest changes in order. All state is guarded by the table's lock. Observers are called
- * while the lock is held, in the order of the changes.
+ * <p>Invariants: every write to any kind increases the version, and no version is reused within an
+ * era; {@link #restore} begins a new one; the log holds the latest changes in order. All state is
+ * guarded by the table's lock. Observers are called while the lock is held, in the order of the
+ * changes.
  */
 public final class ObjectTable {
   /** The largest body of a write, in bytes. */
@@ -33,6 +34,7 @@
   private final List<Consumer<Change>> observers = new ArrayList<>();
   private long version;
   private long compactedVersion;
+  private long era;
 
   /**
    * A change of an object. Immutable as long as {@code object} is not modified.
@@ -49,6 +51,37 @@
    */
   public record Result(int status, JsonNode body) {}
 
+  /** The contents of a table at one time. */
+  public static final class Copy {
+    private final Map<String, NavigableMap<String, ObjectNode>> objects = new HashMap<>();
+    private final long version;
+
+    private Copy(Map<String, NavigableMap<String, ObjectNode>> objects, long version) {
+      objects.forEach((plural, named) -> this.objects.put(plural, new TreeMap<>(named)));
+      this.version = version;
+    }
+  }
+
+  /** Returns the present contents; the store names its era from now on. */
+  public synchronized Copy copy() {
+    era = Math.max(1, era);
+    return new Copy(objects, version);
+  }
+
+  /** Comes back from a copy in a new era, in which versions are given out again. */
+  public synchronized void restore(Copy copy) {
+    objects.clear();
+    objects.putAll(new Copy(copy.objects, copy.version).objects);
+    version = copy.version;
+    compact();
+    era++;
+  }
+
+  /** Returns the era, which each restore raises; 0 if the store names none. */
+  public synchronized long era() {
+    return era;
+  }
+
   /** Returns an object. */
   public synchronized Result get(String plural, String name) {
     ObjectNode found = kind(plural).get(name);
--- a/standin/src/main/java/org/agatefield/standin/store/StoreFaults.java
+++ b/standin/src/main/java/org/agatefield/standin/store/StoreFaults.java
@@ -17,6 +17,8 @@
  * @param cutWatches ends all watches once
  * @param muteWatches keeps watches open without reporting changes
  * @param forgetChanges discards past changes, so that watchers must list again
+ * @param keepCopy keeps a copy of the contents and names an era in responses from now on
+ * @param restoreCopy comes back from the kept copy in a new era
  * @param lagMilliseconds reads, lists and watches of {@code lagKind} return the state from this
  *     long ago
  * @param lagKind the plural kind with stale reads; {@code instances} by default
@@ -36,6 +38,8 @@
     boolean cutWatches,
     boolean muteWatches,
     boolean forgetChanges,
+    boolean keepCopy,
+    boolean restoreCopy,
     long lagMilliseconds,
     Optional<String> lagKind,
     Optional<String> kind,
@@ -51,7 +55,7 @@
   /** Returns a configuration without faults. */
   public static StoreFaults none() {
     return new StoreFaults(
-        false, false, 0, 0, 0, 0, 0, 0, false, false, false, 0, null, null, null);
+        false, false, 0, 0, 0, 0, 0, 0, false, false, false, false, false, 0, null, null, null);
   }
 
   /** Returns whether the write faults apply to a write. */
--- a/standin/src/main/java/org/agatefield/standin/store/StoreServer.java
+++ b/standin/src/main/java/org/agatefield/standin/store/StoreServer.java
@@ -14,6 +14,7 @@
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 import java.io.IOException;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -25,6 +26,7 @@
  */
 public final class StoreServer {
   private static final String OBJECTS = "/apis/agatefield.org/v1/namespaces/:namespace/:kind";
+  private static final String ERA_HEADER = "Store-Era";
   private static final ObjectMapper MAPPER = new ObjectMapper().registerModule(new Jdk8Module());
 
   private final Vertx vertx;
@@ -32,6 +34,7 @@
   private final CallCounts counts = new CallCounts();
   private final StateHistory history = new StateHistory();
   private final Set<WatchAnswer> watches = ConcurrentHashMap.newKeySet();
+  private Optional<ObjectTable.Copy> copy = Optional.empty();
   private StoreFaults faults = StoreFaults.none();
   private Random random = new Random(0);
   private int answersToLose;
@@ -50,6 +53,7 @@
    */
   public Future<HttpServer> listen(int port) {
     Router router = Router.router(vertx);
+    router.route().handler(this::nameEra);
     router.route().handler(BodyHandler.create(false).setBodyLimit(-1));
     router.post("/faults").handler(this::setFaults);
     router.get("/counts").handler(this::readCounts);
@@ -62,6 +66,13 @@
     return vertx.createHttpServer().requestHandler(router).listen(port, "127.0.0.1");
   }
 
+  private void nameEra(RoutingContext context) {
+    if (table.era() > 0) {
+      context.response().putHeader(ERA_HEADER, Long.toString(table.era()));
+    }
+    context.next();
+  }
+
   private void setFaults(RoutingContext context) {
     try {
       faults = MAPPER.readValue(body(context).getBytes(), StoreFaults.class);
@@ -75,7 +86,13 @@
     if (faults.forgetChanges()) {
       table.compact();
     }
-    if (faults.cutWatches() || faults.down()) {
+    if (faults.restoreCopy()) {
+      table.restore(copy.orElseThrow());
+    }
+    if (faults.keepCopy()) {
+      copy = Optional.of(table.copy());
+    }
+    if (faults.cutWatches() || faults.down() || faults.restoreCopy()) {
       watches.forEach(WatchAnswer::end);
     }
     context.response().end("{}\n");
