Versions of the store name its era, so that a version stands for one content for ever

What callers would see: after the store had come back from an older copy, a route that the operator added was not served (404) for up to a minute, and a runner that registered again got nothing (CONFIG).

Cause: a revision was taken for the name of a content. ObjectInformer calls an object unchanged if its revision equals the known one; a watch went on from a revision that existed again; a conditional write prepared before could meet another content under its number; writes were read back by comparing revisions. After a restore the numbers are given out again.

Change: HttpObjectStore, the one client of both edges, adds the era of the response to each version that it returns and takes it off where it speaks to the store. All comparisons above stay as they are and are right again. A watch ends as VERSION_GONE when a response names another era; pages of one list must be of one era; a response of an earlier era is none; a write that replaces a content of an earlier era is not sent (CONFLICT), or fails with HISTORY_LOST if the store turns out to have come back older before it, also when it is read back.

Why it works: versions of different eras are never equal, whatever the numbers, and no path from a response to a version or from a version to a request goes around the client.

--- a/store/src/main/java/org/agatefield/store/CircuitBreakingStore.java
+++ b/store/src/main/java/org/agatefield/store/CircuitBreakingStore.java
@@ -56,6 +56,11 @@
     return guarded(() -> store.delete(previous));
   }
 
+  @Override
+  public long era() {
+    return store.era();
+  }
+
   @Override
   public CompletableFuture<ObjectList> list(ObjectKind kind) {
     return store.list(kind);
--- a/store/src/main/java/org/agatefield/store/HttpObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/HttpObjectStore.java
@@ -9,8 +9,10 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import org.agatefield.model.Address;
 import org.agatefield.model.Closer;
 
@@ -18,8 +20,11 @@
  * HTTP client of an object API whose protocol is defined by a {@link StoreDialect}.
  *
  * <p>A write whose response is lost after its first byte was sent fails with {@link
- * StoreFailure#UNKNOWN_RESULT}; see {@link ResolvingObjectStore}. Safe for use by any thread;
- * futures complete on Vert.x threads.
+ * StoreFailure#UNKNOWN_RESULT}; see {@link ResolvingObjectStore}. Invariant: versions that this
+ * client returns name the store's era, so that a version identifies one content for ever; a write
+ * that replaces a content of an earlier era is not sent once the new era is known, and fails with
+ * {@link StoreFailure#HISTORY_LOST} if the store turns out to have come back older before it. Safe
+ * for use by any thread; futures complete on Vert.x threads.
  */
 public final class HttpObjectStore implements ObjectStore, AutoCloseable {
   private static final int MAXIMUM_CONNECTIONS = 16;
@@ -85,15 +90,39 @@
   @Override
   public CompletableFuture<StoredObject> update(
       StoredObject previous, String writeIdentifier, JsonNode content) {
-    Buffer body = dialect.encodeUpdate(previous, writeIdentifier, content);
+    StoreVersion version = StoreVersion.parse(previous.resourceVersion());
+    if (isOutdated(version)) {
+      return CompletableFuture.failedFuture(outdated(previous.key()));
+    }
+    StoredObject replaced = withVersion(previous, version.revision());
+    Buffer body = dialect.encodeUpdate(replaced, writeIdentifier, content);
     return call(HttpMethod.PUT, dialect.objectPath(previous.key()), body)
-        .thenApply(answer -> objectOf(previous.key(), answer));
+        .thenApply(
+            answer -> {
+              StoredObject written = objectOf(previous.key(), answer);
+              requireSameEra(previous.key(), version, answer);
+              return written;
+            });
   }
 
   @Override
   public CompletableFuture<Void> delete(StoredObject previous) {
-    return call(HttpMethod.DELETE, dialect.deletePath(previous), dialect.encodeDelete(previous))
-        .thenAccept(answer -> requireSuccess(true, previous.key().toString(), answer));
+    StoreVersion version = StoreVersion.parse(previous.resourceVersion());
+    if (isOutdated(version)) {
+      return CompletableFuture.failedFuture(outdated(previous.key()));
+    }
+    StoredObject deleted = withVersion(previous, version.revision());
+    return call(HttpMethod.DELETE, dialect.deletePath(deleted), dialect.encodeDelete(deleted))
+        .thenAccept(
+            answer -> {
+              requireSuccess(true, previous.key().toString(), answer);
+              requireSameEra(previous.key(), version, answer);
+            });
+  }
+
+  @Override
+  public long era() {
+    return era.current();
   }
 
   /** Reads all pages; returns the version of the first one, so that a watch misses no change. */
@@ -112,7 +141,11 @@
     String path = dialect.nextPagePath(kind, page.continueToken().get());
     return call(HttpMethod.GET, path, Buffer.buffer())
         .thenApply(answer -> pageOf(kind, answer))
-        .thenCompose(next -> readRemainingPages(kind, read.append(next.objects()), next));
+        .thenCompose(
+            next -> {
+              requireSameEra(kind, read, next.objects());
+              return readRemainingPages(kind, read.append(next.objects()), next);
+            });
   }
 
   @Override
@@ -124,8 +157,24 @@
 
   @Override
   public AutoCloseable watch(ObjectKind kind, String fromVersion, WatchListener listener) {
+    StoreVersion from = StoreVersion.parse(fromVersion);
     return dialect.watch(
-        new WatchCall(vertx, watchClient, this::options, kind, fromVersion, listener));
+        new WatchCall(
+            vertx,
+            watchClient,
+            this::options,
+            kind,
+            from.revision(),
+            headers -> era.observe(dialect.era(headers)) == from.era(),
+            new EraListener(from.era(), listener)));
+  }
+
+  /**
+   * Adds a listener that is called with the new era when the store has come back from an older
+   * copy; it may be called by any thread.
+   */
+  public void onHistoryLost(LongConsumer listener) {
+    era.listen(listener);
   }
 
   @Override
@@ -137,11 +186,58 @@
     return HttpCall.start(vertx, client, options(method, path), body, timeout)
         .thenApply(
             answer -> {
-              era.observe(dialect.era(answer.headers()));
+              if (eraOf(answer) < era.current()) {
+                StoreFailure failure =
+                    answer.write() ? StoreFailure.UNKNOWN_RESULT : StoreFailure.UNAVAILABLE;
+                throw new StoreException(failure, path + ": response of an earlier era");
+              }
               return answer;
             });
   }
 
+  private long eraOf(HttpCall.Answer answer) {
+    return era.observe(dialect.era(answer.headers()));
+  }
+
+  private boolean isOutdated(StoreVersion version) {
+    return version.era() < era.current();
+  }
+
+  private static StoreException outdated(ObjectKey key) {
+    return new StoreException(
+        StoreFailure.CONFLICT, key + ": read in an earlier era of the store; nothing was sent");
+  }
+
+  private void requireSameEra(ObjectKey key, StoreVersion version, HttpCall.Answer answer) {
+    if (eraOf(answer) != version.era()) {
+      throw new StoreException(
+          StoreFailure.HISTORY_LOST, key + ": the store came back older before the write");
+    }
+  }
+
+  private static void requireSameEra(ObjectKind kind, ObjectList first, ObjectList next) {
+    long era = StoreVersion.parse(first.resourceVersion()).era();
+    if (StoreVersion.parse(next.resourceVersion()).era() != era) {
+      throw new StoreException(
+          StoreFailure.UNAVAILABLE, kind.plural() + ": the store came back older between pages");
+    }
+  }
+
+  private static StoredObject withVersion(StoredObject object, String version) {
+    return new StoredObject(object.key(), version, object.writeIdentifiers(), object.content());
+  }
+
+  private static StoredObject inEra(long era, StoredObject object) {
+    return withVersion(object, new StoreVersion(era, object.resourceVersion()).toString());
+  }
+
+  private static ObjectPage inEra(long era, ObjectPage page) {
+    List<StoredObject> objects =
+        page.objects().objects().stream().map(object -> inEra(era, object)).toList();
+    String version = new StoreVersion(era, page.objects().resourceVersion()).toString();
+    return new ObjectPage(new ObjectList(version, objects), page.continueToken());
+  }
+
   private RequestOptions options(HttpMethod method, String path) {
     return new RequestOptions()
         .setMethod(method)
@@ -160,6 +256,7 @@
     requireSuccess(write, key.toString(), answer);
     return ObjectCodec.parse(answer.body())
         .flatMap(root -> dialect.decodeObject(key.kind(), root))
+        .map(object -> inEra(eraOf(answer), object))
         .orElseThrow(() -> malformed(write, key.toString()));
   }
 
@@ -167,9 +264,33 @@
     requireSuccess(false, kind.plural(), answer);
     return ObjectCodec.parse(answer.body())
         .flatMap(root -> dialect.decodePage(kind, root))
+        .map(page -> inEra(eraOf(answer), page))
         .orElseThrow(() -> malformed(false, kind.plural()));
   }
 
+  /** Adds the era in which a watch began to the versions that it reports. */
+  private record EraListener(long era, WatchListener listener) implements WatchListener {
+    @Override
+    public void changed(StoredObject object) {
+      listener.changed(inEra(era, object));
+    }
+
+    @Override
+    public void deleted(ObjectKey key, String resourceVersion) {
+      listener.deleted(key, new StoreVersion(era, resourceVersion).toString());
+    }
+
+    @Override
+    public void reached(String resourceVersion) {
+      listener.reached(new StoreVersion(era, resourceVersion).toString());
+    }
+
+    @Override
+    public void ended(StoreException failure) {
+      listener.ended(failure);
+    }
+  }
+
   private static StoreException malformed(boolean write, String subject) {
     StoreFailure failure = write ? StoreFailure.UNKNOWN_RESULT : StoreFailure.UNAVAILABLE;
     return new StoreException(failure, subject + ": malformed response of the store");
--- a/store/src/main/java/org/agatefield/store/HttpWatch.java
+++ b/store/src/main/java/org/agatefield/store/HttpWatch.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
@@ -21,21 +20,22 @@
   private static final int MAXIMUM_REFUSAL_BYTES = 65_536; // a status object is small
   private static final int SUCCESS_STATUS = 200;
 
+  private final WatchCall call;
   private final ObjectKind kind;
   private final WatchListener listener;
   private final AtomicBoolean finished = new AtomicBoolean();
   private final AtomicReference<HttpClientRequest> request = new AtomicReference<>();
 
-  private HttpWatch(ObjectKind kind, WatchListener listener) {
-    this.kind = kind;
-    this.listener = listener;
+  private HttpWatch(WatchCall call) {
+    this.call = call;
+    this.kind = call.kind();
+    this.listener = call.listener();
   }
 
-  static HttpWatch start(
-      HttpClient client, RequestOptions options, ObjectKind kind, WatchListener listener) {
-    HttpWatch watch = new HttpWatch(kind, listener);
+  static HttpWatch start(WatchCall call, RequestOptions options) {
+    HttpWatch watch = new HttpWatch(call);
     try {
-      client.request(options).onSuccess(watch::send).onFailure(watch::fail);
+      call.client().request(options).onSuccess(watch::send).onFailure(watch::fail);
     } catch (IllegalStateException closed) {
       watch.fail(closed);
     }
@@ -62,6 +62,11 @@
 
   private void read(HttpClientResponse response) {
     response.exceptionHandler(this::fail);
+    if (!call.sameHistory().test(response.headers())) {
+      end(StoreFailure.VERSION_GONE, "the store came back older");
+      close();
+      return;
+    }
     if (response.statusCode() != SUCCESS_STATUS) {
       BoundedBody.read(response, MAXIMUM_REFUSAL_BYTES)
           .onSuccess(body -> refuse(response.statusCode(), body))
--- a/store/src/main/java/org/agatefield/store/KubernetesDialect.java
+++ b/store/src/main/java/org/agatefield/store/KubernetesDialect.java
@@ -80,10 +80,7 @@
     String query =
         "?watch=true&allowWatchBookmarks=true&resourceVersion=" + encode(call.fromVersion());
     return HttpWatch.start(
-        call.client(),
-        call.options().apply(HttpMethod.GET, kindPath(call.kind()) + query),
-        call.kind(),
-        call.listener());
+        call, call.options().apply(HttpMethod.GET, kindPath(call.kind()) + query));
   }
 
   private static String encode(String text) {
--- a/store/src/main/java/org/agatefield/store/LongPollWatch.java
+++ b/store/src/main/java/org/agatefield/store/LongPollWatch.java
@@ -102,6 +102,10 @@
       end(StoreFailure.UNAVAILABLE, String.valueOf(failure.getMessage()));
       return;
     }
+    if (!call.sameHistory().test(answer.headers())) {
+      end(StoreFailure.VERSION_GONE, "the store came back older");
+      return;
+    }
     Optional<JsonNode> body = ObjectCodec.parse(answer.body());
     if (answer.status() != SUCCESS_STATUS) {
       JsonNode root = body.orElse(MissingNode.getInstance());
--- a/store/src/main/java/org/agatefield/store/ObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/ObjectStore.java
@@ -30,6 +30,14 @@
   CompletableFuture<StoredObject> update(
       StoredObject previous, String writeIdentifier, JsonNode content);
 
+  /**
+   * Returns the era that the store named in its latest response; {@link StoreVersion#NO_ERA} if it
+   * names none.
+   */
+  default long era() {
+    return StoreVersion.NO_ERA;
+  }
+
   /** Deletes an object if its version is still that of {@code previous}. */
   CompletableFuture<Void> delete(StoredObject previous);
 
--- a/store/src/main/java/org/agatefield/store/ResolvingObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/ResolvingObjectStore.java
@@ -22,6 +22,8 @@
  *   <li>After a create, an object without the identifier exists: {@link
  *       StoreFailure#ALREADY_EXISTS}. This is weaker than the contract of {@link ObjectStore}: the
  *       create cannot take effect while that object exists, but may do so once it is deleted.
+ *   <li>The object read back belongs to a later era of the store than the one replaced or deleted:
+ *       {@link StoreFailure#HISTORY_LOST}.
  *   <li>Otherwise (no object after a create or update, unchanged version, failed read) the result
  *       stays unknown, and the write may still take effect later. The failure remains {@link
  *       StoreFailure#UNKNOWN_RESULT}.
@@ -64,6 +66,11 @@
     return resolve(store.delete(previous), failure -> readBackDelete(previous, failure));
   }
 
+  @Override
+  public long era() {
+    return store.era();
+  }
+
   @Override
   public CompletableFuture<ObjectList> list(ObjectKind kind) {
     return store.list(kind);
@@ -106,6 +113,7 @@
             found -> {
               StoredObject current =
                   found.orElseThrow(() -> stillUnknown(previous.key(), "absent", cause));
+              requireSameEra(previous, current);
               if (current.resourceVersion().equals(previous.resourceVersion())) {
                 throw stillUnknown(previous.key(), "unchanged", cause);
               }
@@ -117,6 +125,7 @@
     return readBack(previous.key(), cause)
         .thenAccept(
             found -> {
+              found.ifPresent(now -> requireSameEra(previous, now));
               boolean unchanged =
                   found
                       .filter(now -> now.resourceVersion().equals(previous.resourceVersion()))
@@ -127,6 +136,18 @@
             });
   }
 
+  private static void requireSameEra(StoredObject previous, StoredObject found) {
+    if (eraOf(previous) != eraOf(found)) {
+      throw new StoreException(
+          StoreFailure.HISTORY_LOST,
+          previous.key() + ": the store came back older; the write may have met another content");
+    }
+  }
+
+  private static long eraOf(StoredObject object) {
+    return StoreVersion.parse(object.resourceVersion()).era();
+  }
+
   /** Reads an object; empty if it does not exist. */
   private CompletableFuture<Optional<StoredObject>> readBack(ObjectKey key, Throwable cause) {
     return store
--- a/store/src/main/java/org/agatefield/store/StoreFailure.java
+++ b/store/src/main/java/org/agatefield/store/StoreFailure.java
@@ -14,6 +14,11 @@
   UNAVAILABLE,
   /** No response was received: a write may have taken effect or may still do so. */
   UNKNOWN_RESULT,
+  /**
+   * The store has come back older since the content that the write was to replace was read; the
+   * write may have replaced another content.
+   */
+  HISTORY_LOST,
   /** The version requested by a watch or list is no longer available; list again. */
   VERSION_GONE
 }
