Leases hold and tokens rise although the store forgets who held them

What callers would see: two planners order the same runners with one fencing token.

Cause: the lease is taken for what the store says of it. An older copy says nothing of grants that it has forgotten: the released lease, the absent one and the one of an ended process were taken over at once, with the token after the copy's.

Change: tokens of an era begin at era * 2^32, and a new one is at least the revision that it replaces above that, so that it is larger than that of any grant of the era, even of one that a late write of an earlier era has hidden. A lease that was not written in the store's present era is waited out from when it was first seen, as is an absent one; only the holder of a grant that is still valid writes at once. A write that was prepared in an earlier era grants nothing. A store that names no era is treated as before.

Evidence: LeaseProtocolTest drives 20,000 histories over eras (kills, lost and late writes, copies of any age, versions given out again): no two grants overlap and tokens rise.

Why it works: a grant that the copy has forgotten was written before the store went away, so it has ended once a full duration has passed since the new era was first seen; who else waits as long meets a changed version.

--- a/daemon/src/main/java/org/agatefield/daemon/leases/LeaseManager.java
+++ b/daemon/src/main/java/org/agatefield/daemon/leases/LeaseManager.java
@@ -21,12 +21,14 @@
 import org.agatefield.lease.LeaseRecord;
 import org.agatefield.lease.LeaseState;
 import org.agatefield.lease.LeaseTerms;
+import org.agatefield.lease.LeaseVersion;
 import org.agatefield.store.ObjectKey;
 import org.agatefield.store.ObjectKind;
 import org.agatefield.store.ObjectStore;
 import org.agatefield.store.ResolvingObjectStore;
 import org.agatefield.store.StoreException;
 import org.agatefield.store.StoreFailure;
+import org.agatefield.store.StoreVersion;
 import org.agatefield.store.StoredObject;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -182,10 +184,10 @@
     synchronized (this) {
       if (failure == null) {
         latestObject = Optional.of(found);
-        state = protocol.observe(state, found.resourceVersion(), decode(found), System.nanoTime());
+        state = protocol.observe(state, versionOf(found), decode(found), System.nanoTime());
       } else {
         latestObject = Optional.empty();
-        state = protocol.observeAbsent(state);
+        state = protocol.observeAbsent(state, store.era(), System.nanoTime());
       }
     }
     act();
@@ -241,7 +243,7 @@
         return;
       }
       latestObject = Optional.of(object);
-      state = protocol.recordWrite(lease, object.resourceVersion(), sentAt, now);
+      state = protocol.recordWrite(state, lease, versionOf(object), sentAt, now);
       updateHolding(now);
     }
     schedule(protocol.renewIntervalNanoseconds(), this::act);
@@ -279,6 +281,14 @@
     }
   }
 
+  /** Returns the version of a lease; revisions of stores that name an era are numbers. */
+  private static LeaseVersion versionOf(StoredObject object) {
+    StoreVersion version = StoreVersion.parse(object.resourceVersion());
+    boolean numbered = version.era() != StoreVersion.NO_ERA;
+    long sequence = numbered ? Long.parseLong(version.revision()) : 0;
+    return new LeaseVersion(object.resourceVersion(), version.era(), sequence);
+  }
+
   private static String newWriteIdentifier() {
     return UUID.randomUUID().toString();
   }
--- a/lease/src/main/java/org/agatefield/lease/LeaseDecision.java
+++ b/lease/src/main/java/org/agatefield/lease/LeaseDecision.java
@@ -6,7 +6,7 @@
   record Create(LeaseRecord lease) implements LeaseDecision {}
 
   /** Replace the lease if it still has the expected version. */
-  record Update(String expectedVersion, LeaseRecord lease) implements LeaseDecision {}
+  record Update(LeaseVersion expectedVersion, LeaseRecord lease) implements LeaseDecision {}
 
   /** Read the lease again after this time. */
   record Wait(long nanoseconds) implements LeaseDecision {}
--- a/lease/src/main/java/org/agatefield/lease/LeaseProtocol.java
+++ b/lease/src/main/java/org/agatefield/lease/LeaseProtocol.java
@@ -18,6 +18,11 @@
  *       earlier grant.
  * </ul>
  *
+ * <p>Both hold also if the store comes back from an older copy in a new era. The copy says nothing
+ * of grants that it has forgotten, so a lease that was not written in the store's present era, and
+ * the absence of one, are waited out like a live holder's; only the holder of a valid grant writes
+ * at once. A write that was prepared in an earlier era grants nothing, and its token shows that.
+ *
  * <p>Uses neither wall clocks nor clocks of other processes. Immutable and thread-safe.
  */
 public final class LeaseProtocol {
@@ -58,57 +63,116 @@
    * @param nowNanoseconds monotonic time after the response to the read arrived
    */
   public LeaseState observe(
-      LeaseState state, String version, LeaseRecord lease, long nowNanoseconds) {
+      LeaseState state, LeaseVersion version, LeaseRecord lease, long nowNanoseconds) {
+    return observe(state, version, Optional.of(lease), nowNanoseconds);
+  }
+
+  /**
+   * Records that a read found no lease.
+   *
+   * @param era the store's era
+   * @param nowNanoseconds monotonic time after the response to the read arrived
+   */
+  public LeaseState observeAbsent(LeaseState state, long era, long nowNanoseconds) {
+    return observe(state, new LeaseVersion("", era, 0), Optional.empty(), nowNanoseconds);
+  }
+
+  private static LeaseState observe(
+      LeaseState state, LeaseVersion version, Optional<LeaseRecord> lease, long now) {
     boolean unchanged =
         state.observed().filter(observed -> observed.version().equals(version)).isPresent();
     if (unchanged) {
       return state;
     }
     return new LeaseState(
-        Optional.of(new LeaseState.Observation(version, lease, nowNanoseconds)), state.grant());
-  }
-
-  /** Records that a read found no lease. */
-  public LeaseState observeAbsent(LeaseState state) {
-    return new LeaseState(Optional.empty(), state.grant());
+        Optional.of(new LeaseState.Observation(version, lease, now)), state.grant());
   }
 
   /** Returns the next action, given an up-to-date observation. */
   public LeaseDecision decide(LeaseState state, long nowNanoseconds) {
     if (state.observed().isEmpty()) {
-      return new LeaseDecision.Create(record(FIRST_TOKEN));
+      return new LeaseDecision.Wait(0);
     }
     LeaseState.Observation observed = state.observed().get();
-    LeaseRecord lease = observed.lease();
-    if (lease.holder().equals(holder)) {
-      long token =
-          state.grantAt(nowNanoseconds).isPresent()
-              ? lease.fencingToken()
-              : lease.fencingToken() + 1;
-      return new LeaseDecision.Update(observed.version(), record(token));
+    Optional<LeaseGrant> grant = state.grantAt(nowNanoseconds);
+    if (grant.isPresent() && !isLaterThan(grant.get(), observed)) {
+      return write(observed, renewedToken(observed, grant.get()));
     }
     long waited = nowNanoseconds - observed.unchangedSinceNanoseconds();
-    long takeoverWait = terms.takeoverWaitNanoseconds(lease.durationNanoseconds());
-    boolean holderMayAct = !lease.holder().isEmpty() && !dead.test(lease.holder());
-    if (holderMayAct && waited < takeoverWait) {
-      return new LeaseDecision.Wait(takeoverWait - waited);
+    long remaining = waitNanoseconds(observed) - waited;
+    return remaining > 0 ? new LeaseDecision.Wait(remaining) : write(observed, nextToken(observed));
+  }
+
+  /** Returns whether the lease was granted to another process after a grant to this one. */
+  private boolean isLaterThan(LeaseGrant grant, LeaseState.Observation observed) {
+    return observed
+        .lease()
+        .filter(lease -> !lease.holder().equals(holder))
+        .filter(lease -> lease.fencingToken() > grant.fencingToken())
+        .isPresent();
+  }
+
+  private long renewedToken(LeaseState.Observation observed, LeaseGrant grant) {
+    boolean unchanged =
+        grant.fencingToken() >= observed.version().firstToken()
+            && observed
+                .lease()
+                .filter(lease -> lease.holder().equals(holder))
+                .filter(lease -> lease.fencingToken() == grant.fencingToken())
+                .isPresent();
+    return unchanged
+        ? grant.fencingToken()
+        : Math.max(grant.fencingToken() + 1, nextToken(observed));
+  }
+
+  private long nextToken(LeaseState.Observation observed) {
+    long next = observed.lease().map(lease -> lease.fencingToken() + 1).orElse(FIRST_TOKEN);
+    long first = observed.version().firstToken() + FIRST_TOKEN;
+    return Math.max(Math.max(first, observed.version().minimumToken()), next);
+  }
+
+  /** Returns how long an observation must stay unchanged before the lease can be taken over. */
+  private long waitNanoseconds(LeaseState.Observation observed) {
+    if (observed.lease().isEmpty()) {
+      boolean neverOlder = observed.version().era() == 0;
+      return neverOlder ? 0 : terms.takeoverWaitNanoseconds(terms.durationNanoseconds());
     }
-    return new LeaseDecision.Update(observed.version(), record(lease.fencingToken() + 1));
+    LeaseRecord lease = observed.lease().get();
+    boolean ofThisEra = lease.fencingToken() >= observed.version().firstToken();
+    boolean holderMayAct =
+        !lease.holder().isEmpty() && !lease.holder().equals(holder) && !dead.test(lease.holder());
+    return ofThisEra && !holderMayAct
+        ? 0
+        : terms.takeoverWaitNanoseconds(lease.durationNanoseconds());
+  }
+
+  private LeaseDecision write(LeaseState.Observation observed, long token) {
+    return observed.lease().isPresent()
+        ? new LeaseDecision.Update(observed.version(), record(token))
+        : new LeaseDecision.Create(record(token));
   }
 
   /**
-   * Records a write of this process that is confirmed to have taken effect.
+   * Records a write of this process that is confirmed to have taken effect. It grants nothing if
+   * the store has come back older since the write was prepared.
    *
    * @param sentAtNanoseconds monotonic time before the write was sent
    * @param nowNanoseconds monotonic time after its confirmation arrived
    */
   public LeaseState recordWrite(
-      LeaseRecord lease, String version, long sentAtNanoseconds, long nowNanoseconds) {
+      LeaseState state,
+      LeaseRecord lease,
+      LeaseVersion version,
+      long sentAtNanoseconds,
+      long nowNanoseconds) {
+    LeaseState.Observation written =
+        new LeaseState.Observation(version, Optional.of(lease), nowNanoseconds);
+    if (lease.fencingToken() < version.firstToken()) {
+      return new LeaseState(Optional.of(written), state.grant());
+    }
     LeaseGrant grant =
         new LeaseGrant(lease.fencingToken(), sentAtNanoseconds + terms.grantValidityNanoseconds());
-    return new LeaseState(
-        Optional.of(new LeaseState.Observation(version, lease, nowNanoseconds)),
-        Optional.of(grant));
+    return new LeaseState(Optional.of(written), Optional.of(grant));
   }
 
   /**
@@ -118,8 +182,12 @@
   public Optional<LeaseDecision.Update> release(LeaseState state) {
     return state
         .observed()
-        .filter(observed -> observed.lease().holder().equals(holder))
-        .map(observed -> new LeaseDecision.Update(observed.version(), observed.lease().released()));
+        .filter(
+            observed -> observed.lease().filter(lease -> lease.holder().equals(holder)).isPresent())
+        .map(
+            observed ->
+                new LeaseDecision.Update(
+                    observed.version(), observed.lease().orElseThrow().released()));
   }
 
   /** Returns the time from a write to the next renewal. */
--- a/lease/src/main/java/org/agatefield/lease/LeaseState.java
+++ b/lease/src/main/java/org/agatefield/lease/LeaseState.java
@@ -5,7 +5,7 @@
 /**
  * The state of a lease as known to one process. Immutable.
  *
- * @param observed the lease as last read from the store; empty if none was found or it is outdated
+ * @param observed the lease as last read from the store; empty before the first read
  * @param grant the last grant to this process, which may have ended
  */
 public record LeaseState(Optional<Observation> observed, Optional<LeaseGrant> grant) {
@@ -20,12 +20,13 @@
   }
 
   /**
-   * A lease as read from the store. Immutable.
+   * A lease as read from the store, or its absence. Immutable.
    *
-   * @param version the version of the stored object; only compared for equality
-   * @param lease the lease
+   * @param version the version of the stored object; that of an absent lease has no text
+   * @param lease the lease; empty if there is none
    * @param unchangedSinceNanoseconds time on this process's monotonic clock at which the version
    *     was first read
    */
-  public record Observation(String version, LeaseRecord lease, long unchangedSinceNanoseconds) {}
+  public record Observation(
+      LeaseVersion version, Optional<LeaseRecord> lease, long unchangedSinceNanoseconds) {}
 }
--- a/lease/src/test/java/org/agatefield/lease/LeaseProtocolTest.java
+++ b/lease/src/test/java/org/agatefield/lease/LeaseProtocolTest.java
@@ -28,6 +28,53 @@
     assertEquals(List.of(), violations(grants));
   }
 
+  @Property(tries = 20_000, seed = "43", edgeCases = EdgeCasesMode.NONE)
+  void grantsNeverOverlapAndTokensIncreaseIfTheStoreComesBackOlder(
+      @ForAll long seed,
+      @ForAll @DoubleRange(min = 0, max = 0.5) double faultShare,
+      @ForAll @IntRange(min = 1, max = 5) int contenders) {
+    List<RealGrant> grants =
+        new LeaseSimulation(seed, faultShare, Fault.NONE, true).run(contenders);
+    assertEquals(List.of(), violations(grants));
+  }
+
+  @Test
+  void ignoredEraOverlapsOrReusesTokens() {
+    long violated = 0;
+    for (long seed = 1; seed <= RUNS; seed++) {
+      List<RealGrant> grants = new LeaseSimulation(seed, 0.2, Fault.IGNORE_ERA, true).run(4);
+      violated += violations(grants).isEmpty() ? 0 : 1;
+    }
+    System.out.println("IGNORE_ERA: violations in " + violated + " of " + RUNS + " runs");
+    assertTrue(violated > 0);
+  }
+
+  @Test
+  void absentLeaseOfStoreWithErasIsCreatedOnlyAfterTheLongestGrantHasEnded() {
+    LeaseProtocol protocol = new LeaseProtocol("b", TERMS);
+    LeaseState state = protocol.observeAbsent(LeaseState.unknown(), 3, 0);
+    assertTrue(protocol.decide(state, 99) instanceof LeaseDecision.Wait);
+    LeaseDecision.Create create = (LeaseDecision.Create) protocol.decide(state, 100);
+    assertTrue(create.lease().fencingToken() > 3L << 32);
+  }
+
+  @Test
+  void holderOfValidGrantWritesItsLeaseAgainAtOnceInNewEra() {
+    LeaseProtocol protocol = new LeaseProtocol("b", TERMS);
+    LeaseState state =
+        protocol.recordWrite(
+            LeaseState.unknown(),
+            new LeaseRecord("b", (1L << 32) + 9, 100),
+            new LeaseVersion("1/9", 1, 9),
+            0,
+            1);
+    state =
+        protocol.observe(
+            state, new LeaseVersion("2/4", 2, 4), new LeaseRecord("a", (1L << 32) + 3, 100), 50);
+    LeaseDecision.Update update = (LeaseDecision.Update) protocol.decide(state, 50);
+    assertEquals((2L << 32) + 4, update.lease().fencingToken());
+  }
+
   @Test
   void leaseChangesItsHolderInMostRunsWithFaults() {
     long changed = 0;
@@ -69,41 +116,54 @@
   void onlyLeaseOfDeadHolderIsTakenOverWithoutWaiting() {
     LeaseProtocol protocol = new LeaseProtocol("b-2", TERMS, "b-1"::equals);
     LeaseRecord ofDeadHolder = new LeaseRecord("b-1", 7, TERMS.durationNanoseconds());
-    LeaseState state = protocol.observe(LeaseState.unknown(), "v", ofDeadHolder, 0);
+    LeaseState state =
+        protocol.observe(LeaseState.unknown(), LeaseVersion.of("v"), ofDeadHolder, 0);
     LeaseDecision.Update update = (LeaseDecision.Update) protocol.decide(state, 1);
     assertEquals(8, update.lease().fencingToken());
     LeaseRecord ofLiveHolder = new LeaseRecord("c-1", 7, TERMS.durationNanoseconds());
-    LeaseState other = protocol.observe(LeaseState.unknown(), "v", ofLiveHolder, 0);
+    LeaseState other =
+        protocol.observe(LeaseState.unknown(), LeaseVersion.of("v"), ofLiveHolder, 0);
     assertTrue(protocol.decide(other, 1) instanceof LeaseDecision.Wait);
   }
 
   @Test
   void releasedLeaseIsTakenOverWithoutWaiting() {
     LeaseProtocol protocol = new LeaseProtocol("b", TERMS);
-    LeaseState state = protocol.observe(LeaseState.unknown(), "7", new LeaseRecord("", 4, 100), 0);
+    LeaseState state =
+        protocol.observe(
+            LeaseState.unknown(), LeaseVersion.of("7"), new LeaseRecord("", 4, 100), 0);
     assertEquals(
-        new LeaseDecision.Update("7", new LeaseRecord("b", 5, 100)), protocol.decide(state, 0));
+        new LeaseDecision.Update(LeaseVersion.of("7"), new LeaseRecord("b", 5, 100)),
+        protocol.decide(state, 0));
   }
 
   @Test
   void holderReleasesOnlyItsOwnLease() {
     LeaseProtocol protocol = new LeaseProtocol("b", TERMS);
-    LeaseState other = protocol.observe(LeaseState.unknown(), "7", new LeaseRecord("a", 4, 100), 0);
+    LeaseState other =
+        protocol.observe(
+            LeaseState.unknown(), LeaseVersion.of("7"), new LeaseRecord("a", 4, 100), 0);
     assertEquals(Optional.empty(), protocol.release(other));
-    LeaseState own = protocol.recordWrite(new LeaseRecord("b", 5, 100), "8", 0, 1);
+    LeaseState own = recordWrite(protocol, new LeaseRecord("b", 5, 100));
     assertEquals(
-        Optional.of(new LeaseDecision.Update("8", new LeaseRecord("", 5, 100))),
+        Optional.of(new LeaseDecision.Update(LeaseVersion.of("8"), new LeaseRecord("", 5, 100))),
         protocol.release(own));
   }
 
   @Test
   void holderGetsNewTokenAfterItsGrantExpired() {
     LeaseProtocol protocol = new LeaseProtocol("b", TERMS);
-    LeaseState state = protocol.recordWrite(new LeaseRecord("b", 5, 100), "8", 0, 1);
+    LeaseState state = recordWrite(protocol, new LeaseRecord("b", 5, 100));
     assertEquals(
-        new LeaseDecision.Update("8", new LeaseRecord("b", 5, 100)), protocol.decide(state, 99));
+        new LeaseDecision.Update(LeaseVersion.of("8"), new LeaseRecord("b", 5, 100)),
+        protocol.decide(state, 99));
     assertEquals(
-        new LeaseDecision.Update("8", new LeaseRecord("b", 6, 100)), protocol.decide(state, 100));
+        new LeaseDecision.Update(LeaseVersion.of("8"), new LeaseRecord("b", 6, 100)),
+        protocol.decide(state, 100));
+  }
+
+  private static LeaseState recordWrite(LeaseProtocol protocol, LeaseRecord lease) {
+    return protocol.recordWrite(LeaseState.unknown(), lease, LeaseVersion.of("8"), 0, 1);
   }
 
   /**
@@ -115,11 +175,14 @@
     double slow = 0.996;
     double fast = 1.004;
     LeaseProtocol holder = new LeaseProtocol("a", terms);
-    LeaseState held = holder.recordWrite(new LeaseRecord("a", 1, 100_000_000), "1", 0, 0);
+    LeaseState held =
+        holder.recordWrite(
+            LeaseState.unknown(), new LeaseRecord("a", 1, 100_000_000), LeaseVersion.of("1"), 0, 0);
     final double holderEnds = held.grant().orElseThrow().validUntilNanoseconds() / slow;
     LeaseProtocol challenger = new LeaseProtocol("b", terms);
     LeaseState observed =
-        challenger.observe(LeaseState.unknown(), "1", new LeaseRecord("a", 1, 100_000_000), 0);
+        challenger.observe(
+            LeaseState.unknown(), LeaseVersion.of("1"), new LeaseRecord("a", 1, 100_000_000), 0);
     LeaseDecision.Wait wait = (LeaseDecision.Wait) challenger.decide(observed, 0);
     return wait.nanoseconds() / fast < holderEnds;
   }
--- a/lease/src/test/java/org/agatefield/lease/SimulatedHolder.java
+++ b/lease/src/test/java/org/agatefield/lease/SimulatedHolder.java
@@ -46,19 +46,35 @@
     simulation.onWire(
         () -> {
           Optional<LeaseSimulation.Versioned> found = simulation.read();
-          simulation.onWire(() -> onReadCompleted(found));
+          long era = simulation.era();
+          simulation.onWire(() -> onReadCompleted(found, era));
         });
   }
 
-  private void onReadCompleted(Optional<LeaseSimulation.Versioned> found) {
+  private void onReadCompleted(Optional<LeaseSimulation.Versioned> found, long era) {
     waiting = false;
     mustRead = false;
     state =
         found
             .map(
                 observed ->
-                    protocol.observe(state, "" + observed.version(), observed.lease(), clock()))
-            .orElseGet(() -> protocol.observeAbsent(state));
+                    protocol.observe(
+                        state, version(observed.version(), era), observed.lease(), clock()))
+            .orElseGet(() -> protocol.observeAbsent(state, visible(era), clock()));
+  }
+
+  private LeaseVersion version(long number, long era) {
+    long visible = visible(era);
+    return new LeaseVersion(visible + "/" + number, visible, visible == 0 ? 0 : number);
+  }
+
+  private long visible(long era) {
+    return simulation.fault == Fault.IGNORE_ERA ? 0 : era;
+  }
+
+  private static long number(LeaseVersion version) {
+    String text = version.text();
+    return Long.parseLong(text.substring(text.indexOf('/') + 1));
   }
 
   private void act() {
@@ -70,9 +86,7 @@
     waiting = true;
     final long sentAt = clock();
     long expected =
-        decision instanceof LeaseDecision.Update update
-            ? Long.parseLong(update.expectedVersion())
-            : 0;
+        decision instanceof LeaseDecision.Update update ? number(update.expectedVersion()) : 0;
     LeaseRecord lease =
         decision instanceof LeaseDecision.Update update
             ? update.lease()
@@ -82,22 +96,22 @@
 
   private LeaseDecision decide() {
     LeaseDecision decision = protocol.decide(state, clock());
-    if (state.observed().isEmpty()) {
+    if (state.observed().flatMap(LeaseState.Observation::lease).isEmpty()) {
       return decision;
     }
     LeaseState.Observation observed = state.observed().get();
+    LeaseRecord lease = observed.lease().orElseThrow();
     long waited = clock() - observed.unchangedSinceNanoseconds();
     boolean half = simulation.fault == Fault.CHALLENGE_AFTER_HALF && waited > DURATION / 2;
     if (decision instanceof LeaseDecision.Wait
         && (half || simulation.fault == Fault.CHALLENGE_WITHOUT_WAITING)) {
-      long token = observed.lease().fencingToken() + 1;
+      long token = lease.fencingToken() + 1;
       return new LeaseDecision.Update(
           observed.version(), new LeaseRecord("p" + process, token, DURATION));
     }
     if (decision instanceof LeaseDecision.Update update && simulation.fault == Fault.KEEP_TOKEN) {
       return new LeaseDecision.Update(
-          observed.version(),
-          new LeaseRecord("p" + process, observed.lease().fencingToken(), DURATION));
+          observed.version(), new LeaseRecord("p" + process, lease.fencingToken(), DURATION));
     }
     return decision;
   }
@@ -113,7 +127,7 @@
       return;
     }
     boolean held = simulation.write(expected, lease);
-    long version = simulation.version();
+    LeaseVersion version = version(simulation.version(), simulation.era());
     simulation.onWire(() -> onWritten(held, lease, version, sentAt));
   }
 
@@ -122,14 +136,19 @@
     mustRead = true;
   }
 
-  private void onWritten(boolean held, LeaseRecord lease, long version, long sentAt) {
+  private void onWritten(boolean held, LeaseRecord lease, LeaseVersion version, long sentAt) {
     waiting = false;
     if (!held) {
       mustRead = true;
       return;
     }
     long from = simulation.fault == Fault.TRUST_FROM_ANSWER ? clock() : sentAt;
-    state = protocol.recordWrite(lease, "" + version, from, clock());
+    boolean granted = lease.fencingToken() >= version.firstToken();
+    state = protocol.recordWrite(state, lease, version, from, clock());
+    if (!granted) {
+      mustRead = true;
+      return;
+    }
     LeaseGrant grant = state.grant().orElseThrow();
     double until = toRealNanoseconds(grant.validUntilNanoseconds());
     if (until > simulation.realNanoseconds) {
