An entry that is older than what is known of its runner changes nothing

What callers would see: requests sent to runners that had said that they leave, or that had left, once the store is back from an older copy (DRAIN; ROUTE where another service has the address by now).

Cause: the directory took whatever the store named last for the newest. After a restore that is the older entry, until the runner writes again. The same happens without a restore when an instance changes to a relay that lags.

Change: entries carry the number that their process gives them; NewestEntries remembers start time and number of each runner and of those that are gone, for ten minutes, and an older entry is passed over, from the store, a relay or a peer. Entries without a number or a start time apply in the order in which they come, as before.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
@@ -21,7 +21,8 @@
  * <p>Invariants: a runner whose entry is draining, or is deleted while the store responds, receives
  * no further request; entries that expired while the store was unavailable remain usable until
  * {@link #RETURN_MILLISECONDS} after its return, since live runners rewrite their entries within
- * that time. Confined to one event loop.
+ * that time; an entry that is older than what is known of its runner changes nothing, wherever it
+ * comes from. Confined to one event loop.
  */
 final class RunnerDirectory implements InformerListener {
   /**
@@ -35,6 +36,7 @@
   private final StoredObjectDialect dialect;
   private final Map<String, RunnerEntry> entries = new HashMap<>();
   private final Map<String, JsonNode> contents = new HashMap<>();
+  private final NewestEntries newest = new NewestEntries();
   private final Map<String, Long> expiredAt = new HashMap<>();
   private final Map<String, List<RunnerEntry>> usableByService = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
@@ -74,9 +76,7 @@
 
   @Override
   public void changed(StoredObject object) {
-    String id = object.key().name();
-    expiredAt.remove(id);
-    apply(id, object.content(), object.resourceVersion());
+    apply(object.key().name(), object.content(), object.resourceVersion());
   }
 
   @Override
@@ -100,6 +100,7 @@
 
   /** Removes runners whose expired entries were not rewritten in time. */
   void removeExpired(long now) {
+    newest.forgetOld(now);
     if (expiredAt.isEmpty() || !storeAvailable || now - storeReturnedAt < RETURN_MILLISECONDS) {
       return;
     }
@@ -153,6 +154,12 @@
       return;
     }
     RunnerEntry entry = decoded.get();
+    if (newest.isOutdated(entry)) {
+      LOGGER.info("runner={} version={} entry=outdated", id, version);
+      return;
+    }
+    expiredAt.remove(id);
+    newest.record(entry);
     RunnerEntry before = entries.put(id, entry);
     usableByService.clear();
     contents.put(id, content);
@@ -174,9 +181,11 @@
 
   private void remove(String id, String cause) {
     contents.remove(id);
-    if (entries.remove(id) == null) {
+    RunnerEntry removed = entries.remove(id);
+    if (removed == null) {
       return;
     }
+    newest.recordGone(removed, MonotonicClock.milliseconds());
     usableByService.clear();
     LOGGER.info("runner={} gone=true cause={}", id, cause);
     listeners.forEach(listener -> listener.runnerGone(id));
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -159,6 +159,7 @@
         new RunnerEntry(
             "r",
             1,
+            OptionalLong.empty(),
             "service",
             new Address("127.0.0.1", server.actualPort()),
             "domain",
--- a/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
@@ -210,6 +210,7 @@
         new RunnerEntry(
             "i-" + crashes,
             crashes,
+            OptionalLong.empty(),
             "service",
             new Address("10.1.0.1", 80),
             "domain",
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerCrashDetectorTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerCrashDetectorTest.java
@@ -60,6 +60,7 @@
     return new RunnerEntry(
         "i-1",
         startTime,
+        OptionalLong.empty(),
         "service",
         new Address("127.0.0.1", server.actualPort()),
         "domain",
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -30,7 +30,10 @@
 class RunnerDirectoryTest {
   private final RunnerDirectory directory = new RunnerDirectory(new TextDialect());
 
-  /** Decodes the content {@code ready} or {@code draining}; any other content is invalid. */
+  /**
+   * Decodes the content {@code ready} or {@code draining}, optionally with the number of the entry;
+   * any other content is invalid.
+   */
   private static final class TextDialect implements StoredObjectDialect {
     @Override
     public String configurationName() {
@@ -44,7 +47,8 @@
 
     @Override
     public Optional<RunnerEntry> decodeRunner(String id, JsonNode content) {
-      String state = content.asText();
+      String[] fields = content.asText().split(" ");
+      String state = fields[0];
       if (!state.equals("ready") && !state.equals("draining")) {
         return Optional.empty();
       }
@@ -52,6 +56,7 @@
           new RunnerEntry(
               id,
               1,
+              fields.length < 2 ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(fields[1])),
               "s",
               new Address("10.0.0.1", 80),
               "d",
@@ -73,6 +78,32 @@
     return directory.usable("s").size();
   }
 
+  @Test
+  void olderEntryDoesNotMakeDrainingRunnerReadyAgain() {
+    directory.changed(entry("a", "ready 3"));
+    directory.changed(entry("a", "draining 4"));
+    directory.changed(entry("a", "ready 3"));
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void runnerThatIsGoneReturnsOnlyWithNewerEntry() {
+    directory.changed(entry("a", "draining 4"));
+    directory.deleted(new ObjectKey(ObjectKind.RUNNER, "a"));
+    directory.changed(entry("a", "ready 3"));
+    directory.addFromPeer("a", JsonNodeFactory.instance.textNode("ready 4"), 0);
+    assertEquals(0, usable());
+    directory.changed(entry("a", "ready 5"));
+    assertEquals(1, usable());
+  }
+
+  @Test
+  void entriesWithoutNumberApplyInTheOrderInWhichTheyCome() {
+    directory.changed(entry("a", "draining 4"));
+    directory.changed(entry("a", "ready"));
+    assertEquals(1, usable());
+  }
+
   @Test
   void drainingRunnerReceivesNoFurtherRequests() {
     directory.changed(entry("a", "ready"));
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerPermitsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerPermitsTest.java
@@ -40,6 +40,7 @@
       new RunnerEntry(
           "r",
           1,
+          OptionalLong.empty(),
           "service",
           new Address("10.0.1.1", 80),
           "domain-0",
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerEntry.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerEntry.java
@@ -11,6 +11,7 @@
  *
  * @param id the runner's identifier; reused when the runner restarts
  * @param startTimeMilliseconds the wall-clock time of its start; distinguishes restarts of one id
+ * @param number rises with each entry that its process writes; empty if it is not known
  * @param service the service that it serves
  * @param address the address that it listens on
  * @param failureDomain the name of its failure domain
@@ -24,6 +25,7 @@
 public record RunnerEntry(
     String id,
     long startTimeMilliseconds,
+    OptionalLong number,
     String service,
     Address address,
     String failureDomain,
