Store quarantines again that the store has lost, and end those that it brings back

Cause: a quarantine was stored once; nobody looked whether it lasts. Its deletion likewise.

Change: when a response names a new era, each instance that sees it writes its quarantines again, without waiting for the turns of others, who may not have noticed, and deletes those that are over. A delete names the number up to which it holds, so that it never takes a newer quarantine away.

What no process knows any more and the store has lost is gone: the property asks that one instance knows.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -218,6 +218,7 @@
             new QuarantineRecords(store, System::currentTimeMillis, timers),
             random::nextInt,
             part -> List.copyOf(exchanges).forEach(RequestExchange::endQuarantined));
+    store.onHistoryLost(era -> context.runOnContext(run -> quarantine.storeLostHistory()));
     createWatches(store);
     startForwarding(random);
     startPlanner(store, peers.self().id());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
@@ -78,8 +78,11 @@
     /** Stores a quarantined part; the future may fail. */
     CompletableFuture<Void> save(Quarantined part);
 
-    /** Deletes a part whose quarantine is over, if it is stored; tries again until it succeeds. */
-    void delete(String part);
+    /**
+     * Deletes a part whose quarantines up to a number are over, if one of these is stored; tries
+     * again until it succeeds.
+     */
+    void delete(String part, int number);
 
     /** Reads the parts whose quarantine has not ended. */
     CompletableFuture<List<Quarantined>> load();
@@ -121,6 +124,20 @@
     load();
   }
 
+  /**
+   * Writes to the store what it has lost, because it came back from an older copy: quarantines that
+   * it does not know, and the ends of those that it still holds.
+   */
+  void storeLostHistory() {
+    quarantined.storeLostHistory();
+    LOGGER.info(
+        "quarantine store_lost_history=true parts={} ended={}",
+        quarantined.parts(),
+        quarantined.endedParts());
+    quarantined.parts().forEach(this::saveInTurn);
+    quarantined.endedParts().forEach(part -> records.delete(part, quarantined.endedNumber(part)));
+  }
+
   /** Returns the number of quarantined parts. */
   int size() {
     return quarantined.size();
@@ -224,7 +241,7 @@
       return false;
     }
     quarantined.end(part, entry.get().number(), "a runner survived it", now);
-    records.delete(part);
+    records.delete(part, quarantined.endedNumber(part));
     return true;
   }
 
@@ -267,7 +284,7 @@
   private void endExpired(long now) {
     for (String part : quarantined.expire(now)) {
       if (rank() == 0) {
-        records.delete(part);
+        records.delete(part, quarantined.endedNumber(part));
       }
     }
   }
@@ -314,7 +331,8 @@
   private void saveInTurn(String part) {
     QuarantinedParts.Entry entry = quarantined.entry(part).orElseThrow();
     long now = clock.getAsLong();
-    boolean turn = now - entry.beganAt() >= SAVE_TURN_MILLISECONDS * rank();
+    // Others may not have noticed that the store came back older, so nobody's turn is awaited then.
+    boolean turn = entry.isLost() || now - entry.beganAt() >= SAVE_TURN_MILLISECONDS * rank();
     if (!turn || !entry.needsSaving()) {
       return;
     }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/QuarantineRecords.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/QuarantineRecords.java
@@ -82,18 +82,24 @@
   }
 
   @Override
-  public void delete(String part) {
-    onEventLoop(store.get(key(part)).thenCompose(store::delete))
+  public void delete(String part, int number) {
+    onEventLoop(store.get(key(part)).thenCompose(found -> deleteUpTo(number, found)))
         .whenComplete(
             (done, failure) -> {
               if (failure == null || failureOf(failure) == StoreFailure.NOT_FOUND) {
                 return;
               }
               LOGGER.info("part={} deleted=false failure=\"{}\"", part, failure.getMessage());
-              timers.after(DELETE_RETRY_MILLISECONDS, () -> delete(part));
+              timers.after(DELETE_RETRY_MILLISECONDS, () -> delete(part, number));
             });
   }
 
+  private CompletableFuture<Void> deleteUpTo(int number, StoredObject found) {
+    return found.content().path(NUMBER_FIELD).asInt() > number
+        ? CompletableFuture.completedFuture(null)
+        : store.delete(found);
+  }
+
   @Override
   public CompletableFuture<List<PromptQuarantine.Quarantined>> load() {
     return onEventLoop(store.list(ObjectKind.QUARANTINE))
@@ -126,7 +132,7 @@
             new PromptQuarantine.Quarantined(
                 object.key().name(), object.content().path(NUMBER_FIELD).asInt(), until - now));
       } else {
-        delete(object.key().name());
+        delete(object.key().name(), object.content().path(NUMBER_FIELD).asInt());
       }
     }
     return current;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/QuarantinedParts.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/QuarantinedParts.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.agatefield.peer.PeerMessage;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -31,6 +32,7 @@
     private final long beganAt;
     private final long until;
     private boolean stored;
+    private boolean lost;
     private boolean saving;
 
     private Entry(int number, long beganAt, long until, boolean stored) {
@@ -55,7 +57,12 @@
 
     /** Returns whether the quarantine is neither stored nor being stored by this instance. */
     boolean needsSaving() {
-      return !stored && !saving;
+      return (lost || !stored) && !saving;
+    }
+
+    /** Returns whether the store has lost the quarantine as far as this instance knows. */
+    boolean isLost() {
+      return lost;
     }
 
     void savingStarted() {
@@ -65,6 +72,7 @@
     void savingEnded(boolean succeeded) {
       saving = false;
       stored |= succeeded;
+      lost &= !succeeded;
     }
   }
 
@@ -96,6 +104,18 @@
     return last == null ? 0 : last.number();
   }
 
+  /** Records that the store has lost what was written there last. */
+  void storeLostHistory() {
+    entries.values().forEach(entry -> entry.lost = true);
+  }
+
+  /** Returns the parts whose last quarantine is over. */
+  Set<String> endedParts() {
+    return ended.keySet().stream()
+        .filter(part -> !entries.containsKey(part))
+        .collect(Collectors.toUnmodifiableSet());
+  }
+
   /** Returns when the last quarantine among parts ends; empty if none is quarantined. */
   OptionalLong until(Collection<String> parts, long now) {
     if (entries.isEmpty()) {
--- a/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
@@ -169,8 +169,8 @@
     }
 
     @Override
-    public void delete(String part) {
-      store.remove(part);
+    public void delete(String part, int number) {
+      store.computeIfPresent(part, (name, stored) -> stored.number() > number ? stored : null);
     }
 
     @Override
@@ -331,6 +331,44 @@
     assertTrue(alone.isQuarantined("deadly"));
   }
 
+  /** Lets the store come back from an older copy, which the instances notice. */
+  private void restore(Map<String, Stored> copy) {
+    store.clear();
+    store.putAll(copy);
+    instances.forEach(each -> each.quarantine.storeLostHistory());
+  }
+
+  @Test
+  void quarantineThatTheStoreHasLostOutlivesAllProcesses() {
+    startAll();
+    crash(instances.get(0), "deadly");
+    runFor(1_000);
+    crash(instances.get(1), "deadly");
+    runFor(4_000);
+    restore(Map.of());
+    runFor(1_000);
+    instances.forEach(Simulated::start);
+    runFor(1_000);
+    assertEquals(INSTANCES, quarantinedAt("deadly"));
+  }
+
+  @Test
+  void quarantineThatIsOverDoesNotComeBackWithTheStore() {
+    startAll();
+    crash(instances.get(0), "sound");
+    runFor(1_000);
+    crash(instances.get(1), "sound");
+    runFor(4_000);
+    final Map<String, Stored> copy = Map.copyOf(store);
+    instances.get(2).quarantine.survived(List.of("sound"));
+    runFor(5_000);
+    restore(copy);
+    runFor(1_000);
+    instances.forEach(Simulated::start);
+    runFor(1_000);
+    assertEquals(0, quarantinedAt("sound"));
+  }
+
   @Property(tries = 300, seed = "3503")
   void knowledgeHoldsThroughCutsRestartsKillsOfAllAndEarlierBuilds(@ForAll long luck) {
     instances.clear();
@@ -358,12 +396,18 @@
 
   private void trouble() {
     Simulated instance = instances.get(random.nextInt(INSTANCES));
-    switch (random.nextInt(6)) {
+    switch (random.nextInt(7)) {
       case 0 -> instance.cut = true;
       case 1 -> instance.heal();
       case 2 -> instance.start();
       case 3 -> storeAvailable = !storeAvailable;
       case 4 -> instance.earlierBuild = !instance.earlierBuild;
+      case 5 -> {
+        // What the store has lost and no process knows is gone.
+        if (storeAvailable && quarantinedAt("deadly") > 0) {
+          restore(Map.of());
+        }
+      }
       default -> {
         instances.forEach(each -> each.held.clear());
         instances.forEach(Simulated::start);
--- a/lease/src/main/java/org/agatefield/lease/LeaseProtocol.java
+++ b/lease/src/main/java/org/agatefield/lease/LeaseProtocol.java
@@ -67,16 +67,6 @@
     return observe(state, version, Optional.of(lease), nowNanoseconds);
   }
 
-  /**
-   * Records that a read found no lease.
-   *
-   * @param era the store's era
-   * @param nowNanoseconds monotonic time after the response to the read arrived
-   */
-  public LeaseState observeAbsent(LeaseState state, long era, long nowNanoseconds) {
-    return observe(state, new LeaseVersion("", era, 0), Optional.empty(), nowNanoseconds);
-  }
-
   private static LeaseState observe(
       LeaseState state, LeaseVersion version, Optional<LeaseRecord> lease, long now) {
     boolean unchanged =
@@ -88,6 +78,16 @@
         Optional.of(new LeaseState.Observation(version, lease, now)), state.grant());
   }
 
+  /**
+   * Records that a read found no lease.
+   *
+   * @param era the store's era
+   * @param nowNanoseconds monotonic time after the response to the read arrived
+   */
+  public LeaseState observeAbsent(LeaseState state, long era, long nowNanoseconds) {
+    return observe(state, new LeaseVersion("", era, 0), Optional.empty(), nowNanoseconds);
+  }
+
   /** Returns the next action, given an up-to-date observation. */
   public LeaseDecision decide(LeaseState state, long nowNanoseconds) {
     if (state.observed().isEmpty()) {
