Look for another runner only while the retry budget allows one, and count a waiting request once

Change: RetryAllowance.isAvailable; startWaiting only once; ForwardedRequest.comment passes comments on without a change of state; crashes().stalled at the stall as before; no stall timer for requests that cannot be sent again; the runner of the last line is one that was sent to. The property has a step for comments now. It found that a stream that had begun with comments only could be sent again after a rejection without an event to resume from; it is aborted.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -14,6 +14,7 @@
 import org.agatefield.forwarding.GenerationParameters;
 import org.agatefield.forwarding.RequestAction;
 import org.agatefield.forwarding.RequestMetadata;
+import org.agatefield.forwarding.RetryMode;
 import org.agatefield.forwarding.Route;
 import org.agatefield.forwarding.RunnerEntry;
 import org.apache.logging.log4j.LogManager;
@@ -134,9 +135,6 @@
   }
 
   void cancel() {
-    if (stalled && !began && terms.prompt().isPresent()) {
-      context.crashes().stalled(runner, sharedParts());
-    }
     call.cancel();
     release();
   }
@@ -265,7 +263,8 @@
     }
     head = streamHead;
     event = next.bytes();
-    followUp.accept(state.event(attemptNumber, next.id()));
+    followUp.accept(
+        next.empty() ? state.comment(attemptNumber) : state.event(attemptNumber, next.id()));
   }
 
   @Override
@@ -331,6 +330,9 @@
   }
 
   private void scheduleStallCheck() {
+    if (route.retryMode() == RetryMode.NEVER) {
+      return;
+    }
     long due = lastActivity + stallTimeout() - MonotonicClock.milliseconds();
     stallTimer =
         context
@@ -362,6 +364,9 @@
       stalled = true;
       context.metrics().stalled();
       context.selector().failed(runner.id());
+      if (!began && terms.prompt().isPresent()) {
+        context.crashes().stalled(runner, sharedParts());
+      }
       LOGGER.info(
           "request={} attempt={} runner={} silent_ms={} began={}",
           terms.id(),
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -107,7 +107,7 @@
             route.retryMode(),
             route.maximumAttempts(),
             terms.lastEventId(),
-            () -> context.budgets().tryTake(service));
+            new ServiceRetryAllowance(context.budgets(), service));
   }
 
   /** Refuses the request with {@code SHUTTING_DOWN} if nothing has been sent yet. */
@@ -408,6 +408,9 @@
   }
 
   private void startWaiting() {
+    if (waiting) {
+      return; // An attempt failed whose replacement was already waiting.
+    }
     waiting = true;
     terms.prompt().ifPresent(prompt -> context.demand().waiting(service, prompt, 1));
     context.waiting().add(this);
@@ -468,8 +471,11 @@
       perform(state.notChosen(RefusalReason.DEADLINE));
       return;
     }
-    chosenRunner = runner;
-    perform(state.chosen(runner.id()));
+    List<RequestAction> actions = state.chosen(runner.id());
+    if (!actions.isEmpty()) {
+      chosenRunner = runner;
+    }
+    perform(actions);
   }
 
   /** Returns whether the API key that admitted the request is still valid. */
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
@@ -76,8 +76,7 @@
   }
 
   /**
-   * Records that a request was cancelled because the runner had sent nothing for too long; it may
-   * have crashed meanwhile.
+   * Records that the runner has sent nothing for a request for too long; it may have crashed.
    *
    * @param parts the shared parts of its prompt in order
    */
--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
@@ -113,6 +113,9 @@
       return List.of();
     }
     triedRunners.add(runner);
+    if (cannotResume()) {
+      return finish(new RequestAction.AbortStream(AbortReason.NOT_RESUMABLE));
+    }
     return sends < MAXIMUM_SENDS ? List.of(choose()) : refuseOrFail(RefusalReason.NO_RUNNER);
   }
 
@@ -122,6 +125,9 @@
       return List.of();
     }
     triedRunners.add(runner);
+    if (cannotResume()) {
+      return finish(new RequestAction.AbortStream(AbortReason.NOT_RESUMABLE));
+    }
     if (sends >= MAXIMUM_SENDS) {
       return refuseOrFail(RefusalReason.OVERLOADED);
     }
@@ -156,7 +162,8 @@
    * The attempt stays open until one is chosen, since a runner may fall silent and then continue.
    */
   public List<RequestAction> stalled(int eventAttempt) {
-    if (!isOpen(eventAttempt) || replacing || !canRunAgain() || sends >= MAXIMUM_SENDS) {
+    boolean mayBeReplaced = canRunAgain() && sends < MAXIMUM_SENDS && allowance.isAvailable();
+    if (!isOpen(eventAttempt) || replacing || !mayBeReplaced) {
       return List.of();
     }
     replacing = true;
@@ -184,6 +191,15 @@
     attemptHasEvent = true;
     replacing = false;
     eventId.ifPresent(id -> resumeAfter = Optional.of(id));
+    return deliver(eventAttempt);
+  }
+
+  /** Handles comments of a stream, which are passed on but are no progress. */
+  public List<RequestAction> comment(int eventAttempt) {
+    return isOpen(eventAttempt) ? deliver(eventAttempt) : List.of();
+  }
+
+  private List<RequestAction> deliver(int eventAttempt) {
     if (streaming) {
       return List.of(new RequestAction.ContinueStream(eventAttempt));
     }
@@ -293,11 +309,16 @@
     return new RequestAction.Choose(Set.copyOf(triedRunners));
   }
 
+  /** Returns whether a stream has begun that cannot go on with another attempt. */
+  private boolean cannotResume() {
+    return streaming && (retryMode != RetryMode.RESUME || resumeAfter.isEmpty());
+  }
+
   private boolean canRunAgain() {
     if (retryMode == RetryMode.NEVER || possibleRuns + 1 >= maximumAttempts) {
       return false;
     }
-    return !streaming || (retryMode == RetryMode.RESUME && resumeAfter.isPresent());
+    return !cannotResume();
   }
 
   private boolean tryRunAgain() {
@@ -307,8 +328,7 @@
   }
 
   private List<RequestAction> resumeOrAbort() {
-    boolean resumable = retryMode == RetryMode.RESUME && resumeAfter.isPresent();
-    if (!resumable) {
+    if (cannotResume()) {
       return finish(new RequestAction.AbortStream(AbortReason.NOT_RESUMABLE));
     }
     return tryRunAgain()
--- a/forwarding/src/main/java/org/agatefield/forwarding/RetryAllowance.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RetryAllowance.java
@@ -5,4 +5,9 @@
 public interface RetryAllowance {
   /** Takes one additional attempt; returns false if none is available. */
   boolean tryTake();
+
+  /** Returns whether an additional attempt could be taken now. */
+  default boolean isAvailable() {
+    return true;
+  }
 }
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
@@ -31,6 +31,7 @@
     STALLED,
     ANSWERED,
     EVENT,
+    COMMENT,
     ENDED,
     LATE_ANSWER,
     LATE_EVENT,
@@ -78,6 +79,7 @@
       case STALLED -> request.stalled(open);
       case ANSWERED -> request.answered(open);
       case EVENT -> request.event(open, Optional.of("e" + trace.events));
+      case COMMENT -> request.comment(open);
       case ENDED -> request.ended(open);
       case LATE_ANSWER -> request.answered(over);
       case LATE_EVENT -> request.event(over, Optional.of("late"));
@@ -115,6 +117,7 @@
         open = false;
       }
       if (step == Step.STALLED && !actions.isEmpty()) {
+        assertFalse(over, "action after the final action");
         assertInstanceOf(RequestAction.Choose.class, actions.get(0));
         assertEquals(1, actions.size(), "the attempt at a silent runner ended without a successor");
         return;
@@ -123,6 +126,7 @@
         assertFalse(over, "action after the final action");
         check(action);
       }
+      attemptHasEvent |= step == Step.EVENT && !actions.isEmpty();
       boolean cancelled = actions.stream().anyMatch(RequestAction.Cancel.class::isInstance);
       assertTrue(!cancelled || open || over, "cancelled without a successor or a final action");
     }
@@ -149,7 +153,6 @@
         assertTrue(open, "event delivered for an attempt that is over");
         streaming = true;
         events++;
-        attemptHasEvent = true;
       } else if (action instanceof RequestAction.EndStream) {
         assertTrue(attemptHasEvent, "stream ended as complete by an attempt without events");
         open = false;
@@ -269,6 +272,34 @@
     assertEquals(List.of(new RequestAction.EndStream(1)), withoutRunner.ended(1));
   }
 
+  @Test
+  void silentRunnerIsNotReplacedWhileTheRetryBudgetIsEmpty() {
+    RetryAllowance empty =
+        new RetryAllowance() {
+          @Override
+          public boolean tryTake() {
+            return false;
+          }
+
+          @Override
+          public boolean isAvailable() {
+            return false;
+          }
+        };
+    ForwardedRequest request = new ForwardedRequest(RetryMode.RESTART, 2, Optional.empty(), empty);
+    request.start();
+    request.chosen("a");
+    assertEquals(List.of(), request.stalled(1));
+    assertFalse(request.seeksRunner());
+  }
+
+  @Test
+  void commentsOfSilentRunnerDoNotEndTheSearchForAnotherOne() {
+    ForwardedRequest request = silentStream(() -> true);
+    assertEquals(List.of(new RequestAction.ContinueStream(1)), request.comment(1));
+    assertTrue(request.isReplacing());
+  }
+
   @Test
   void runnerThatSendsAgainIsNotReplaced() {
     ForwardedRequest request = silentStream(() -> true);
