A deadly part is found although one request with it has crashed three runners

The same happens today with a chain of shared parts of which the parent is deadly.

Cause: crashes that a culprit explains are never held against another part, not even if that culprit was chosen among equals by its position only and the other part was at all of its crashes.

Change: a part that is a suspect of a crash that no culprit explains also counts the crashes of each culprit with three occurrences or more at all of which it was a suspect, if together they are more occurrences than the culprit's. A survival of the part at any time since, or a crash of the culprit without it, keeps it out, and so does a runner that was lost together with one of the culprit's.

Evidence: mvn -B -o -q test -pl forwarding -am -Dtest=CrashAttributionTest.

Why it works: of two explanations the one that needs a single cause for all crashes is taken, with at least four of them.

--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -19,11 +19,14 @@
  * suspect of that crash. Parts on which a runner has recently begun a response and continued to run
  * are sound. A part is a culprit if it is a suspect of several crashes at different times and no
  * other part explains the same crashes as well. Of parts that nothing separates, those at the
- * greatest position are culprits, as the fewest other prompts contain them.
+ * greatest position are culprits, as the fewest other prompts contain them. A part that has
+ * accompanied such a culprit at all of its crashes, and is a suspect of a crash without it, was the
+ * cause of them all.
  *
  * <p>Invariants: the result depends only on the recorded facts and their times, not on their order;
- * crashes that a known culprit explains are not held against other parts; the size is bounded. Not
- * thread safe. Reads no clock: all times are monotonic milliseconds of the caller.
+ * crashes that a known culprit explains are not held against other parts, but for those that occur
+ * at all of its crashes and at more; the size is bounded. Not thread safe. Reads no clock: all
+ * times are monotonic milliseconds of the caller.
  */
 public final class CrashAttribution {
   /** How long a crash remains evidence. */
@@ -129,7 +132,7 @@
 
   /** Returns the culprits with the most occurrences among unexplained crashes. */
   private Set<String> strongest(Set<String> explaining) {
-    Map<String, Set<Crash>> suspected = crashesBySuspect(explaining);
+    Map<String, Set<Crash>> suspected = withInherited(crashesBySuspect(explaining), explaining);
     Set<String> best = new HashSet<>();
     int most = 0;
     for (Map.Entry<String, Set<Crash>> each : suspected.entrySet()) {
@@ -145,6 +148,44 @@
     return best;
   }
 
+  /** Adds to the unexplained crashes of each part those of culprits that it explains as well. */
+  private Map<String, Set<Crash>> withInherited(
+      Map<String, Set<Crash>> unexplained, Set<String> culprits) {
+    Map<String, Set<Crash>> all = crashesBySuspect(Set.of());
+    Map<String, Set<Crash>> result = new HashMap<>();
+    unexplained.forEach(
+        (part, own) -> {
+          Set<Crash> together = new HashSet<>(own);
+          culprits.forEach(culprit -> together.addAll(inherited(all.get(part), own, culprit)));
+          result.put(part, together);
+        });
+    return result;
+  }
+
+  /**
+   * Returns the crashes of a culprit that another part explains as well, if that part explains more
+   * occurrences than the culprit.
+   *
+   * @param suspected all crashes of which the other part is a suspect
+   * @param unexplained those of them that no culprit explains
+   */
+  private Set<Crash> inherited(Set<Crash> suspected, Set<Crash> unexplained, String culprit) {
+    Set<Crash> explained = new HashSet<>();
+    crashes.forEach(
+        (crash, record) -> {
+          if (record.positions().containsKey(culprit)) {
+            explained.add(crash);
+          }
+        });
+    int occurrences = occurrences(explained);
+    if (occurrences < OCCURRENCES_OF_EQUAL_SUSPECTS || !suspected.containsAll(explained)) {
+      return Set.of();
+    }
+    Set<Crash> together = new HashSet<>(unexplained);
+    together.addAll(explained);
+    return occurrences(together) > occurrences ? explained : Set.of();
+  }
+
   private boolean isCulprit(String part, int occurrences, Map<String, Set<Crash>> suspected) {
     if (occurrences < OCCURRENCES_OF_ONLY_SUSPECT) {
       return false;
--- a/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
@@ -5,7 +5,9 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -19,6 +21,8 @@
   private static final CrashAttribution.Crash FIRST = new CrashAttribution.Crash("i-1", 1);
   private static final CrashAttribution.Crash SECOND = new CrashAttribution.Crash("i-2", 1);
   private static final CrashAttribution.Crash THIRD = new CrashAttribution.Crash("i-3", 1);
+  private static final CrashAttribution.Crash FOURTH = new CrashAttribution.Crash("i-4", 1);
+  private static final CrashAttribution.Crash FIFTH = new CrashAttribution.Crash("i-5", 1);
 
   private final CrashAttribution attribution = new CrashAttribution();
 
@@ -103,6 +107,47 @@
     assertEquals(Set.of(), attribution.culprits(Set.of("b")));
   }
 
+  /** One request with a deadly part crashes three runners: its own part is convicted first. */
+  private void convictPartOfOneRequest() {
+    Map<String, Integer> prompt = Map.of("deadly", 1, "own", 2);
+    attribution.crashed(FIRST, prompt, 1_000);
+    attribution.crashed(SECOND, prompt, 2_000);
+    attribution.crashed(THIRD, prompt, 3_000);
+    assertEquals(Set.of("own"), attribution.culprits(Set.of()));
+  }
+
+  @Test
+  void partOfOneRequestOnlyHidesTheDeadlyPartUntilTheNextCrash() {
+    convictPartOfOneRequest();
+    attribution.crashed(FOURTH, Map.of("deadly", 1, "other", 2), 4_000);
+    assertEquals(Set.of("deadly"), attribution.culprits(Set.of("own")));
+    assertEquals(Set.of("deadly"), attribution.culprits(Set.of()));
+  }
+
+  @Test
+  void partThatSurvivesAfterAnotherWasConvictedIsNotItsCause() {
+    convictPartOfOneRequest();
+    attribution.survived("deadly", 3_500);
+    attribution.crashed(FOURTH, Map.of("deadly", 1, "other", 2), 4_000);
+    attribution.crashed(FIFTH, Map.of("deadly", 1, "next", 2), 30_000);
+    assertEquals(Set.of(), attribution.culprits(Set.of("own")));
+  }
+
+  @Test
+  void runnerLostTogetherWithThatOfTheCulpritConvictsNoOtherPart() {
+    convictPartOfOneRequest();
+    attribution.crashed(FOURTH, Map.of("deadly", 1, "other", 2), 3_050);
+    assertEquals(Set.of(), attribution.culprits(Set.of("own")));
+  }
+
+  @Test
+  void partThatWasNotAtAllCrashesOfTheCulpritNeedsTwoOfItsOwn() {
+    convictPartOfOneRequest();
+    attribution.crashed(FOURTH, Map.of("own", 2), 4_000);
+    attribution.crashed(FIFTH, Map.of("deadly", 1, "other", 2), 5_000);
+    assertEquals(Set.of(), attribution.culprits(Set.of("own")));
+  }
+
   @Test
   void evidenceExpires() {
     attribution.crashed(FIRST, parts("a"), 0);
@@ -176,6 +221,60 @@
     assertEquals(found, culprits(facts));
   }
 
+  /**
+   * Requests crash a runner with each of their attempts. Their shared parts besides the deadly one
+   * are sound, and so are the other prompts in hand, some of sessions with earlier requests.
+   */
+  private static List<Fact> crashesOfRequests(Random random, int requests, String deadly) {
+    List<Fact> facts = new ArrayList<>();
+    long at = 1_000;
+    for (int request = 0; request < requests; request++) {
+      int attempts = request == 0 ? 3 : 1 + random.nextInt(3);
+      for (int attempt = 0; attempt < attempts; attempt++) {
+        at += 300 + random.nextInt(900);
+        Map<String, Integer> parts = new HashMap<>(Map.of("first", 0, "customer", 1));
+        parts.put(deadly, 2);
+        parts.put("own" + request, 3);
+        for (int sound = 0; sound < random.nextInt(4); sound++) {
+          parts.put("session" + random.nextInt(5), 4);
+        }
+        facts.add(new Fact.Crashed(new CrashAttribution.Crash("i-" + at, 1), parts, at));
+        facts.add(new Fact.Survived("first", at + 100));
+        facts.add(new Fact.Survived("customer", at + 150));
+      }
+      for (int session = 0; session < 5; session++) {
+        facts.add(new Fact.Survived("session" + session, at - random.nextInt(10_000)));
+      }
+    }
+    return facts;
+  }
+
+  /** Returns the parts convicted while the facts become known one after the other. */
+  private static Set<String> culpritsInTurn(List<Fact> facts) {
+    CrashAttribution attribution = new CrashAttribution();
+    Set<String> known = new HashSet<>();
+    for (Fact fact : facts) {
+      if (fact instanceof Fact.Crashed crashed) {
+        attribution.crashed(crashed.crash(), crashed.parts(), crashed.at());
+        known.addAll(attribution.culprits(known));
+      } else if (fact instanceof Fact.Survived survived) {
+        attribution.survived(survived.part(), survived.at());
+      }
+    }
+    return known;
+  }
+
+  @Property(tries = 1000, seed = "3503")
+  void deadlyPartIsFoundThoughOneRequestCrashesSeveralRunners(
+      @ForAll @IntRange(min = 2, max = 5) int requests, @ForAll long luck) {
+    List<Fact> facts = crashesOfRequests(new Random(luck), requests, "deadly");
+    List<Fact> survivalsFirst =
+        facts.stream().sorted(Comparator.comparing(Fact.Crashed.class::isInstance)).toList();
+    Set<String> found = culpritsInTurn(survivalsFirst);
+    assertTrue(found.contains("deadly"), found::toString);
+    assertTrue(Set.of("deadly", "own0").containsAll(found), found::toString);
+  }
+
   @Property(tries = 1000, seed = "3502")
   void crashesForOtherReasonsConvictNoPart(
       @ForAll @IntRange(max = 8) int otherCrashes, @ForAll long luck) {
