Survivals of parts are forgotten after a minute unless they were in hand at a crash

What callers would see: nothing yet.

Change: a survival is forgotten once no crash that may still be reported (30 s, and 20 s before it, and 10 s on its way) needs it and no recorded crash has the part; 8,192 remains the limit. At 20 requests a second and instance that is 1,200 parts besides the shared ones. Crashes are kept once, in CrashAttribution with its limits of 256 crashes and 256 parts of each, instead of a second time without limits in SharedCrashEvidence.

Evidence: mvn -B -o -q test -pl forwarding -am -Dtest=CrashAttributionTest; without forgetting, 6,000 survivals are left of 6,000 requests; if age alone decides, a session's part is convicted that an earlier request had shown to be sound.

Why it works: a survival matters only for crashes within 20 s after it or before it.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
@@ -152,7 +152,7 @@
     record(crash, suspects, now);
     fleet.broadcast(
         new PeerMessage.CrashEvidence(
-            List.of(evidence.crashMessage(crash, now)), List.of(), List.of(), List.of()));
+            evidence.crashMessage(crash, now).stream().toList(), List.of(), List.of(), List.of()));
     timers.after(CHECK_AFTER_CRASH_MILLISECONDS, () -> checkStore(suspects.keySet()));
   }
 
@@ -252,7 +252,7 @@
     }
     List<Instance> others =
         fleet.answering().stream().filter(each -> !each.id().equals(fleet.self().id())).toList();
-    if (others.isEmpty() || (quarantined.isEmpty() && evidence.isEmpty())) {
+    if (others.isEmpty() || (quarantined.isEmpty() && evidence.isEmpty(now))) {
       return;
     }
     fleet.send(
--- a/daemon/src/main/java/org/agatefield/daemon/forward/SharedCrashEvidence.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/SharedCrashEvidence.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.agatefield.forwarding.CrashAttribution;
 import org.agatefield.peer.PeerMessage;
@@ -14,28 +15,19 @@
  * The evidence about crashes of runners that one instance has collected, and what of it the other
  * instances have been told.
  *
- * <p>All times are monotonic milliseconds of the caller. Confined to one event loop.
+ * <p>Invariant: the size is bounded however many requests there are, as most parts occur in one of
+ * them only. Survivals are kept for a minute, and longer only for parts that were in hand at a
+ * crash that is still evidence; they are shared only for suspects. All times are monotonic
+ * milliseconds of the caller. Confined to one event loop.
  */
 final class SharedCrashEvidence {
-  // Older crashes have reached every instance that was not cut off.
-  private static final long EXCHANGED_MILLISECONDS = 30_000;
-
   private final CrashAttribution attribution = new CrashAttribution();
-  private final Map<CrashAttribution.Crash, RecentCrash> recent = new HashMap<>();
   private final Set<String> suspected = new HashSet<>();
   private final Map<String, Long> sharedSurvivals = new HashMap<>();
 
-  private record RecentCrash(long at, Map<String, Integer> positions) {}
-
   /** Records a crash with its suspects and the greatest position of each in its prompts. */
   void crashed(CrashAttribution.Crash crash, Map<String, Integer> positions, long at) {
     attribution.crashed(crash, positions, at);
-    Map<String, Integer> all = new HashMap<>(positions);
-    RecentCrash known = recent.get(crash);
-    if (known != null) {
-      known.positions().forEach((part, position) -> all.merge(part, position, Math::max));
-    }
-    recent.put(crash, new RecentCrash(known == null ? at : Math.min(known.at(), at), all));
     positions.keySet().stream()
         .filter(part -> !attribution.isSound(part, at))
         .forEach(suspected::add);
@@ -82,32 +74,42 @@
     return attribution.crashesOf(part);
   }
 
-  /** Returns whether there is no crash to tell other instances about. */
-  boolean isEmpty() {
-    return recent.isEmpty();
-  }
-
   void forgetOld(long now) {
-    recent.values().removeIf(crash -> now - crash.at() > EXCHANGED_MILLISECONDS);
+    attribution.forgetOld(now);
     sharedSurvivals.values().removeIf(at -> now - at > CrashAttribution.EVIDENCE_MILLISECONDS);
-    if (recent.isEmpty()) {
+    if (!suspected.isEmpty()) {
       suspected.retainAll(attribution.suspects());
     }
   }
 
-  /** Returns the recent crashes for another instance. */
+  /** Returns whether there is no crash to tell other instances about. */
+  boolean isEmpty(long now) {
+    return recent(now).isEmpty();
+  }
+
+  /** Returns the recent crashes for another instance; older ones have reached those in touch. */
   List<PeerMessage.RunnerCrash> crashMessages(long now) {
-    return recent.keySet().stream().map(crash -> crashMessage(crash, now)).toList();
+    return recent(now).entrySet().stream()
+        .map(each -> message(each.getKey(), each.getValue(), now))
+        .toList();
+  }
+
+  /** Returns a recent crash for another instance; empty if too many others followed it. */
+  Optional<PeerMessage.RunnerCrash> crashMessage(CrashAttribution.Crash crash, long now) {
+    return Optional.ofNullable(recent(now).get(crash)).map(record -> message(crash, record, now));
+  }
+
+  private Map<CrashAttribution.Crash, CrashAttribution.RecordedCrash> recent(long now) {
+    return attribution.recent(CrashAttribution.REPORT_MILLISECONDS, now);
   }
 
-  /** Returns a recent crash for another instance. */
-  PeerMessage.RunnerCrash crashMessage(CrashAttribution.Crash crash, long now) {
-    RecentCrash known = recent.get(crash);
+  private static PeerMessage.RunnerCrash message(
+      CrashAttribution.Crash crash, CrashAttribution.RecordedCrash record, long now) {
     return new PeerMessage.RunnerCrash(
         crash.runner(),
         crash.startTimeMilliseconds(),
-        Math.max(0, now - known.at()),
-        known.positions());
+        Math.max(0, now - record.at()),
+        record.positions());
   }
 
   /** Returns the survivals of parts for another instance. */
--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -35,6 +35,12 @@
   /** Parts that runners survived are not suspects of crashes within this time afterwards. */
   public static final long SOUND_MILLISECONDS = 20_000;
 
+  /** How long others may report a crash after it occurred. */
+  public static final long REPORT_MILLISECONDS = 30_000;
+
+  // Covers the latest report of the last crash before which the part is sound, and its way.
+  private static final long SURVIVAL_MILLISECONDS =
+      SOUND_MILLISECONDS + REPORT_MILLISECONDS + 10_000;
   // Runners that are lost together, for example with their failure domain, are one occurrence.
   private static final long SEPARATE_MILLISECONDS = 200;
   private static final int OCCURRENCES_OF_ONLY_SUSPECT = 2;
@@ -60,16 +66,27 @@
    */
   public record Crash(String runner, long startTimeMilliseconds) {}
 
-  private record RecordedCrash(long at, Map<String, Integer> positions) {}
+  /**
+   * What is known of a crash. Immutable.
+   *
+   * @param at when it was first noticed
+   * @param positions the parts that were in hand, with the position of each in its prompt
+   */
+  public record RecordedCrash(long at, Map<String, Integer> positions) {
+    /** Copies the map. */
+    public RecordedCrash {
+      positions = Map.copyOf(positions);
+    }
+  }
 
   /**
    * Records a crash, or further parts that were in hand at a crash that is already recorded.
    *
-   * @param positions the shared parts on which the runner had not begun a response, with the
-   *     position of each in its prompt
+   * @param positions the parts on which the runner had not begun a response, with the position of
+   *     each in its prompt
    */
   public void crashed(Crash crash, Map<String, Integer> positions, long at) {
-    crashes.values().removeIf(known -> at - known.at() > EVIDENCE_MILLISECONDS);
+    forgetCrashes(at);
     RecordedCrash known = crashes.get(crash);
     Map<String, Integer> all = new TreeMap<>(positions);
     if (known != null) {
@@ -86,6 +103,43 @@
     }
   }
 
+  /**
+   * Forgets the crashes that are no longer evidence, and the survivals that neither a recorded
+   * crash nor the late report of one needs. Most parts occur in one request only, so that their
+   * survivals would otherwise be kept in numbers.
+   */
+  public void forgetOld(long now) {
+    forgetCrashes(now);
+    survivals
+        .entrySet()
+        .removeIf(
+            survival ->
+                now - survival.getValue() > SURVIVAL_MILLISECONDS
+                    && crashes.values().stream()
+                        .noneMatch(crash -> crash.positions().containsKey(survival.getKey())));
+  }
+
+  private void forgetCrashes(long now) {
+    crashes.values().removeIf(known -> now - known.at() > EVIDENCE_MILLISECONDS);
+  }
+
+  /** Returns the number of parts whose survival is known. */
+  int survivalCount() {
+    return survivals.size();
+  }
+
+  /** Returns the crashes of the given number of milliseconds before a time. */
+  public Map<Crash, RecordedCrash> recent(long milliseconds, long now) {
+    Map<Crash, RecordedCrash> recent = new LinkedHashMap<>();
+    crashes.forEach(
+        (crash, record) -> {
+          if (now - record.at() <= milliseconds) {
+            recent.put(crash, record);
+          }
+        });
+    return recent;
+  }
+
   /** Records that a runner has begun a response on a part and continued to run. */
   public void survived(String part, long at) {
     Long before = survivals.remove(part); // Moves the part to the end of the order of removal.
--- a/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
@@ -155,6 +155,38 @@
     assertEquals(Set.of(), attribution.culprits(Set.of()));
   }
 
+  @Test
+  void survivalsOfPartsOfSingleRequestsAreForgotten() {
+    int requests = 6_000;
+    for (int request = 0; request < requests; request++) {
+      attribution.survived("own" + request, 20L * request);
+      attribution.forgetOld(20L * request);
+    }
+    assertTrue(
+        attribution.survivalCount() <= 3_001, () -> attribution.survivalCount() + " survivals");
+  }
+
+  @Test
+  void survivalIsKnownWhileCrashesWithThePartAreEvidence() {
+    attribution.survived("session", 1_000);
+    attribution.crashed(FIRST, parts("session", "a"), 2_000);
+    attribution.forgetOld(CrashAttribution.EVIDENCE_MILLISECONDS);
+    attribution.crashed(SECOND, parts("session", "b"), CrashAttribution.EVIDENCE_MILLISECONDS);
+    assertEquals(Set.of(), attribution.culprits(Set.of()));
+    assertTrue(attribution.isSound("session", 2_000));
+    attribution.forgetOld(2 * CrashAttribution.EVIDENCE_MILLISECONDS + 1);
+    assertEquals(0, attribution.survivalCount());
+  }
+
+  @Test
+  void lateReportOfCrashFindsThePartsThatWereSoundThen() {
+    attribution.survived("session", 1_000);
+    long crashAt = 1_000 + CrashAttribution.SOUND_MILLISECONDS;
+    attribution.forgetOld(crashAt + CrashAttribution.REPORT_MILLISECONDS);
+    attribution.crashed(FIRST, parts("session"), crashAt);
+    assertEquals(Set.of(), attribution.suspects());
+  }
+
   /** A fact that one of several instances learns. */
   private sealed interface Fact {
     record Crashed(CrashAttribution.Crash crash, Map<String, Integer> parts, long at)
