Requests that crash runners with the last part of their prompt are kept away from runners

Cause: the attribution of crashes, the quarantine and the check before each send looked at the shared parts only. The last part of a prompt belongs to one request or session, but comes again with each repeat by a caller, under a new identifier and at any instance. The shared parts of such a request are sound, as other requests survive them, so nothing was left to suspect.

Change: all parts are suspects, are survived and are checked (GenerationParameters.partIds), those of prompts of one part too. Requests without a prompt stay as they are. The wire is unchanged; earlier builds leave last parts out of what they report. Survivals are told to others for suspects only, as before, so that last parts add no messages while no runner crashes.

PromptQuarantineTest: with survivals kept for suspects only, the new cases of last parts, sessions and earlier builds fail; with all survivals shared, survivalsAreSharedOnceAndForSuspectsOnly fails. VersionCompatibilityTest, RunnerCrashDetectorTest, CrashAttributionTest, PlatformDialectTest and TroubledRunnerTest pass.

Why it works: at each crash the last part is the only suspect that no runner has survived, so it is the culprit from the second separate crash on, or, if a shared part is unknown too, as the narrowest from the third.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
@@ -137,8 +137,8 @@
   /**
    * Records a crash that this instance noticed.
    *
-   * @param positions the shared parts of the prompts that were lost before their responses had
-   *     begun, with the greatest position of each in its prompts
+   * @param positions the parts of the prompts that were lost before their responses had begun, with
+   *     the greatest position of each in its prompts
    */
   void crashed(RunnerEntry runner, Map<String, Integer> positions) {
     long now = clock.getAsLong();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -135,7 +135,7 @@
 
   void cancel() {
     if (stalled && !began && terms.prompt().isPresent()) {
-      context.crashes().stalled(runner, sharedParts());
+      context.crashes().stalled(runner, partIds());
     }
     call.cancel();
     release();
@@ -146,7 +146,7 @@
     long left = deadline - MonotonicClock.milliseconds();
     return left >= MINIMUM_SEND_MILLISECONDS
         && context.selector().isUsable(runner)
-        && context.quarantine().quarantinedUntil(sharedParts()).isEmpty();
+        && context.quarantine().quarantinedUntil(partIds()).isEmpty();
   }
 
   @Override
@@ -205,19 +205,19 @@
     if (outlivedStart()) {
       recordSurvival();
     } else if (terms.prompt().isPresent()) {
-      context.crashes().disconnected(runner, sharedParts());
+      context.crashes().disconnected(runner, partIds());
     }
     failed("broken off: " + cause, Optional.empty());
   }
 
-  private List<String> sharedParts() {
-    return terms.prompt().map(GenerationParameters::sharedParts).orElse(List.of());
+  private List<String> partIds() {
+    return terms.prompt().map(GenerationParameters::partIds).orElse(List.of());
   }
 
   private void recordSurvival() {
     if (!survivalRecorded) {
       survivalRecorded = true;
-      context.quarantine().survived(sharedParts());
+      context.quarantine().survived(partIds());
     }
   }
 
@@ -237,7 +237,7 @@
         runner.id(),
         cause,
         began,
-        sharedParts());
+        partIds());
     failure.ifPresent(response -> completeResponse = response);
     followUp.accept(state.failed(attemptNumber, failure.isPresent()));
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -244,7 +244,7 @@
     OptionalLong until =
         terms
             .prompt()
-            .map(prompt -> context.quarantine().quarantinedUntil(prompt.sharedParts()))
+            .map(prompt -> context.quarantine().quarantinedUntil(prompt.partIds()))
             .orElse(OptionalLong.empty());
     until.ifPresent(end -> retryAfter = Math.max(0, end - MonotonicClock.milliseconds()));
     return until.isPresent();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
@@ -15,9 +15,9 @@
  *
  * <p>A runner has crashed if a connection to it was lost and it then refuses connections, its entry
  * disappears, or another process takes its place. Runners that are leaving do not crash. Invariant:
- * each crash is reported with the shared prompt parts of all requests that were lost with it before
- * their responses had begun; requests whose loss is noticed later are reported separately with the
- * same runner. Confined to one event loop.
+ * each crash is reported with the prompt parts of all requests that were lost with it before their
+ * responses had begun; requests whose loss is noticed later are reported separately with the same
+ * runner. Confined to one event loop.
  */
 final class RunnerCrashDetector implements RunnerDirectory.Listener {
   private static final Logger LOGGER = LogManager.getLogger(RunnerCrashDetector.class);
@@ -52,8 +52,8 @@
    * Creates a detector.
    *
    * @param clock returns monotonic milliseconds
-   * @param onCrash receives the crashed runner and the shared parts of the prompts lost with it,
-   *     with the greatest position of each
+   * @param onCrash receives the crashed runner and the parts of the prompts lost with it, with the
+   *     greatest position of each
    */
   RunnerCrashDetector(
       Vertx vertx,
@@ -69,7 +69,7 @@
   /**
    * Records that a request was lost with its connection before its response had begun.
    *
-   * @param parts the shared parts of its prompt in order
+   * @param parts the parts of its prompt in order
    */
   void disconnected(RunnerEntry runner, List<String> parts) {
     lost(runner, parts, true);
@@ -79,7 +79,7 @@
    * Records that a request was cancelled because the runner had sent nothing for too long; it may
    * have crashed meanwhile.
    *
-   * @param parts the shared parts of its prompt in order
+   * @param parts the parts of its prompt in order
    */
   void stalled(RunnerEntry runner, List<String> parts) {
     lost(runner, parts, false);
--- a/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
@@ -38,6 +38,7 @@
   private long now;
   private long scheduled;
   private int crashes;
+  private int broadcasts;
 
   private record Event(long at, long order, Runnable action) {}
 
@@ -126,6 +127,7 @@
 
     @Override
     public void broadcast(PeerMessage message) {
+      broadcasts++;
       instances.stream().filter(other -> other != this).forEach(other -> deliver(other, message));
     }
 
@@ -249,6 +251,60 @@
     assertEquals(0, quarantinedAt("sound"));
   }
 
+  @Test
+  void lastPartThatAloneIsDeadlyIsConvictedBesideSoundSharedParts() {
+    startAll();
+    instances.get(4).quarantine.survived(List.of("first", "customer", "sound"));
+    crash(instances.get(0), "first", "customer", "deadly");
+    runFor(1_000);
+    crash(instances.get(1), "first", "customer", "deadly");
+    runFor(1_000);
+    assertEquals(INSTANCES, quarantinedAt("deadly"));
+    assertEquals(0, quarantinedAt("first") + quarantinedAt("customer"));
+  }
+
+  @Test
+  void sessionThatAnotherInstanceServedIsSoundThoughItsPartIsAtEachCrash() {
+    startAll();
+    instances.get(4).quarantine.survived(List.of("first", "session"));
+    for (int number = 0; number < 3; number++) {
+      crash(instances.get(number), "first", "deadly", "session");
+      runFor(1_000);
+    }
+    assertEquals(INSTANCES, quarantinedAt("deadly"));
+    assertEquals(0, quarantinedAt("session"));
+  }
+
+  @Test
+  void crashesThatEarlierBuildsReportWithoutLastPartsDoNotHideThem() {
+    startAll();
+    instances.get(4).quarantine.survived(List.of("first", "customer", "sound"));
+    crash(instances.get(0), "first", "customer", "deadly");
+    runFor(1_000);
+    crash(instances.get(1), "first", "customer");
+    runFor(1_000);
+    crash(instances.get(2), "first", "customer", "deadly");
+    runFor(1_000);
+    assertEquals(INSTANCES, quarantinedAt("deadly"));
+    assertEquals(0, quarantinedAt("first") + quarantinedAt("customer"));
+  }
+
+  @Test
+  void survivalsAreSharedOnceAndForSuspectsOnly() {
+    startAll();
+    Simulated serving = instances.get(0);
+    for (int request = 0; request < 1_000; request++) {
+      serving.quarantine.survived(List.of("first", "own" + request));
+    }
+    assertEquals(0, broadcasts);
+    crash(instances.get(1), "last");
+    runFor(1_000);
+    broadcasts = 0;
+    serving.quarantine.survived(List.of("first", "last"));
+    serving.quarantine.survived(List.of("first", "last"));
+    assertEquals(1, broadcasts);
+  }
+
   @Test
   void survivalInFlightEndsQuarantineEverywhere() {
     startAll();
--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -13,7 +13,7 @@
 import java.util.TreeSet;
 
 /**
- * Determines from the crashes of runners which shared parts of prompts cause them.
+ * Determines from the crashes of runners which parts of prompts cause them.
  *
  * <p>Every part that a crashed runner had in hand, and on which it had not begun a response, is a
  * suspect of that crash. Parts on which a runner has recently begun a response and continued to run
--- a/forwarding/src/main/java/org/agatefield/forwarding/GenerationParameters.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/GenerationParameters.java
@@ -23,9 +23,12 @@
     parts = List.copyOf(parts);
   }
 
-  /** Returns the identifiers of the parts that other requests may have too: all but the last. */
-  public List<String> sharedParts() {
-    return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
+  /**
+   * Returns the identifiers of all parts in order. The last one comes again with a caller's next
+   * try and with its session.
+   */
+  public List<String> partIds() {
+    return parts.stream().map(PromptPart::id).toList();
   }
 
   /**
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -293,8 +293,8 @@
    *
    * @param runner the runner's identifier
    * @param startTimeMilliseconds the wall-clock time of the process's start
-   * @param positions the shared parts of the prompts that were lost before their responses had
-   *     begun, with the greatest position of each in its prompts
+   * @param positions the parts of the prompts that were lost before their responses had begun, with
+   *     the greatest position of each in its prompts
    */
   record RunnerCrash(
       String runner,
