The crashes of a known culprit are gathered once for all suspects

Seen when reading: for each suspect and culprit all crashes were searched, at the limits (256 crashes of 256 parts) up to 16 million look-ups for one culprit on the event loop; not measured. Now each culprit's crashes are gathered once, and most suspects fail the first comparison.

--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -202,42 +202,46 @@
     return best;
   }
 
-  /** Adds to the unexplained crashes of each part those of culprits that it explains as well. */
+  /**
+   * Adds to the unexplained crashes of each part those of the culprits at all of whose crashes it
+   * is a suspect too, if it then explains more occurrences than the culprit.
+   */
   private Map<String, Set<Crash>> withInherited(
       Map<String, Set<Crash>> unexplained, Set<String> culprits) {
-    Map<String, Set<Crash>> all = crashesBySuspect(Set.of());
+    Map<String, Set<Crash>> suspected = crashesBySuspect(Set.of());
     Map<String, Set<Crash>> result = new HashMap<>();
-    unexplained.forEach(
-        (part, own) -> {
-          Set<Crash> together = new HashSet<>(own);
-          culprits.forEach(culprit -> together.addAll(inherited(all.get(part), own, culprit)));
-          result.put(part, together);
-        });
+    unexplained.forEach((part, own) -> result.put(part, new HashSet<>(own)));
+    for (String culprit : culprits) {
+      Set<Crash> explained = crashesWith(culprit);
+      int occurrences = occurrences(explained);
+      if (occurrences >= OCCURRENCES_OF_EQUAL_SUSPECTS) {
+        unexplained.forEach(
+            (part, own) -> {
+              if (suspected.get(part).containsAll(explained)
+                  && occurrences(union(own, explained)) > occurrences) {
+                result.get(part).addAll(explained);
+              }
+            });
+      }
+    }
     return result;
   }
 
-  /**
-   * Returns the crashes of a culprit that another part explains as well, if that part explains more
-   * occurrences than the culprit.
-   *
-   * @param suspected all crashes of which the other part is a suspect
-   * @param unexplained those of them that no culprit explains
-   */
-  private Set<Crash> inherited(Set<Crash> suspected, Set<Crash> unexplained, String culprit) {
-    Set<Crash> explained = new HashSet<>();
+  private Set<Crash> crashesWith(String part) {
+    Set<Crash> with = new HashSet<>();
     crashes.forEach(
         (crash, record) -> {
-          if (record.positions().containsKey(culprit)) {
-            explained.add(crash);
+          if (record.positions().containsKey(part)) {
+            with.add(crash);
           }
         });
-    int occurrences = occurrences(explained);
-    if (occurrences < OCCURRENCES_OF_EQUAL_SUSPECTS || !suspected.containsAll(explained)) {
-      return Set.of();
-    }
-    Set<Crash> together = new HashSet<>(unexplained);
-    together.addAll(explained);
-    return occurrences(together) > occurrences ? explained : Set.of();
+    return with;
+  }
+
+  private static Set<Crash> union(Set<Crash> first, Set<Crash> second) {
+    Set<Crash> union = new HashSet<>(first);
+    union.addAll(second);
+    return union;
   }
 
   private boolean isCulprit(String part, int occurrences, Map<String, Set<Crash>> suspected) {
