--- a/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
@@ -154,8 +154,8 @@
   /**
    * Records a crash that this instance noticed.
    *
-   * @param positions the shared parts of the prompts that were lost before their responses had
-   *     begun, with the greatest position of each in its prompts
+   * @param positions the parts of the prompts that were lost before their responses had begun, with
+   *     the greatest position of each in its prompts
    */
   void crashed(RunnerEntry runner, Map<String, Integer> positions) {
     long now = clock.getAsLong();
@@ -169,7 +169,7 @@
     record(crash, suspects, now);
     fleet.broadcast(
         new PeerMessage.CrashEvidence(
-            List.of(evidence.crashMessage(crash, now)), List.of(), List.of(), List.of()));
+            evidence.crashMessage(crash, now).stream().toList(), List.of(), List.of(), List.of()));
     timers.after(CHECK_AFTER_CRASH_MILLISECONDS, () -> checkStore(suspects.keySet()));
   }
 
@@ -269,7 +269,7 @@
     }
     List<Instance> others =
         fleet.answering().stream().filter(each -> !each.id().equals(fleet.self().id())).toList();
-    if (others.isEmpty() || (quarantined.isEmpty() && evidence.isEmpty())) {
+    if (others.isEmpty() || (quarantined.isEmpty() && evidence.isEmpty(now))) {
       return;
     }
     fleet.send(
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -144,7 +144,7 @@
     long left = deadline - MonotonicClock.milliseconds();
     return left >= MINIMUM_SEND_MILLISECONDS
         && context.selector().isUsable(runner)
-        && context.quarantine().quarantinedUntil(sharedParts()).isEmpty();
+        && context.quarantine().quarantinedUntil(partIds()).isEmpty();
   }
 
   @Override
@@ -203,19 +203,19 @@
     if (outlivedStart()) {
       recordSurvival();
     } else if (terms.prompt().isPresent()) {
-      context.crashes().disconnected(runner, sharedParts());
+      context.crashes().disconnected(runner, partIds());
     }
     failed("broken off: " + cause, Optional.empty());
   }
 
-  private List<String> sharedParts() {
-    return terms.prompt().map(GenerationParameters::sharedParts).orElse(List.of());
+  private List<String> partIds() {
+    return terms.prompt().map(GenerationParameters::partIds).orElse(List.of());
   }
 
   private void recordSurvival() {
     if (!survivalRecorded) {
       survivalRecorded = true;
-      context.quarantine().survived(sharedParts());
+      context.quarantine().survived(partIds());
     }
   }
 
@@ -235,7 +235,7 @@
         runner.id(),
         cause,
         began,
-        sharedParts());
+        partIds());
     failure.ifPresent(response -> completeResponse = response);
     followUp.accept(state.failed(attemptNumber, failure.isPresent()));
   }
@@ -365,7 +365,7 @@
       context.metrics().stalled();
       context.selector().failed(runner.id());
       if (!began && terms.prompt().isPresent()) {
-        context.crashes().stalled(runner, sharedParts());
+        context.crashes().stalled(runner, partIds());
       }
       LOGGER.info(
           "request={} attempt={} runner={} silent_ms={} began={}",
--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -13,17 +13,20 @@
 import java.util.TreeSet;
 
 /**
- * Determines from the crashes of runners which shared parts of prompts cause them.
+ * Determines from the crashes of runners which parts of prompts cause them.
  *
  * <p>Every part that a crashed runner had in hand, and on which it had not begun a response, is a
  * suspect of that crash. Parts on which a runner has recently begun a response and continued to run
  * are sound. A part is a culprit if it is a suspect of several crashes at different times and no
  * other part explains the same crashes as well. Of parts that nothing separates, those at the
- * greatest position are culprits, as the fewest other prompts contain them.
+ * greatest position are culprits, as the fewest other prompts contain them. A part that has
+ * accompanied such a culprit at all of its crashes, and is a suspect of a crash without it, was the
+ * cause of them all.
  *
  * <p>Invariants: the result depends only on the recorded facts and their times, not on their order;
- * crashes that a known culprit explains are not held against other parts; the size is bounded. Not
- * thread safe. Reads no clock: all times are monotonic milliseconds of the caller.
+ * crashes that a known culprit explains are not held against other parts, but for those that occur
+ * at all of its crashes and at more; the size is bounded. Not thread safe. Reads no clock: all
+ * times are monotonic milliseconds of the caller.
  */
 public final class CrashAttribution {
   /** How long a crash remains evidence. */
@@ -32,6 +35,12 @@
   /** Parts that runners survived are not suspects of crashes within this time afterwards. */
   public static final long SOUND_MILLISECONDS = 20_000;
 
+  /** How long others may report a crash after it occurred. */
+  public static final long REPORT_MILLISECONDS = 30_000;
+
+  // Covers the latest report of the last crash before which the part is sound, and its way.
+  private static final long SURVIVAL_MILLISECONDS =
+      SOUND_MILLISECONDS + REPORT_MILLISECONDS + 10_000;
   // Runners that are lost together, for example with their failure domain, are one occurrence.
   private static final long SEPARATE_MILLISECONDS = 200;
   private static final int OCCURRENCES_OF_ONLY_SUSPECT = 2;
@@ -57,16 +66,27 @@
    */
   public record Crash(String runner, long startTimeMilliseconds) {}
 
-  private record RecordedCrash(long at, Map<String, Integer> positions) {}
+  /**
+   * What is known of a crash. Immutable.
+   *
+   * @param at when it was first noticed
+   * @param positions the parts that were in hand, with the position of each in its prompt
+   */
+  public record RecordedCrash(long at, Map<String, Integer> positions) {
+    /** Copies the map. */
+    public RecordedCrash {
+      positions = Map.copyOf(positions);
+    }
+  }
 
   /**
    * Records a crash, or further parts that were in hand at a crash that is already recorded.
    *
-   * @param positions the shared parts on which the runner had not begun a response, with the
-   *     position of each in its prompt
+   * @param positions the parts on which the runner had not begun a response, with the position of
+   *     each in its prompt
    */
   public void crashed(Crash crash, Map<String, Integer> positions, long at) {
-    crashes.values().removeIf(known -> at - known.at() > EVIDENCE_MILLISECONDS);
+    forgetCrashes(at);
     RecordedCrash known = crashes.get(crash);
     Map<String, Integer> all = new TreeMap<>(positions);
     if (known != null) {
@@ -83,6 +103,43 @@
     }
   }
 
+  /**
+   * Forgets the crashes that are no longer evidence, and the survivals that neither a recorded
+   * crash nor the late report of one needs. Most parts occur in one request only, so that their
+   * survivals would otherwise be kept in numbers.
+   */
+  public void forgetOld(long now) {
+    forgetCrashes(now);
+    survivals
+        .entrySet()
+        .removeIf(
+            survival ->
+                now - survival.getValue() > SURVIVAL_MILLISECONDS
+                    && crashes.values().stream()
+                        .noneMatch(crash -> crash.positions().containsKey(survival.getKey())));
+  }
+
+  private void forgetCrashes(long now) {
+    crashes.values().removeIf(known -> now - known.at() > EVIDENCE_MILLISECONDS);
+  }
+
+  /** Returns the number of parts whose survival is known. */
+  int survivalCount() {
+    return survivals.size();
+  }
+
+  /** Returns the crashes of the given number of milliseconds before a time. */
+  public Map<Crash, RecordedCrash> recent(long milliseconds, long now) {
+    Map<Crash, RecordedCrash> recent = new LinkedHashMap<>();
+    crashes.forEach(
+        (crash, record) -> {
+          if (now - record.at() <= milliseconds) {
+            recent.put(crash, record);
+          }
+        });
+    return recent;
+  }
+
   /** Records that a runner has begun a response on a part and continued to run. */
   public void survived(String part, long at) {
     Long before = survivals.remove(part); // Moves the part to the end of the order of removal.
@@ -129,7 +186,7 @@
 
   /** Returns the culprits with the most occurrences among unexplained crashes. */
   private Set<String> strongest(Set<String> explaining) {
-    Map<String, Set<Crash>> suspected = crashesBySuspect(explaining);
+    Map<String, Set<Crash>> suspected = withInherited(crashesBySuspect(explaining), explaining);
     Set<String> best = new HashSet<>();
     int most = 0;
     for (Map.Entry<String, Set<Crash>> each : suspected.entrySet()) {
@@ -145,6 +202,48 @@
     return best;
   }
 
+  /**
+   * Adds to the unexplained crashes of each part those of the culprits at all of whose crashes it
+   * is a suspect too, if it then explains more occurrences than the culprit.
+   */
+  private Map<String, Set<Crash>> withInherited(
+      Map<String, Set<Crash>> unexplained, Set<String> culprits) {
+    Map<String, Set<Crash>> suspected = crashesBySuspect(Set.of());
+    Map<String, Set<Crash>> result = new HashMap<>();
+    unexplained.forEach((part, own) -> result.put(part, new HashSet<>(own)));
+    for (String culprit : culprits) {
+      Set<Crash> explained = crashesWith(culprit);
+      int occurrences = occurrences(explained);
+      if (occurrences >= OCCURRENCES_OF_EQUAL_SUSPECTS) {
+        unexplained.forEach(
+            (part, own) -> {
+              if (suspected.get(part).containsAll(explained)
+                  && occurrences(union(own, explained)) > occurrences) {
+                result.get(part).addAll(explained);
+              }
+            });
+      }
+    }
+    return result;
+  }
+
+  private Set<Crash> crashesWith(String part) {
+    Set<Crash> with = new HashSet<>();
+    crashes.forEach(
+        (crash, record) -> {
+          if (record.positions().containsKey(part)) {
+            with.add(crash);
+          }
+        });
+    return with;
+  }
+
+  private static Set<Crash> union(Set<Crash> first, Set<Crash> second) {
+    Set<Crash> union = new HashSet<>(first);
+    union.addAll(second);
+    return union;
+  }
+
   private boolean isCulprit(String part, int occurrences, Map<String, Set<Crash>> suspected) {
     if (occurrences < OCCURRENCES_OF_ONLY_SUSPECT) {
       return false;
