A runner whose entry the store has lost stays, and may write the same entry again

Cause: the absence of an entry from a list of another era was taken for a departure. Change: the informer tells its listeners that an object is lost when a list of another era does not hold it; the directory keeps such a runner for as long as after an outage. Only an entry that is deleted within its era marks a departure, after which the same number is outdated. Entries of different processes apply in the order in which they come. A save of a quarantine that was under way when the store lost its history no longer counts as saved. ObjectStore names HISTORY_LOST among the failures that may have had an effect.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/NewestEntries.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/NewestEntries.java
@@ -6,12 +6,13 @@
 import org.agatefield.forwarding.RunnerEntry;
 
 /**
- * Remembers how far each runner's entry has come, so that an older entry is not taken for news.
+ * Remembers how far the entry of each runner process has come, so that an older entry is not taken
+ * for news.
  *
- * <p>The store may come back from an older copy, and relays lag behind each other. Invariant: of
- * the entries of one process of a runner an earlier one is outdated once a later one was recorded,
- * and every one of them up to the last once the runner is gone. Entries without a start time or a
- * number are never outdated. Confined to one event loop.
+ * <p>The store may come back from an older copy, and relays lag behind each other. Invariants: of
+ * the entries of one process an earlier one is outdated once a later one was recorded, and its last
+ * one too once the runner has left; entries of different processes apply in the order in which they
+ * come, as do entries without a start time or a number. Confined to one event loop.
  */
 final class NewestEntries {
   // Far longer than the time by which a copy of the store may be older.
@@ -19,19 +20,20 @@
 
   private final Map<String, Newest> newest = new HashMap<>();
 
-  private record Newest(long startTimeMilliseconds, long number, OptionalLong goneAt) {}
+  private record Newest(long startTimeMilliseconds, long number, OptionalLong leftAt) {}
 
-  /** Returns whether an entry is older than what is known of its runner. */
+  /** Returns whether an entry is older than what is known of its process. */
   boolean isOutdated(RunnerEntry entry) {
     Newest known = newest.get(entry.id());
-    if (known == null || !isNumbered(entry)) {
+    boolean sameProcess =
+        known != null
+            && isNumbered(entry)
+            && entry.startTimeMilliseconds() == known.startTimeMilliseconds();
+    if (!sameProcess) {
       return false;
     }
-    if (entry.startTimeMilliseconds() != known.startTimeMilliseconds()) {
-      return entry.startTimeMilliseconds() < known.startTimeMilliseconds();
-    }
     long number = entry.number().getAsLong();
-    return number < known.number() || (number == known.number() && known.goneAt().isPresent());
+    return number < known.number() || (number == known.number() && known.leftAt().isPresent());
   }
 
   /** Records an entry that is in use. */
@@ -41,25 +43,25 @@
     }
   }
 
-  /** Records that a runner is gone whose last entry is given. */
-  void recordGone(RunnerEntry entry, long now) {
+  /** Records that a runner has left whose last entry is given. */
+  void recordLeft(RunnerEntry entry, long now) {
     if (isNumbered(entry)) {
       newest.put(entry.id(), newest(entry, OptionalLong.of(now)));
     }
   }
 
-  /** Forgets the runners that have been gone for long. */
+  /** Forgets the runners that left long ago. */
   void forgetOld(long now) {
     newest
         .values()
         .removeIf(
             each ->
-                each.goneAt().isPresent()
-                    && now - each.goneAt().getAsLong() > RETENTION_MILLISECONDS);
+                each.leftAt().isPresent()
+                    && now - each.leftAt().getAsLong() > RETENTION_MILLISECONDS);
   }
 
-  private static Newest newest(RunnerEntry entry, OptionalLong goneAt) {
-    return new Newest(entry.startTimeMilliseconds(), entry.number().getAsLong(), goneAt);
+  private static Newest newest(RunnerEntry entry, OptionalLong leftAt) {
+    return new Newest(entry.startTimeMilliseconds(), entry.number().getAsLong(), leftAt);
   }
 
   private static boolean isNumbered(RunnerEntry entry) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/QuarantinedParts.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/QuarantinedParts.java
@@ -32,7 +32,9 @@
     private final long beganAt;
     private final long until;
     private boolean stored;
-    private boolean lost;
+    private int losses;
+    private int lossesBeforeSaving;
+    private int lossesSaved;
     private boolean saving;
 
     private Entry(int number, long beganAt, long until, boolean stored) {
@@ -57,22 +59,25 @@
 
     /** Returns whether the quarantine is neither stored nor being stored by this instance. */
     boolean needsSaving() {
-      return (lost || !stored) && !saving;
+      return (isLost() || !stored) && !saving;
     }
 
     /** Returns whether the store has lost the quarantine as far as this instance knows. */
     boolean isLost() {
-      return lost;
+      return losses > lossesSaved;
     }
 
     void savingStarted() {
       saving = true;
+      lossesBeforeSaving = losses;
     }
 
     void savingEnded(boolean succeeded) {
       saving = false;
-      stored |= succeeded;
-      lost &= !succeeded;
+      if (succeeded) {
+        stored = true;
+        lossesSaved = lossesBeforeSaving;
+      }
     }
   }
 
@@ -106,7 +111,7 @@
 
   /** Records that the store has lost what was written there last. */
   void storeLostHistory() {
-    entries.values().forEach(entry -> entry.lost = true);
+    entries.values().forEach(entry -> entry.losses++);
   }
 
   /** Returns the parts whose last quarantine is over. */
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
@@ -21,8 +21,9 @@
  * <p>Invariants: a runner whose entry is draining, or is deleted while the store responds, receives
  * no further request; entries that expired while the store was unavailable remain usable until
  * {@link #RETURN_MILLISECONDS} after its return, since live runners rewrite their entries within
- * that time; an entry that is older than what is known of its runner changes nothing, wherever it
- * comes from. Confined to one event loop.
+ * that time, and so do entries that are younger than the copy that the store came back from; an
+ * entry that is older than what is known of its runner changes nothing, wherever it comes from.
+ * Confined to one event loop.
  */
 final class RunnerDirectory implements InformerListener {
   /**
@@ -95,9 +96,23 @@
           millisecondsSinceStoreReturn(now));
       return;
     }
+    newest.recordLeft(entry, now);
     remove(key.name(), "deleted");
   }
 
+  /** Keeps a runner whose entry the store has lost until it had the time to write it again. */
+  @Override
+  public void lost(ObjectKey key) {
+    long now = MonotonicClock.milliseconds();
+    RunnerEntry entry = entries.get(key.name());
+    if (entry == null) {
+      return;
+    }
+    storeReturnedAt = now;
+    expiredAt.put(key.name(), now);
+    LOGGER.info("runner={} entry=lost draining={}", key.name(), entry.draining());
+  }
+
   /** Removes runners whose expired entries were not rewritten in time. */
   void removeExpired(long now) {
     newest.forgetOld(now);
@@ -181,11 +196,9 @@
 
   private void remove(String id, String cause) {
     contents.remove(id);
-    RunnerEntry removed = entries.remove(id);
-    if (removed == null) {
+    if (entries.remove(id) == null) {
       return;
     }
-    newest.recordGone(removed, MonotonicClock.milliseconds());
     usableByService.clear();
     LOGGER.info("runner={} gone=true cause={}", id, cause);
     listeners.forEach(listener -> listener.runnerGone(id));
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -97,6 +97,18 @@
     assertEquals(1, usable());
   }
 
+  @Test
+  void runnerWhoseEntryTheStoreHasLostStaysUsableAndMayWriteTheSameEntryAgain() {
+    directory.changed(entry("a", "ready 4"));
+    directory.lost(new ObjectKey(ObjectKind.RUNNER, "a"));
+    assertEquals(1, usable());
+    directory.removeExpired(
+        MonotonicClock.milliseconds() + RunnerDirectory.RETURN_MILLISECONDS + 1);
+    assertEquals(0, usable());
+    directory.changed(entry("a", "ready 4"));
+    assertEquals(1, usable());
+  }
+
   @Test
   void entriesWithoutNumberApplyInTheOrderInWhichTheyCome() {
     directory.changed(entry("a", "draining 4"));
--- a/store/src/main/java/org/agatefield/store/InformerListener.java
+++ b/store/src/main/java/org/agatefield/store/InformerListener.java
@@ -10,6 +10,14 @@
   /** Called when an object was deleted. */
   default void deleted(ObjectKey key) {}
 
+  /**
+   * Called when an object is missing because the store came back from a copy that is older than it;
+   * whoever wrote it may write it again.
+   */
+  default void lost(ObjectKey key) {
+    deleted(key);
+  }
+
   /**
    * Called with all known objects by name after each list and each change of a watch.
    *
--- a/store/src/main/java/org/agatefield/store/ObjectInformer.java
+++ b/store/src/main/java/org/agatefield/store/ObjectInformer.java
@@ -142,11 +142,22 @@
         listeners.forEach(listener -> listener.changed(object));
       }
     }
-    previous.values().forEach(removed -> listeners.forEach(each -> each.deleted(removed.key())));
+    previous.values().forEach(removed -> reportMissing(removed, list));
     listed = true;
     notifyUpdated();
   }
 
+  /**
+   * Reports an object that a list does not hold, which says nothing if the list is of another era.
+   */
+  private void reportMissing(StoredObject removed, ObjectList list) {
+    if (list.era() != StoreVersion.parse(removed.resourceVersion()).era()) {
+      listeners.forEach(listener -> listener.lost(removed.key()));
+    } else {
+      listeners.forEach(listener -> listener.deleted(removed.key()));
+    }
+  }
+
   private void startWatch(String fromVersion) {
     stopWatch();
     version = fromVersion;
--- a/store/src/main/java/org/agatefield/store/ObjectList.java
+++ b/store/src/main/java/org/agatefield/store/ObjectList.java
@@ -15,6 +15,17 @@
     objects = List.copyOf(objects);
   }
 
+  /**
+   * Returns the latest era that the versions name; {@link StoreVersion#NO_ERA} if they name none.
+   */
+  long era() {
+    return Stream.concat(
+            Stream.of(resourceVersion), objects.stream().map(StoredObject::resourceVersion))
+        .mapToLong(version -> StoreVersion.parse(version).era())
+        .max()
+        .orElse(StoreVersion.NO_ERA);
+  }
+
   /** Returns a list of these objects and those of the next page, with this list's version. */
   ObjectList append(ObjectList next) {
     return new ObjectList(
--- a/store/src/main/java/org/agatefield/store/ObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/ObjectStore.java
@@ -8,8 +8,9 @@
  * Client of the platform's object API, with versions, conditional updates and watches.
  *
  * <p>Every future may fail with a {@link StoreException}. Invariant: a write that completes with a
- * {@link StoreFailure} other than {@link StoreFailure#UNKNOWN_RESULT} has had no effect and never
- * will. Implementations are safe for use by any thread; futures may complete on any thread.
+ * {@link StoreFailure} other than {@link StoreFailure#UNKNOWN_RESULT} and {@link
+ * StoreFailure#HISTORY_LOST} has had no effect and never will. Implementations are safe for use by
+ * any thread; futures may complete on any thread.
  */
 public interface ObjectStore extends ObjectSource {
   /** Reads an object; fails with {@link StoreFailure#NOT_FOUND} if it does not exist. */
--- a/store/src/main/java/org/agatefield/store/StoreVersion.java
+++ b/store/src/main/java/org/agatefield/store/StoreVersion.java
@@ -1,5 +1,7 @@
 package org.agatefield.store;
 
+import java.util.regex.Pattern;
+
 /**
  * A version of an object or of the whole store that is unique for ever. Immutable.
  *
@@ -14,14 +16,15 @@
   public static final long NO_ERA = 0;
 
   private static final char SEPARATOR = '/';
+  private static final Pattern ERA = Pattern.compile("[0-9]{1,18}");
 
-  /** Parses a version as {@link #toString()} writes it. */
+  /** Parses a version as {@link #toString()} writes it; any other text is a revision. */
   public static StoreVersion parse(String text) {
     int separator = text.indexOf(SEPARATOR);
-    return separator < 0
-        ? new StoreVersion(NO_ERA, text)
-        : new StoreVersion(
-            Long.parseLong(text.substring(0, separator)), text.substring(separator + 1));
+    String era = text.substring(0, Math.max(0, separator));
+    return ERA.matcher(era).matches()
+        ? new StoreVersion(Long.parseLong(era), text.substring(separator + 1))
+        : new StoreVersion(NO_ERA, text);
   }
 
   /** Returns the version as text, which is the revision alone if the store names no era. */
