A delete that was read back as absent in a later era reports that the history is lost

A conditional delete whose response was lost could be carried out after the store had come back older, met another content under the same revision, removed it, and was reported as completed normally, as the object was absent when it was read back.

Cause: ResolvingObjectStore compared eras only if an object was found; an absent one names no version.

Evidence: mvn -pl store -am test -Dtest=ResolvingObjectStoreTest. Before the fix deleteOfContentOfEarlierEraHasLostItsHistoryIfTheObjectIsAbsent failed (expected HISTORY_LOST, was completed normally), 13 passed; with it 14 pass.

Why it works: the response that said that the object is absent has named the store's era, and the delete is reported as done only if the content that it was to remove was read in that era.

Not mended, as no client can: a write that is still on its way after it was read back as without effect may take effect if the store comes back older and gives out the expected revision again; the class comment says so.

--- a/store/src/main/java/org/agatefield/store/ResolvingObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/ResolvingObjectStore.java
@@ -16,14 +16,14 @@
  *   <li>After an update, the object has another version without the identifier: the update had no
  *       effect and never will, since its condition cannot hold again ({@link
  *       StoreFailure#CONFLICT}). This is wrong only if more than 16 writes followed within the
- *       call.
+ *       call, or if the store comes back older while the update is still on its way.
  *   <li>After a delete, the object is absent or has another version: the delete took effect, or
  *       another write preceded it. It completes normally.
  *   <li>After a create, an object without the identifier exists: {@link
  *       StoreFailure#ALREADY_EXISTS}. This is weaker than the contract of {@link ObjectStore}: the
  *       create cannot take effect while that object exists, but may do so once it is deleted.
- *   <li>The object read back belongs to a later era of the store than the one replaced or deleted:
- *       {@link StoreFailure#HISTORY_LOST}.
+ *   <li>The object replaced or deleted was read in an earlier era of the store than the one of the
+ *       read back: {@link StoreFailure#HISTORY_LOST}, also if the object is absent.
  *   <li>Otherwise (no object after a create or update, unchanged version, failed read) the result
  *       stays unknown, and the write may still take effect later. The failure remains {@link
  *       StoreFailure#UNKNOWN_RESULT}.
@@ -113,7 +113,7 @@
             found -> {
               StoredObject current =
                   found.orElseThrow(() -> stillUnknown(previous.key(), "absent", cause));
-              requireSameEra(previous, current);
+              requireEra(previous, eraOf(current));
               if (current.resourceVersion().equals(previous.resourceVersion())) {
                 throw stillUnknown(previous.key(), "unchanged", cause);
               }
@@ -125,7 +125,7 @@
     return readBack(previous.key(), cause)
         .thenAccept(
             found -> {
-              found.ifPresent(now -> requireSameEra(previous, now));
+              requireEra(previous, found.map(ResolvingObjectStore::eraOf).orElseGet(store::era));
               boolean unchanged =
                   found
                       .filter(now -> now.resourceVersion().equals(previous.resourceVersion()))
@@ -136,8 +136,8 @@
             });
   }
 
-  private static void requireSameEra(StoredObject previous, StoredObject found) {
-    if (eraOf(previous) != eraOf(found)) {
+  private static void requireEra(StoredObject previous, long era) {
+    if (eraOf(previous) != era) {
       throw new StoreException(
           StoreFailure.HISTORY_LOST,
           previous.key() + ": the store came back older; the write may have met another content");
--- a/store/src/test/java/org/agatefield/store/ResolvingObjectStoreTest.java
+++ b/store/src/test/java/org/agatefield/store/ResolvingObjectStoreTest.java
@@ -97,4 +97,37 @@
     assertEquals(
         Optional.of(StoreFailure.UNKNOWN_RESULT), failureOf(resolving.delete(object("1"))));
   }
+
+  @Test
+  void updateOfContentOfEarlierEraHasLostItsHistoryAlthoughItsIdentifierIsReadBack()
+      throws Exception {
+    store.era = 2;
+    store.then(object("2/6", "mine"));
+    CompletableFuture<StoredObject> update =
+        resolving.update(object("1/5"), "mine", JsonNodeFactory.instance.objectNode());
+    assertEquals(Optional.of(StoreFailure.HISTORY_LOST), failureOf(update));
+  }
+
+  @Test
+  void deleteOfContentOfEarlierEraHasLostItsHistoryIfAnotherIsReadBack() throws Exception {
+    store.era = 2;
+    store.then(object("2/5", "other"));
+    assertEquals(
+        Optional.of(StoreFailure.HISTORY_LOST), failureOf(resolving.delete(object("1/5"))));
+  }
+
+  @Test
+  void deleteOfContentOfEarlierEraHasLostItsHistoryIfTheObjectIsAbsent() throws Exception {
+    store.era = 2;
+    store.then(StoreFailure.NOT_FOUND);
+    assertEquals(
+        Optional.of(StoreFailure.HISTORY_LOST), failureOf(resolving.delete(object("1/5"))));
+  }
+
+  @Test
+  void deleteSucceedsIfObjectIsAbsentInTheSameEra() throws Exception {
+    store.era = 2;
+    store.then(StoreFailure.NOT_FOUND);
+    assertEquals(Optional.empty(), failureOf(resolving.delete(object("2/5"))));
+  }
 }
--- a/store/src/test/java/org/agatefield/store/ScriptedStore.java
+++ b/store/src/test/java/org/agatefield/store/ScriptedStore.java
@@ -10,6 +10,7 @@
 final class ScriptedStore implements ObjectStore {
   final Deque<Object> answers = new ArrayDeque<>();
   int calls;
+  long era = StoreVersion.NO_ERA;
 
   ScriptedStore then(Object answer) {
     answers.add(answer);
@@ -48,6 +49,11 @@
     return next();
   }
 
+  @Override
+  public long era() {
+    return era;
+  }
+
   @Override
   public CompletableFuture<ObjectList> list(ObjectKind kind) {
     return next();
