An instance that switches relays does not go back to a history that the store has left

What callers saw: for up to 2.5 s after the store had come back older, an instance that had already read the new contents from one relay and then switched to a relay that had not noticed yet took the older contents again (routes and runners of the era before), and the relay's list, if empty, removed all.

Cause: RelayedObjectSource took any list of any relay. Relays notice a new era at different times.

Change: a relay's version names the era of its list (StoreVersion around its own version, which only the relay itself reads), so that an empty list has one too; InformerListener.listed tells it. RelayedObjectSource keeps the newest era it has returned for each kind and refuses a list or changes of an earlier one: the next relay is tried, then the store. Relays that name no era (earlier builds, a store without eras) are accepted as before. StoreVersion.parse takes text that it did not write as a plain revision.

Evidence: mvn -pl daemon -am test -Dtest='Relayed*Test'.

Why it works: a relay's own objects are of one era at a time, which never decreases, as its source is a client of the store or this class; and what is compared is the era of whole lists, from which all watches begin.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ObjectRelay.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ObjectRelay.java
@@ -17,6 +17,7 @@
 import org.agatefield.peer.PeerMessage;
 import org.agatefield.store.InformerListener;
 import org.agatefield.store.ObjectKey;
+import org.agatefield.store.StoreVersion;
 import org.agatefield.store.StoredObject;
 
 /**
@@ -24,7 +25,8 @@
  *
  * <p>Invariants: requests fail until the objects are known, and while they may be stale because
  * their source does not respond or has not confirmed them recently; a requester that is too far
- * behind gets all objects. Versions are valid only for this process. Confined to one event loop.
+ * behind gets all objects. Versions are valid only for this process; they name the store's era, so
+ * that a requester that knows a later one does not go back. Confined to one event loop.
  */
 final class ObjectRelay implements InformerListener {
   private static final int MAXIMUM_CHANGES = 512; // Several seconds of changes by busy runners.
@@ -40,6 +42,7 @@
   private final Deque<Change> changes = new ArrayDeque<>();
   private final List<Pending> pending = new ArrayList<>();
   private long lastChange;
+  private long era = StoreVersion.NO_ERA;
   private final LongSupplier clock;
   private long confirmedAt;
   private boolean initialized;
@@ -83,6 +86,11 @@
     this.clock = clock;
   }
 
+  @Override
+  public void listed(String resourceVersion) {
+    era = Math.max(era, RelayedObjectSource.eraOf(resourceVersion));
+  }
+
   @Override
   public void changed(StoredObject object) {
     RelayedObject relayed =
@@ -185,11 +193,12 @@
   }
 
   private String version() {
-    return processId + ':' + lastChange;
+    return new StoreVersion(era, processId + ':' + lastChange).toString();
   }
 
   /** Returns the change number of a version; empty if later changes are no longer retained. */
-  private Optional<Long> changeNumber(String version) {
+  private Optional<Long> changeNumber(String fromVersion) {
+    String version = StoreVersion.parse(fromVersion).revision();
     String prefix = processId + ':';
     if (!version.startsWith(prefix)) {
       return Optional.empty();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjectSource.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjectSource.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import java.util.stream.LongStream;
 import org.agatefield.daemon.peers.CompressedJson;
 import org.agatefield.model.Instance;
 import org.agatefield.peer.PeerMessage;
@@ -18,6 +19,7 @@
 import org.agatefield.store.ObjectSource;
 import org.agatefield.store.StoreException;
 import org.agatefield.store.StoreFailure;
+import org.agatefield.store.StoreVersion;
 import org.agatefield.store.StoredObject;
 import org.agatefield.store.WatchListener;
 import org.apache.logging.log4j.LogManager;
@@ -30,8 +32,10 @@
  * large fleet. The relay sources are tried in order; the store is read if there are none, or if
  * none responds, and then at most once per {@link #STORE_PAUSE_MILLISECONDS}. Any failure of a
  * source ends the watch with {@code VERSION_GONE}, so that the next list selects a source again.
- * Invariant: an instance that watches the store itself switches back to relays within {@link
- * #STORE_WATCH_MILLISECONDS} after they are available. Safe for use by any thread.
+ * Invariants: an instance that watches the store itself switches back to relays within {@link
+ * #STORE_WATCH_MILLISECONDS} after they are available; once objects of an era of the store were
+ * returned, a list of an earlier era is refused, so that no instance goes back to a history that
+ * the store has left. A source that names no era is accepted. Safe for use by any thread.
  */
 final class RelayedObjectSource implements ObjectSource {
   private static final Logger LOGGER = LogManager.getLogger(RelayedObjectSource.class);
@@ -51,6 +55,7 @@
   private final RequestSender sender;
   private final Map<ObjectKind, String> lastSource = new HashMap<>();
   private final Map<ObjectKind, Long> storeReadAt = new HashMap<>();
+  private final Map<ObjectKind, Long> newestEras = new HashMap<>();
 
   /** Sends requests to other instances. */
   @FunctionalInterface
@@ -89,7 +94,7 @@
     requestObjects(source, kind, "", 0)
         .whenComplete(
             (answer, failure) -> {
-              if (failure == null && answer.whole()) {
+              if (failure == null && answer.whole() && isCurrent(kind, eraOf(answer))) {
                 recordSource(kind, source.id());
                 result.complete(
                     new ObjectList(
@@ -116,6 +121,11 @@
                 result.completeExceptionally(failure);
                 return;
               }
+              if (!isCurrent(kind, eraOf(list.resourceVersion()))) {
+                result.completeExceptionally(
+                    new StoreException(StoreFailure.UNAVAILABLE, "list of an earlier era"));
+                return;
+              }
               recordSource(kind, "store");
               result.complete(list);
             });
@@ -131,6 +141,27 @@
     return true;
   }
 
+  /** Records an era; returns whether no later one is known. */
+  private synchronized boolean isCurrent(ObjectKind kind, long era) {
+    long newest = newestEras.merge(kind, era, Math::max);
+    return era == StoreVersion.NO_ERA || era == newest;
+  }
+
+  /** Returns the era in a version of the store or of a relay. */
+  static long eraOf(String version) {
+    String named =
+        version.startsWith(RELAYED_VERSION_PREFIX)
+            ? version.substring(version.indexOf('/', RELAYED_VERSION_PREFIX.length()) + 1)
+            : version;
+    return StoreVersion.parse(named).era();
+  }
+
+  private static long eraOf(PeerMessage.ObjectsAnswer answer) {
+    LongStream objects =
+        answer.objects().stream().mapToLong(state -> eraOf(state.resourceVersion()));
+    return Math.max(eraOf(answer.version()), objects.max().orElse(StoreVersion.NO_ERA));
+  }
+
   private synchronized void recordSource(ObjectKind kind, String source) {
     String before = lastSource.put(kind, source);
     if (!source.equals(before)) {
@@ -274,6 +305,10 @@
                 : String.valueOf(failure.getMessage()));
         return;
       }
+      if (!isCurrent(kind, eraOf(answer))) {
+        end("the relay is in an earlier era of the store");
+        return;
+      }
       for (PeerMessage.ObjectState state : answer.objects()) {
         report(state);
       }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RelayedObjectSourceTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RelayedObjectSourceTest.java
@@ -1,6 +1,7 @@
 package org.agatefield.daemon.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -9,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -44,11 +46,12 @@
   /** An empty store that counts list calls. */
   private static final class CountingStore implements ObjectSource {
     private int lists;
+    private String version = "7";
 
     @Override
     public CompletableFuture<ObjectList> list(ObjectKind kind) {
       lists++;
-      return CompletableFuture.completedFuture(new ObjectList("7", List.of()));
+      return CompletableFuture.completedFuture(new ObjectList(version, List.of()));
     }
 
     @Override
@@ -81,9 +84,13 @@
   }
 
   private static StoredObject object(String name, String text) {
+    return object("5", name, text);
+  }
+
+  private static StoredObject object(String version, String name, String text) {
     return new StoredObject(
         new ObjectKey(ObjectKind.RUNNER, name),
-        "5",
+        version,
         List.of(),
         JsonNodeFactory.instance.textNode(text));
   }
@@ -97,6 +104,14 @@
     return relay;
   }
 
+  private ObjectRelay addSource(String id, long era, String text) {
+    ObjectRelay relay = addSource(id);
+    relay.listed(era + "/9");
+    relay.changed(object(era + "/8", "a", text));
+    relay.confirmed();
+    return relay;
+  }
+
   private CompletableFuture<PeerMessage> send(
       Instance instance, PeerMessage request, long limitMilliseconds) {
     return relays.get(instance.id()).answer((PeerMessage.ObjectsRequest) request);
@@ -207,4 +222,82 @@
     second.confirmed();
     assertEquals("new", list().objects().get(0).content().asText());
   }
+
+  @Test
+  void relayThatIsInAnEarlierEraThanTheListedOneIsSkipped() throws Exception {
+    addSource("one", 2, "of era 2");
+    list();
+    sources.clear();
+    addSource("two", 1, "of era 1");
+    addSource("three", 2, "again of era 2");
+    assertEquals("again of era 2", list().objects().get(0).content().asText());
+    assertEquals(0, store.lists);
+  }
+
+  @Test
+  void relayInLaterEraIsUsedAtOnce() throws Exception {
+    addSource("one", 1, "of era 1");
+    list();
+    sources.clear();
+    addSource("two", 2, "of era 2");
+    assertEquals("of era 2", list().objects().get(0).content().asText());
+  }
+
+  @Test
+  void emptyRelayIsInTheEraOfItsList() throws Exception {
+    ObjectRelay empty = addSource("one");
+    empty.listed("2/3");
+    empty.confirmed();
+    list();
+    sources.clear();
+    addSource("two", 1, "of era 1");
+    store.version = "2/4";
+    assertEquals("2/4", list().resourceVersion());
+    sources.clear();
+    ObjectRelay emptyBefore = addSource("three");
+    emptyBefore.listed("1/7");
+    emptyBefore.confirmed();
+    addSource("four", 2, "of era 2");
+    assertEquals("of era 2", list().objects().get(0).content().asText());
+  }
+
+  @Test
+  void eraOfTheChangesOfItsWatchIsNotLeftAgain() throws Exception {
+    ObjectRelay relay = addSource("one", 1, "before");
+    Recorder recorder = new Recorder();
+    try (AutoCloseable watch =
+        objects.watch(ObjectKind.RUNNER, list().resourceVersion(), recorder)) {
+      relay.listed("2/4");
+      relay.changed(object("2/3", "a", "after"));
+      assertEquals("changed a after", recorder.next());
+    }
+    sources.clear();
+    addSource("two", 1, "of era 1");
+    addSource("three", 2, "of era 2");
+    assertEquals("of era 2", list().objects().get(0).content().asText());
+  }
+
+  @Test
+  void relayOfAnEarlierBuildThatNamesNoEraIsUsed() throws Exception {
+    addSource("one", 2, "of era 2");
+    list();
+    sources.clear();
+    ObjectRelay earlier = addSource("two");
+    earlier.changed(object("a", "plain"));
+    earlier.confirmed();
+    assertEquals("plain", list().objects().get(0).content().asText());
+  }
+
+  @Test
+  void listOfTheStoreOfAnEarlierEraIsRefused() throws Exception {
+    addSource("one", 2, "of era 2");
+    list();
+    sources.clear();
+    store.version = "1/9";
+    ExecutionException failure = assertThrows(ExecutionException.class, this::list);
+    assertEquals(
+        Optional.of(StoreFailure.UNAVAILABLE), StoreException.failureOf(failure.getCause()));
+    store.version = "2/2";
+    assertEquals("2/2", list().resourceVersion());
+  }
 }
--- a/store/src/main/java/org/agatefield/store/InformerListener.java
+++ b/store/src/main/java/org/agatefield/store/InformerListener.java
@@ -4,6 +4,9 @@
 
 /** Receives the changes that an {@link ObjectInformer} observes, one call at a time. */
 public interface InformerListener {
+  /** Called with the version of each list before the changes that the list reveals. */
+  default void listed(String resourceVersion) {}
+
   /** Called when an object was created or replaced. */
   default void changed(StoredObject object) {}
 
--- a/store/src/main/java/org/agatefield/store/ObjectInformer.java
+++ b/store/src/main/java/org/agatefield/store/ObjectInformer.java
@@ -132,6 +132,7 @@
   }
 
   private void replaceAll(ObjectList list) {
+    listeners.forEach(listener -> listener.listed(list.resourceVersion()));
     Map<String, StoredObject> previous = new HashMap<>(objects);
     objects.clear();
     for (StoredObject object : list.objects()) {
--- a/store/src/main/java/org/agatefield/store/StoreVersion.java
+++ b/store/src/main/java/org/agatefield/store/StoreVersion.java
@@ -15,13 +15,18 @@
 
   private static final char SEPARATOR = '/';
 
-  /** Parses a version as {@link #toString()} writes it. */
+  /** Parses a version as {@link #toString()} writes it; any other text is a revision alone. */
   public static StoreVersion parse(String text) {
     int separator = text.indexOf(SEPARATOR);
-    return separator < 0
-        ? new StoreVersion(NO_ERA, text)
-        : new StoreVersion(
-            Long.parseLong(text.substring(0, separator)), text.substring(separator + 1));
+    if (separator < 0) {
+      return new StoreVersion(NO_ERA, text);
+    }
+    try {
+      long era = Long.parseLong(text.substring(0, separator));
+      return new StoreVersion(era, text.substring(separator + 1));
+    } catch (NumberFormatException exception) {
+      return new StoreVersion(NO_ERA, text); // Instances of other builds may write it differently.
+    }
   }
 
   /** Returns the version as text, which is the revision alone if the store names no era. */
