A stream of the store that outlives its era reports nothing of the next one

What callers saw: with a store of the product's own edge that keeps a watch's stream open while it comes back from an older copy, changes of the new era were reported under the earlier era's name, so that one version named two contents (1/6 of era 1, then 1/6 of era 2) and the objects of an era that was over were kept.

Cause: HttpWatch asked for the era once, when the response began, and the question compared the response with the watch's era alone, not with the latest one that the client knows.

Change: the question holds only if no later era is known, and HttpWatch asks it again before each event.

Why it works: the era is taken from all responses of the client, and no event passes without it being compared. Not shown and not mended: a stream that stays open and silent, and events that arrive before any other response has named the new era; the informer then waits for its next full list.

--- a/store/src/main/java/org/agatefield/store/HttpObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/HttpObjectStore.java
@@ -1,6 +1,7 @@
 package org.agatefield.store;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -165,7 +166,7 @@
             this::options,
             kind,
             from.revision(),
-            headers -> era.observe(dialect.era(headers)) == from.era(),
+            headers -> isOfEra(from.era(), headers),
             new EraListener(from.era(), listener)));
   }
 
@@ -199,6 +200,10 @@
     return era.observe(dialect.era(answer.headers()));
   }
 
+  private boolean isOfEra(long expected, MultiMap headers) {
+    return era.observe(dialect.era(headers)) == expected && era.current() == expected;
+  }
+
   private boolean isOutdated(StoreVersion version) {
     return version.era() < era.current();
   }
--- a/store/src/main/java/org/agatefield/store/HttpWatch.java
+++ b/store/src/main/java/org/agatefield/store/HttpWatch.java
@@ -12,8 +12,9 @@
 /**
  * Watches a kind through one streaming response of JSON lines that ends only on failure or close.
  *
- * <p>Invariant: {@link WatchListener#ended} is called at most once, and nothing is reported after
- * it or after {@link #close()}. Safe for use by any thread.
+ * <p>Invariants: {@link WatchListener#ended} is called at most once, and nothing is reported after
+ * it or after {@link #close()}; no event is reported once the store is known to be in a later era
+ * than the one in which the response began. Safe for use by any thread.
  */
 final class HttpWatch implements AutoCloseable {
   private static final int MAXIMUM_EVENT_BYTES = 16 * 1_048_576; // objects take several megabytes
@@ -62,9 +63,7 @@
 
   private void read(HttpClientResponse response) {
     response.exceptionHandler(this::fail);
-    if (!call.sameHistory().test(response.headers())) {
-      end(StoreFailure.VERSION_GONE, "the store came back older");
-      close();
+    if (endedByLaterEra(response)) {
       return;
     }
     if (response.statusCode() != SUCCESS_STATUS) {
@@ -77,7 +76,21 @@
     lines.maxRecordSize(MAXIMUM_EVENT_BYTES);
     lines.exceptionHandler(this::fail);
     lines.endHandler(ended -> end(StoreFailure.UNAVAILABLE, "stream ended by the store"));
-    lines.handler(this::readLine);
+    lines.handler(
+        line -> {
+          if (!endedByLaterEra(response)) {
+            readLine(line);
+          }
+        });
+  }
+
+  private boolean endedByLaterEra(HttpClientResponse response) {
+    if (call.sameHistory().test(response.headers())) {
+      return false;
+    }
+    end(StoreFailure.VERSION_GONE, "the store came back older");
+    close();
+    return true;
   }
 
   private void refuse(int status, Buffer body) {
--- a/store/src/main/java/org/agatefield/store/WatchCall.java
+++ b/store/src/main/java/org/agatefield/store/WatchCall.java
@@ -17,7 +17,8 @@
  * @param kind the kind to watch
  * @param fromVersion the store's revision after which changes are reported
  * @param sameHistory returns whether the headers of a response are those of the era in which the
- *     watch began; a watch must end with {@link StoreFailure#VERSION_GONE} if not
+ *     watch began and no later one is known; a watch must end with {@link
+ *     StoreFailure#VERSION_GONE} if not
  * @param listener receives the changes
  */
 public record WatchCall(
