A planned stop waits until answers are written to their last byte

What callers saw: in a planned stop, a caller that read a large answer slowly got a part of it and then a closed connection, 3.5 s after the SIGTERM and long before the end of the grace, also of a request that must not be repeated (LOST).

Cause: a request counted as answered as soon as its answer was handed to the connection. The stop then saw nothing open and closed the connections, which drops what the operating system has not accepted yet.

Change: responses are counted until their last write completes or their connection closes. The stop waits for them as for open requests; after the answers at the end of the grace it waits for their writes up to 300 ms, no longer for 50 ms in any case. The number of open requests, which the stopping thread reads, is volatile.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
@@ -6,7 +6,6 @@
 import io.vertx.core.http.HttpServerResponse;
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.function.BooleanSupplier;
 import org.agatefield.forwarding.FailureReason;
 import org.agatefield.forwarding.RefusalReason;
 
@@ -23,18 +22,16 @@
   private static final int GATEWAY_TIMEOUT = 504;
 
   private final HttpServerRequest request;
-  private final HeaderRules headers;
-  private final BooleanSupplier leaving;
+  private final ForwardingContext context;
 
-  CallerResponse(HttpServerRequest request, HeaderRules headers, BooleanSupplier leaving) {
+  CallerResponse(HttpServerRequest request, ForwardingContext context) {
     this.request = request;
-    this.headers = headers;
-    this.leaving = leaving;
+    this.context = context;
   }
 
   void respond(UpstreamResponse answer) {
     HttpServerResponse response = startResponse(answer);
-    response.end(answer.body());
+    context.unwritten().add(response.end(answer.body()));
   }
 
   void beginStream(UpstreamResponse head, byte[] event) {
@@ -48,7 +45,7 @@
   }
 
   void endStream() {
-    request.response().end();
+    context.unwritten().add(request.response().end());
   }
 
   /** Closes the connection, so that the caller detects that the response is incomplete. */
@@ -73,17 +70,17 @@
     if (reason != RefusalReason.UNKNOWN_KEY) {
       response.putHeader(HttpHeaders.RETRY_AFTER, seconds);
     }
-    response.end(reason.name().toLowerCase(Locale.ROOT));
+    context.unwritten().add(response.end(reason.name().toLowerCase(Locale.ROOT)));
   }
 
   void fail(FailureReason reason) {
     int status = reason == FailureReason.DEADLINE ? GATEWAY_TIMEOUT : BAD_GATEWAY;
-    startErrorResponse(status).end(reason.name().toLowerCase(Locale.ROOT));
+    context.unwritten().add(startErrorResponse(status).end(reason.name().toLowerCase(Locale.ROOT)));
   }
 
   /** Responds with an error status of this daemon about the request itself. */
   void reject(int status, String message) {
-    startErrorResponse(status).end(message);
+    context.unwritten().add(startErrorResponse(status).end(message));
   }
 
   /**
@@ -97,7 +94,7 @@
   private HttpServerResponse startResponse(UpstreamResponse answer) {
     HttpServerResponse response = request.response();
     response.setStatusCode(answer.status());
-    headers.forCaller(answer.headers(), response.headers());
+    context.headers().forCaller(answer.headers(), response.headers());
     markLeaving(response);
     return response;
   }
@@ -111,7 +108,7 @@
   }
 
   private void markLeaving(HttpServerResponse response) {
-    if (leaving.getAsBoolean()) {
+    if (context.leaving().getAsBoolean()) {
       response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
     }
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -39,6 +39,7 @@
  * @param metrics counts outcomes
  * @param leaving whether new connections should go to other instances
  * @param refusing whether new requests are refused because the process is about to end
+ * @param unwritten responses that are not completely written yet
  */
 record ForwardingContext(
     Vertx vertx,
@@ -65,4 +66,5 @@
     Set<RequestExchange> exchanges,
     ForwardingMetrics metrics,
     BooleanSupplier leaving,
-    BooleanSupplier refusing) {}
+    BooleanSupplier refusing,
+    UnwrittenResponses unwritten) {}
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -76,6 +76,8 @@
   private static final long SHUTDOWN_CHECK_MILLISECONDS = 50;
   private static final long MINIMUM_LEAVING_MILLISECONDS = 3_500;
   private static final long GRACE_MARGIN_MILLISECONDS = 500;
+  // Leaves the rest of the margin for closing.
+  private static final long LAST_WRITES_MILLISECONDS = 300;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
 
   private final Closer closer = new Closer();
@@ -108,6 +110,7 @@
   private RegionalQuotaPolicy quotas;
   private ModelPlanner planner;
   private LeaseManager lease;
+  private final UnwrittenResponses unwritten = new UnwrittenResponses();
   private IngressServer ingress;
   private volatile boolean leaving;
   private volatile boolean refusing;
@@ -332,7 +335,8 @@
                 exchanges,
                 new ForwardingMetrics(metrics),
                 () -> leaving,
-                () -> refusing));
+                () -> refusing,
+                unwritten));
     metrics.registerGauge("agatefield.forwarding.waiting", (Gauge<Integer>) waiting::size);
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
     metrics.registerGauge(
@@ -451,6 +455,7 @@
   public boolean shutDown() {
     final long startedAt = MonotonicClock.milliseconds();
     LOGGER.info("leaving begun open={}", ingress.open());
+    final long end = startedAt + settings.terms().grace().toMillis() - GRACE_MARGIN_MILLISECONDS;
     leaving = true;
     peers.leave();
     context.runOnContext(
@@ -460,14 +465,13 @@
           planner.stop();
           lease.close();
         });
-    long end = startedAt + settings.terms().grace().toMillis() - GRACE_MARGIN_MILLISECONDS;
     while (MonotonicClock.milliseconds() < end) {
       long elapsed = MonotonicClock.milliseconds() - startedAt;
       if (elapsed >= REFUSAL_DELAY_MILLISECONDS && !refusing) {
         refusing = true;
         context.runOnContext(run -> List.copyOf(exchanges).forEach(RequestExchange::refuseUnsent));
       }
-      if (elapsed >= MINIMUM_LEAVING_MILLISECONDS && ingress.open() == 0) {
+      if (elapsed >= MINIMUM_LEAVING_MILLISECONDS && isIdle()) {
         break;
       }
       try {
@@ -477,27 +481,38 @@
         break;
       }
     }
-    boolean complete = ingress.open() == 0;
+    boolean complete = isIdle();
     answerOpenRequests();
     LOGGER.info("leaving ended complete={} open={}", complete, ingress.open());
     closer.close();
     return complete;
   }
 
+  /** Returns whether every request has a response that is written to its last byte. */
+  private boolean isIdle() {
+    return ingress.open() == 0 && unwritten.count() == 0;
+  }
+
   /** Answers the remaining requests, so that no connection closes without a response. */
   private void answerOpenRequests() {
     CompletableFuture<Void> answered = new CompletableFuture<>();
     context.runOnContext(
         run -> {
           List.copyOf(exchanges).forEach(RequestExchange::expire);
-          vertx.setTimer(SHUTDOWN_CHECK_MILLISECONDS, fired -> answered.complete(null));
+          vertx.setPeriodic(SHUTDOWN_CHECK_MILLISECONDS, fired -> completeIfWritten(answered));
         });
     try {
-      answered.get(GRACE_MARGIN_MILLISECONDS, TimeUnit.MILLISECONDS);
+      answered.get(LAST_WRITES_MILLISECONDS, TimeUnit.MILLISECONDS);
     } catch (InterruptedException exception) {
       Thread.currentThread().interrupt();
     } catch (ExecutionException | TimeoutException exception) {
       LOGGER.warn("open requests were not answered before shutdown", exception);
     }
   }
+
+  private void completeIfWritten(CompletableFuture<Void> answered) {
+    if (unwritten.count() == 0) {
+      answered.complete(null);
+    }
+  }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
@@ -33,7 +33,7 @@
 
   private final ForwardingContext context;
   private long bufferedBytes;
-  private int open;
+  private volatile int open; // Written by the event loop only.
 
   IngressServer(ForwardingContext context) {
     this.context = context;
@@ -55,7 +55,7 @@
   }
 
   private void handleBody(HttpServerRequest request, Buffer content, long arrivedAt) {
-    CallerResponse response = new CallerResponse(request, context.headers(), context.leaving());
+    CallerResponse response = new CallerResponse(request, context);
     Optional<ForwardingTable> table = context.table().get();
     if (table.isEmpty()) {
       refuse(request, response, RefusalReason.NO_CONFIGURATION);
@@ -178,7 +178,7 @@
     }
 
     private CallerResponse response() {
-      return new CallerResponse(request, context.headers(), context.leaving());
+      return new CallerResponse(request, context);
     }
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -88,7 +88,7 @@
       double randomValue) {
     this.context = context;
     this.request = request;
-    this.response = new CallerResponse(request, context.headers(), context.leaving());
+    this.response = new CallerResponse(request, context);
     this.table = admitted.table();
     this.route = admitted.route();
     this.account = admitted.account();
