A stopping instance passes on only what it can see answered

What callers saw: in a planned stop, a request with a deadline beyond the grace was passed on in the first 1.5 s, and at any time after a runner had rejected it, and ended with the grace: a stream with a closed connection, a call that must not be repeated with a 504 (LOST in the worst case, a call of unknown outcome in any).

Cause: nothing compared the end of the grace with the deadline; requests were refused by the age of the stop alone, and a request that a runner had rejected was sent again however late it was.

Change: StopState says whether the instance outlasts a request that is sent now. Sends that repeat a run and requests that were passed on before the SIGTERM go on as before.

Why it works: a request that must not be repeated reaches a runner after the SIGTERM only if its deadline, at which it is answered in any case, comes before the end.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
@@ -108,7 +108,7 @@
   }
 
   private void markLeaving(HttpServerResponse response) {
-    if (context.leaving().getAsBoolean()) {
+    if (context.stop().isLeaving()) {
       response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
     }
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -4,7 +4,6 @@
 import io.vertx.core.http.HttpClient;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
 import org.agatefield.forwarding.ForwardingTable;
@@ -37,8 +36,7 @@
  * @param waiting requests that wait for a runner
  * @param exchanges requests without a complete response
  * @param metrics counts outcomes
- * @param leaving whether new connections should go to other instances
- * @param refusing whether new requests are refused because the process is about to end
+ * @param stop how far the planned stop of this instance has advanced
  * @param unwritten responses that are not completely written yet
  */
 record ForwardingContext(
@@ -65,6 +63,5 @@
     WaitingRequests waiting,
     Set<RequestExchange> exchanges,
     ForwardingMetrics metrics,
-    BooleanSupplier leaving,
-    BooleanSupplier refusing,
+    StopState stop,
     UnwrittenResponses unwritten) {}
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -110,10 +110,9 @@
   private RegionalQuotaPolicy quotas;
   private ModelPlanner planner;
   private LeaseManager lease;
+  private final StopState stop = new StopState();
   private final UnwrittenResponses unwritten = new UnwrittenResponses();
   private IngressServer ingress;
-  private volatile boolean leaving;
-  private volatile boolean refusing;
 
   /** Creates a daemon without starting anything. */
   public ForwardingDaemon(ForwardingSettings settings, PlatformDialect dialect) {
@@ -242,7 +241,7 @@
             vertx,
             settings,
             dialect.callers(),
-            () -> configuration.table().isPresent() && !leaving,
+            () -> configuration.table().isPresent() && !stop.isLeaving(),
             peers::answering)
         .listen(ingress, metrics)
         .whenComplete(
@@ -334,8 +333,7 @@
                 waiting,
                 exchanges,
                 new ForwardingMetrics(metrics),
-                () -> leaving,
-                () -> refusing,
+                stop,
                 unwritten));
     metrics.registerGauge("agatefield.forwarding.waiting", (Gauge<Integer>) waiting::size);
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
@@ -456,7 +454,7 @@
     final long startedAt = MonotonicClock.milliseconds();
     LOGGER.info("leaving begun open={}", ingress.open());
     final long end = startedAt + settings.terms().grace().toMillis() - GRACE_MARGIN_MILLISECONDS;
-    leaving = true;
+    stop.leave(end);
     peers.leave();
     context.runOnContext(
         run -> {
@@ -464,11 +462,12 @@
           permits.stopGranting();
           planner.stop();
           lease.close();
+          List.copyOf(exchanges).forEach(RequestExchange::refuseIfTooLate);
         });
     while (MonotonicClock.milliseconds() < end) {
       long elapsed = MonotonicClock.milliseconds() - startedAt;
-      if (elapsed >= REFUSAL_DELAY_MILLISECONDS && !refusing) {
-        refusing = true;
+      if (elapsed >= REFUSAL_DELAY_MILLISECONDS && !stop.isRefusing()) {
+        stop.refuse();
         context.runOnContext(run -> List.copyOf(exchanges).forEach(RequestExchange::refuseUnsent));
       }
       if (elapsed >= MINIMUM_LEAVING_MILLISECONDS && isIdle()) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
@@ -61,7 +61,7 @@
       refuse(request, response, RefusalReason.NO_CONFIGURATION);
       return;
     }
-    if (context.refusing().getAsBoolean()) {
+    if (context.stop().isRefusing()) {
       refuse(request, response, RefusalReason.SHUTTING_DOWN);
       return;
     }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -143,9 +143,10 @@
 
   @Override
   public boolean shouldSend() {
-    long left = deadline - MonotonicClock.milliseconds();
-    return left >= MINIMUM_SEND_MILLISECONDS
+    long now = MonotonicClock.milliseconds();
+    return deadline - now >= MINIMUM_SEND_MILLISECONDS
         && context.selector().isUsable(runner)
+        && (state.nextSendIsRepeat() || context.stop().outlasts(route, deadline, now))
         && context.quarantine().quarantinedUntil(sharedParts()).isEmpty();
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -116,6 +116,22 @@
     perform(state.notChosen(RefusalReason.SHUTTING_DOWN));
   }
 
+  /**
+   * Refuses the request if nothing has been sent yet and this instance may stop before its answer.
+   *
+   * @return whether the request was refused
+   */
+  boolean refuseIfTooLate() {
+    boolean tooLate =
+        !state.mayHaveRun()
+            && !state.isOver()
+            && !context.stop().outlasts(route, deadline, MonotonicClock.milliseconds());
+    if (tooLate) {
+      refuseUnsent();
+    }
+    return tooLate;
+  }
+
   /** Ends the request as if its deadline had expired, because this instance is terminating. */
   void expire() {
     perform(state.expired());
@@ -251,7 +267,7 @@
   }
 
   private void selectRunner() {
-    if (refuseQuarantined()) {
+    if (refuseQuarantined() || refuseIfTooLate()) {
       return;
     }
     long now = MonotonicClock.milliseconds();
@@ -457,7 +473,7 @@
       perform(state.notChosen(RefusalReason.UNKNOWN_KEY));
       return;
     }
-    if (refuseQuarantined()) {
+    if (refuseQuarantined() || refuseIfTooLate()) {
       return;
     }
     if (!context.selector().isUsable(runner)) {
@@ -544,6 +560,11 @@
   }
 
   private String respond(RequestAction.Final finalAction) {
+    if (finalAction instanceof RequestAction.Deliver
+        || finalAction instanceof RequestAction.EndStream) {
+      long now = MonotonicClock.milliseconds();
+      context.stop().answered(route, now - arrivedAt, now);
+    }
     if (finalAction instanceof RequestAction.Deliver) {
       response.respond(attempt.response());
       return attempt.response().status() < 300 ? "answered" : "runner_failure";
