Requests that outlast the drain timeout are answered before the connections close

What callers saw: requests that still ran at the end of drain_timeout_seconds, among them calls that must not be repeated, ended with a closed connection and no answer: "HTTP/1.1 header parser received no bytes".

Cause: the graceful shutdown of the product's own edge closed everything once its time was over; nothing told the requests.

Change: running requests register with ShutdownCoordinator how they are answered in that case. Once the timeout is over they are, and the connections close 500 ms later: 503 shutting_down (run: no) if nothing was sent to an upstream, otherwise 504 with what is known of the run; a stream that has begun ends with an error event. The shutdown still counts as one that cut requests (violation, exit code). Nothing changes if all requests end in time.

Evidence: mvn -B -o -q test -pl daemon -am -Dtest=ShutdownCoordinatorTest: with the answers off, two of eight tests fail (answersRequestsThatOutlastTheDrainTimeoutBeforeTheConnectionsClose, refusesRequestsThatStillWaitForAnUpstreamAfterTheDrainTimeout: no bytes received); all eight pass with them, and the other classes of org.agatefield.daemon.http (29 tests).

--- a/daemon/src/main/java/org/agatefield/daemon/http/AttemptHistory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/AttemptHistory.java
@@ -76,6 +76,16 @@
         ErrorKind.DEADLINE_EXCEEDED, worst, "the deadline passed during the request", null, null);
   }
 
+  /** Returns the failure reported to the caller when the end of this instance ends the request. */
+  AgatefieldException shutdownFailure() {
+    if (worst == RunState.NO) {
+      return new AgatefieldException(
+          ErrorKind.SHUTTING_DOWN, "this instance stopped before the request was started");
+    }
+    return new AgatefieldException(
+        ErrorKind.DEADLINE_EXCEEDED, worst, "this instance stopped during the request", null, null);
+  }
+
   private static RunState worse(RunState one, RunState other) {
     if (one == RunState.YES || other == RunState.YES) {
       return RunState.YES;
--- a/daemon/src/main/java/org/agatefield/daemon/http/Generation.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/Generation.java
@@ -40,6 +40,7 @@
   private EngineCall call;
   private Attempt attempt;
   private long deadlineTimer = -1;
+  private Runnable removeInterruption = () -> {};
   private int attemptsWithoutProgress;
   private boolean adapterOrdered;
   private boolean completed;
@@ -67,6 +68,8 @@
     response.closeHandler(ignored -> callerDisconnected());
     long remaining = Math.max(1, task.attributes().remaining().toMillis());
     deadlineTimer = dependencies.vertx().setTimer(remaining, ignored -> deadlinePassed());
+    removeInterruption =
+        dependencies.shutdown().registerInterruption(() -> onContext(this::instanceStopped));
     ModelRequest request = task.toModelRequest();
     acquire(dependencies.dispatcher().acquire(request));
   }
@@ -198,6 +201,14 @@
     endWithFailure(DispatchOutcome.TIMED_OUT, history.deadlineFailure());
   }
 
+  private void instanceStopped() {
+    if (completed) {
+      return;
+    }
+    history.interrupted(call != null, answer.writtenTokens());
+    endWithFailure(history.shutdownFailure());
+  }
+
   private void callerDisconnected() {
     if (!completed) {
       releaseResources(DispatchOutcome.CANCELLED);
@@ -222,6 +233,7 @@
 
   private void releaseResources(DispatchOutcome outcome) {
     completed = true;
+    removeInterruption.run();
     dependencies.vertx().cancelTimer(deadlineTimer);
     acquisition.cancel(true);
     if (call != null && outcome != DispatchOutcome.SUCCEEDED) {
--- a/daemon/src/main/java/org/agatefield/daemon/http/ServiceAnswer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ServiceAnswer.java
@@ -23,6 +23,7 @@
   private final CompletableFuture<ServiceResponse> answer;
   private final Runnable onCompletion;
   private long deadlineTimer;
+  private Runnable removeInterruption = () -> {};
   private boolean completed;
 
   ServiceAnswer(
@@ -43,6 +44,8 @@
     response.closeHandler(ignored -> callerDisconnected());
     long remaining = Math.max(1, attributes.remaining().toMillis());
     deadlineTimer = dependencies.vertx().setTimer(remaining, ignored -> deadlinePassed());
+    removeInterruption =
+        dependencies.shutdown().registerInterruption(() -> onContext(this::instanceStopped));
     answer.whenComplete((exchange, failure) -> onContext(() -> answered(exchange, failure)));
   }
 
@@ -67,14 +70,20 @@
   }
 
   private void deadlinePassed() {
+    interrupt("the deadline passed while the call was running");
+  }
+
+  private void instanceStopped() {
+    interrupt("this instance stopped while the call was running");
+  }
+
+  private void interrupt(String message) {
     if (completed) {
       return;
     }
     finish();
     answer.cancel(true);
-    fail(
-        new AgatefieldException(
-            ErrorKind.DEADLINE_EXCEEDED, "the deadline passed while the call was running"));
+    fail(new AgatefieldException(ErrorKind.DEADLINE_EXCEEDED, message));
   }
 
   private void callerDisconnected() {
@@ -92,6 +101,7 @@
 
   private void finish() {
     completed = true;
+    removeInterruption.run();
     dependencies.vertx().cancelTimer(deadlineTimer);
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/http/ShutdownCoordinator.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ShutdownCoordinator.java
@@ -2,6 +2,9 @@
 
 import io.vertx.core.Vertx;
 import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.IntSupplier;
@@ -17,11 +20,14 @@
  * <p>Invariant: the steps follow one another in this order and are never reverted: serving;
  * leaving, in which new requests are still served until no caller can hold a valid entry answer
  * that names this instance; draining, in which new requests are refused and running ones finish;
- * over. Safe for use by any thread; the only lock is {@code this}.
+ * over, in which those that still run are answered. Safe for use by any thread; the only lock is
+ * {@code this}.
  */
 public final class ShutdownCoordinator {
   private static final Logger LOGGER = LogManager.getLogger(ShutdownCoordinator.class);
   private static final long CHECK_INTERVAL_MILLISECONDS = 20;
+  // Covers the writing of short answers.
+  private static final long ANSWER_MILLISECONDS = 500;
 
   private final Vertx vertx;
   private final Duration entryTimeToLive;
@@ -31,6 +37,7 @@
   private final InvariantMonitor monitor;
   private final LongSupplier clock;
   private final CompletableFuture<Boolean> shutdownResult = new CompletableFuture<>();
+  private final Map<Object, Runnable> interruptions = new LinkedHashMap<>();
   private int runningRequests;
   private long lastEntryAnswerNanoseconds;
   private long leavingSinceNanoseconds;
@@ -143,6 +150,25 @@
     };
   }
 
+  /**
+   * Registers how a running request is answered if it outlasts the drain timeout.
+   *
+   * @return an action that removes the registration; running it again has no effect
+   */
+  synchronized Runnable registerInterruption(Runnable answer) {
+    Object registration = new Object();
+    interruptions.put(registration, answer);
+    return () -> removeInterruption(registration);
+  }
+
+  private synchronized void removeInterruption(Object registration) {
+    interruptions.remove(registration);
+  }
+
+  private synchronized List<Runnable> registeredInterruptions() {
+    return List.copyOf(interruptions.values());
+  }
+
   private void check(long timer) {
     Step reached;
     int requests;
@@ -167,7 +193,18 @@
                 + " calls="
                 + calls);
     LOGGER.info("shutdown finished whole={} requests={} calls={}", whole, requests, calls);
-    shutdownResult.complete(whole);
+    answerRunning(whole);
+  }
+
+  /** Answers the requests that still run, so that no connection closes without an answer. */
+  private void answerRunning(boolean whole) {
+    List<Runnable> answers = registeredInterruptions();
+    if (answers.isEmpty()) {
+      shutdownResult.complete(whole);
+      return;
+    }
+    answers.forEach(Runnable::run);
+    vertx.setTimer(ANSWER_MILLISECONDS, fired -> shutdownResult.complete(whole));
   }
 
   private Step advance(long now) {
--- a/daemon/src/test/java/org/agatefield/daemon/http/CallerApiHarness.java
+++ b/daemon/src/test/java/org/agatefield/daemon/http/CallerApiHarness.java
@@ -71,6 +71,10 @@
   final Address address;
 
   CallerApiHarness() {
+    this(Duration.ofSeconds(20));
+  }
+
+  CallerApiHarness(Duration drainTimeout) {
     EngineClientOptions standard = EngineClientOptions.standard();
     engines =
         new HttpEngineClient(
@@ -86,12 +90,7 @@
     CountingMonitor monitor = new CountingMonitor();
     shutdown =
         new ShutdownCoordinator(
-            vertx,
-            Duration.ofMillis(300),
-            Duration.ofMillis(100),
-            Duration.ofSeconds(20),
-            () -> 0,
-            monitor);
+            vertx, Duration.ofMillis(300), Duration.ofMillis(100), drainTimeout, () -> 0, monitor);
     DaemonSettings.Limits limits =
         new DaemonSettings.Limits(
             MAXIMUM_BODY_BYTES,
--- a/daemon/src/test/java/org/agatefield/daemon/http/ShutdownCoordinatorTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/http/ShutdownCoordinatorTest.java
@@ -3,12 +3,16 @@
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Vertx;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Supplier;
@@ -123,6 +127,43 @@
     }
   }
 
+  @Test
+  void answersRequestsThatOutlastTheDrainTimeoutBeforeTheConnectionsClose() {
+    String plain = "{\"model\":\"quotes\",\"prompt\":\"seal\",\"max_tokens\":600}";
+    String streamed = plain.replace("600}", "600,\"stream\":true}");
+    List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+    try (CallerApiHarness harness = new CallerApiHarness(Duration.ofMillis(500))) {
+      harness.startEngine(20);
+      for (String body : List.of(plain, streamed)) {
+        answers.add(
+            CompletableFuture.supplyAsync(
+                () -> harness.post(harness.address, "/v1/completions", body)));
+      }
+      await().atMost(TIMEOUT).until(() -> harness.shutdown.running() == 2);
+      assertFalse(harness.shutdown.beginShutdown(() -> {}).join());
+    }
+    HttpResponse<String> answer = answers.get(0).join();
+    assertEquals(504, answer.statusCode());
+    assertTrue(answer.body().contains("\"run\":\"unknown\""), answer.body());
+    assertThrows(CompletionException.class, () -> answers.get(1).join());
+  }
+
+  @Test
+  void refusesRequestsThatStillWaitForAnUpstreamAfterTheDrainTimeout() {
+    String body = "{\"model\":\"quotes\",\"prompt\":\"seal\",\"max_tokens\":600}";
+    CompletableFuture<HttpResponse<String>> answer;
+    try (CallerApiHarness harness = new CallerApiHarness(Duration.ofMillis(500))) {
+      harness.dispatcher.hold(new CompletableFuture<>());
+      answer =
+          CompletableFuture.supplyAsync(
+              () -> harness.post(harness.address, "/v1/completions", body));
+      await().atMost(TIMEOUT).until(() -> harness.shutdown.running() == 1);
+      assertFalse(harness.shutdown.beginShutdown(() -> {}).join());
+    }
+    assertEquals(503, answer.join().statusCode());
+    assertTrue(answer.join().body().contains("\"run\":\"no\""), answer.join().body());
+  }
+
   private long readClock() {
     clockReads.incrementAndGet();
     return now.get();
