A leaving instance refuses calls that must not be repeated and may outlast its drain timeout

What callers saw: a call that must not be repeated, with a deadline further away than drain_timeout_seconds, was passed on up to the last moment before draining, and its answer was not awaited: it ended with the instance.

Cause: new requests were taken or refused by the step of the shutdown alone, whatever their deadline.

Change: from the signal on, a non-repeatable call whose deadline is further away than the drain timeout is refused as not run (503 shutting_down). One that begins before draining has the whole drain timeout, so that every other one is awaited to its deadline. Repeatable requests are served as before.

--- a/daemon/src/main/java/org/agatefield/daemon/http/ServiceHandler.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ServiceHandler.java
@@ -93,6 +93,10 @@
       RequestAttributes attributes,
       Buffer body) {
     String key = key(request);
+    if (!dependencies.shutdown().outlasts(attributes.remaining())) {
+      throw new AgatefieldException(
+          ErrorKind.SHUTTING_DOWN, "this instance may stop before the deadline of the call");
+    }
     UpstreamServiceRequest upstreamRequest =
         upstreamRequest(request, service, path, attributes, body);
     NonRepeatableCall call =
--- a/daemon/src/main/java/org/agatefield/daemon/http/ShutdownCoordinator.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ShutdownCoordinator.java
@@ -119,6 +119,14 @@
     return step != Step.SERVING;
   }
 
+  /**
+   * Returns whether this instance certainly runs until a request that begins now has used up the
+   * given time; a request that begins while it is leaving has the whole drain timeout.
+   */
+  synchronized boolean outlasts(Duration remaining) {
+    return step == Step.SERVING || remaining.compareTo(drainTimeout) <= 0;
+  }
+
   /** Records that an entry answer that names this instance is being sent. */
   public synchronized void recordEntryAnswer() {
     lastEntryAnswerNanoseconds = clock.getAsLong();
--- a/daemon/src/test/java/org/agatefield/daemon/http/ShutdownCoordinatorTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/http/ShutdownCoordinatorTest.java
@@ -164,6 +164,36 @@
     assertTrue(answer.join().body().contains("\"run\":\"no\""), answer.join().body());
   }
 
+  @Test
+  void outlastsRequestsThatBeginWhileItLeavesForTheDrainTimeout() {
+    assertTrue(coordinator.outlasts(Duration.ofSeconds(61)));
+    coordinator.beginShutdown(() -> {});
+    assertTrue(coordinator.outlasts(Duration.ofSeconds(60)));
+    assertFalse(coordinator.outlasts(Duration.ofSeconds(61)));
+  }
+
+  @Test
+  void refusesNonRepeatableCallsThatMayOutlastTheDrainTimeoutAsSoonAsItLeaves() {
+    try (CallerApiHarness harness = new CallerApiHarness(Duration.ofSeconds(2))) {
+      harness.startService();
+      final CompletableFuture<Boolean> result = harness.shutdown.beginShutdown(() -> {});
+      HttpResponse<String> refused =
+          harness.post(
+              harness.address,
+              "/services/booking/bookings",
+              "{}",
+              "Idempotency-Key",
+              "key-1",
+              "X-Request-Deadline-Ms",
+              "30000");
+      assertEquals(503, refused.statusCode());
+      assertTrue(refused.body().contains("\"shutting_down\""), refused.body());
+      assertTrue(refused.body().contains("\"run\":\"no\""), refused.body());
+      assertEquals(0, harness.dispatcher.attempts());
+      assertTrue(result.join());
+    }
+  }
+
   private long readClock() {
     clockReads.incrementAndGet();
     return now.get();
