--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -76,6 +76,8 @@
   private static final long SHUTDOWN_CHECK_MILLISECONDS = 50;
   private static final long MINIMUM_LEAVING_MILLISECONDS = 3_500;
   private static final long GRACE_MARGIN_MILLISECONDS = 500;
+  // Leaves the rest of the margin for closing.
+  private static final long LAST_WRITES_MILLISECONDS = 300;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
 
   private final Closer closer = new Closer();
@@ -108,9 +110,9 @@
   private RegionalQuotaPolicy quotas;
   private ModelPlanner planner;
   private LeaseManager lease;
+  private final StopState stop = new StopState();
+  private final UnwrittenResponses unwritten = new UnwrittenResponses();
   private IngressServer ingress;
-  private volatile boolean leaving;
-  private volatile boolean refusing;
 
   /** Creates a daemon without starting anything. */
   public ForwardingDaemon(ForwardingSettings settings, PlatformDialect dialect) {
@@ -240,7 +242,7 @@
             vertx,
             settings,
             dialect.callers(),
-            () -> configuration.table().isPresent() && !leaving,
+            () -> configuration.table().isPresent() && !stop.isLeaving(),
             peers::answering)
         .listen(ingress, metrics)
         .whenComplete(
@@ -332,8 +334,8 @@
                 waiting,
                 exchanges,
                 new ForwardingMetrics(metrics),
-                () -> leaving,
-                () -> refusing));
+                stop,
+                unwritten));
     metrics.registerGauge("agatefield.forwarding.waiting", (Gauge<Integer>) waiting::size);
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
     metrics.registerGauge(
@@ -452,7 +454,8 @@
   public boolean shutDown() {
     final long startedAt = MonotonicClock.milliseconds();
     LOGGER.info("leaving begun open={}", ingress.open());
-    leaving = true;
+    final long end = startedAt + settings.terms().grace().toMillis() - GRACE_MARGIN_MILLISECONDS;
+    stop.leave(end);
     peers.leave();
     context.runOnContext(
         run -> {
@@ -460,15 +463,15 @@
           permits.stopGranting();
           planner.stop();
           lease.close();
+          List.copyOf(exchanges).forEach(RequestExchange::refuseIfTooLate);
         });
-    long end = startedAt + settings.terms().grace().toMillis() - GRACE_MARGIN_MILLISECONDS;
     while (MonotonicClock.milliseconds() < end) {
       long elapsed = MonotonicClock.milliseconds() - startedAt;
-      if (elapsed >= REFUSAL_DELAY_MILLISECONDS && !refusing) {
-        refusing = true;
+      if (elapsed >= REFUSAL_DELAY_MILLISECONDS && !stop.isRefusing()) {
+        stop.refuse();
         context.runOnContext(run -> List.copyOf(exchanges).forEach(RequestExchange::refuseUnsent));
       }
-      if (elapsed >= MINIMUM_LEAVING_MILLISECONDS && ingress.open() == 0) {
+      if (elapsed >= MINIMUM_LEAVING_MILLISECONDS && isIdle()) {
         break;
       }
       try {
@@ -478,27 +481,38 @@
         break;
       }
     }
-    boolean complete = ingress.open() == 0;
+    boolean complete = isIdle();
     answerOpenRequests();
     LOGGER.info("leaving ended complete={} open={}", complete, ingress.open());
     closer.close();
     return complete;
   }
 
+  /** Returns whether every request has a response that is written to its last byte. */
+  private boolean isIdle() {
+    return ingress.open() == 0 && unwritten.count() == 0;
+  }
+
   /** Answers the remaining requests, so that no connection closes without a response. */
   private void answerOpenRequests() {
     CompletableFuture<Void> answered = new CompletableFuture<>();
     context.runOnContext(
         run -> {
           List.copyOf(exchanges).forEach(RequestExchange::expire);
-          vertx.setTimer(SHUTDOWN_CHECK_MILLISECONDS, fired -> answered.complete(null));
+          vertx.setPeriodic(SHUTDOWN_CHECK_MILLISECONDS, fired -> completeIfWritten(answered));
         });
     try {
-      answered.get(GRACE_MARGIN_MILLISECONDS, TimeUnit.MILLISECONDS);
+      answered.get(LAST_WRITES_MILLISECONDS, TimeUnit.MILLISECONDS);
     } catch (InterruptedException exception) {
       Thread.currentThread().interrupt();
     } catch (ExecutionException | TimeoutException exception) {
       LOGGER.warn("open requests were not answered before shutdown", exception);
     }
   }
+
+  private void completeIfWritten(CompletableFuture<Void> answered) {
+    if (unwritten.count() == 0) {
+      answered.complete(null);
+    }
+  }
 }
