An odd object hides no other object of its list and ends no watch

Seen by callers: after another writer had left one entry that is nested too deeply, has a number of more than 1,000 digits or bytes that are not JSON, no runner was found at a start, and a running instance no longer noticed runners that came or left.

Cause: a page or a batch of changes was parsed as one JSON text with the default limits of Jackson (1,000 levels, 1,000 digits), so one entry made the call fail, again at each retry. Trees of some hundred levels were accepted, and copying or comparing them on a stack of 256 KB (-Xss256k in deploy/system.toml) ended in StackOverflowError. An exception of a listener, or of the decoder of a long poll, ended the watch without a call of ended(), so for ever.

Objects that are read alone (leases, claims) still fail as a whole. The informer guards each notification of a listener; a watch whose response cannot be processed ends with UNAVAILABLE and is resumed. Malformed instances are logged once for each version.

--- a/store/src/main/java/org/agatefield/store/HttpWatch.java
+++ b/store/src/main/java/org/agatefield/store/HttpWatch.java
@@ -8,6 +8,8 @@
 import io.vertx.core.parsetools.RecordParser;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Watches a kind through one streaming response of JSON lines that ends only on failure or close.
@@ -16,6 +18,7 @@
  * it or after {@link #close()}. Safe for use by any thread.
  */
 final class HttpWatch implements AutoCloseable {
+  private static final Logger LOGGER = LogManager.getLogger(HttpWatch.class);
   private static final int MAXIMUM_EVENT_BYTES = 16 * 1_048_576; // objects take several megabytes
   private static final int MAXIMUM_REFUSAL_BYTES = 65_536; // a status object is small
   private static final int SUCCESS_STATUS = 200;
@@ -89,7 +92,15 @@
     if (finished.get() || line.length() == 0) {
       return;
     }
-    ObjectCodec.parse(line).ifPresent(this::dispatch);
+    try {
+      ObjectCodec.parseObjects(line)
+          .ifPresentOrElse(
+              this::dispatch, () -> LOGGER.warn("watch skips invalid JSON kind={}", kind));
+    } catch (RuntimeException exception) {
+      LOGGER.error("watch failed kind={}", kind, exception);
+      fail(exception);
+      close();
+    }
   }
 
   private void dispatch(JsonNode event) {
--- a/store/src/main/java/org/agatefield/store/LongPollWatch.java
+++ b/store/src/main/java/org/agatefield/store/LongPollWatch.java
@@ -8,15 +8,19 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Watches a kind by long polling.
  *
  * <p>A call that exceeds its time limit counts as a lost connection. Invariants: at most one call
- * runs at a time; {@link WatchListener#ended} is called at most once, and nothing is reported after
- * it or after {@link #close()}. Safe for use by any thread.
+ * runs at a time; {@link WatchListener#ended} is called at most once, also if a response cannot be
+ * processed, and nothing is reported after it or after {@link #close()}. Safe for use by any
+ * thread.
  */
 public final class LongPollWatch implements AutoCloseable {
+  private static final Logger LOGGER = LogManager.getLogger(LongPollWatch.class);
   private static final int SUCCESS_STATUS = 200;
 
   private final WatchCall call;
@@ -98,6 +102,15 @@
   }
 
   private void completed(HttpCall.Answer answer, Throwable failure) {
+    try {
+      process(answer, failure);
+    } catch (RuntimeException exception) {
+      LOGGER.error("watch failed kind={}", call.kind(), exception);
+      end(StoreFailure.UNAVAILABLE, exception.toString());
+    }
+  }
+
+  private void process(HttpCall.Answer answer, Throwable failure) {
     if (failure != null) {
       end(StoreFailure.UNAVAILABLE, String.valueOf(failure.getMessage()));
       return;
@@ -106,13 +119,13 @@
       end(StoreFailure.VERSION_GONE, "the store came back older");
       return;
     }
-    Optional<JsonNode> body = ObjectCodec.parse(answer.body());
     if (answer.status() != SUCCESS_STATUS) {
-      JsonNode root = body.orElse(MissingNode.getInstance());
+      JsonNode root = ObjectCodec.parse(answer.body()).orElse(MissingNode.getInstance());
       end(dialect.failureOf(answer.status(), root), "status " + answer.status());
       return;
     }
-    Optional<Batch> batch = body.flatMap(root -> dialect.decode(call.kind(), root));
+    Optional<Batch> batch =
+        ObjectCodec.parseObjects(answer.body()).flatMap(root -> dialect.decode(call.kind(), root));
     if (batch.isEmpty()) {
       end(StoreFailure.UNAVAILABLE, "response is not a list of changes");
       return;
--- a/store/src/main/java/org/agatefield/store/ObjectCodec.java
+++ b/store/src/main/java/org/agatefield/store/ObjectCodec.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.buffer.Buffer;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -51,13 +50,18 @@
     return Buffer.buffer(root.toString());
   }
 
-  /** Parses JSON; empty if {@code body} is not valid JSON. */
+  /** Parses JSON; empty if {@code body} is not valid JSON or exceeds the limits of a tree. */
   static Optional<JsonNode> parse(Buffer body) {
-    try {
-      return Optional.ofNullable(MAPPER.readTree(body.getBytes()));
-    } catch (IOException exception) {
-      return Optional.empty();
-    }
+    return BoundedJson.parse(body.getBytes());
+  }
+
+  /**
+   * Parses a page, or changes of objects; empty if the objects cannot be told apart.
+   *
+   * <p>The content of an object that cannot be read is null; it hides no other object.
+   */
+  static Optional<JsonNode> parseObjects(Buffer body) {
+    return BoundedJson.parseObjects(body.getBytes());
   }
 
   /** Decodes an object; empty if {@code root} is not an object of the store. */
--- a/store/src/main/java/org/agatefield/store/ObjectInformer.java
+++ b/store/src/main/java/org/agatefield/store/ObjectInformer.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -18,9 +19,9 @@
  * <p>Invariants: at most one watch and one list run at a time; after a failure the next call is
  * delayed by a capped, jittered exponential backoff, so that the instances do not all call at once
  * when the store recovers; a change that a watch reports while a list is in progress is not lost,
- * since the watch then restarts from the list's version. Safe for use by any thread: state is
- * guarded by the object's lock; listeners are called while it is held, one at a time, and must not
- * block.
+ * since the watch then restarts from the list's version; a listener that fails on one object still
+ * receives the others, and the failure is logged. Safe for use by any thread: state is guarded by
+ * the object's lock; listeners are called while it is held, one at a time, and must not block.
  */
 public final class ObjectInformer implements AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(ObjectInformer.class);
@@ -75,8 +76,9 @@
   public synchronized ObjectInformer listen(InformerListener listener) {
     listeners.add(listener);
     if (listed) {
-      objects.values().forEach(listener::changed);
-      listener.updated(Map.copyOf(objects));
+      objects.values().forEach(object -> informOfChange(listener, object));
+      Map<String, StoredObject> copy = Map.copyOf(objects);
+      inform(listener, "all objects", each -> each.updated(copy));
     }
     return this;
   }
@@ -126,7 +128,7 @@
     backoff.reset();
     setAvailable(true, "listed");
     replaceAll(list);
-    listeners.forEach(InformerListener::confirmed);
+    informAll("confirmation", InformerListener::confirmed);
     startWatch(list.resourceVersion());
     scheduleRelist();
   }
@@ -139,10 +141,10 @@
       StoredObject old = previous.remove(object.key().name());
       boolean unchanged = old != null && old.resourceVersion().equals(object.resourceVersion());
       if (!unchanged) {
-        listeners.forEach(listener -> listener.changed(object));
+        listeners.forEach(listener -> informOfChange(listener, object));
       }
     }
-    previous.values().forEach(removed -> listeners.forEach(each -> each.deleted(removed.key())));
+    previous.values().forEach(removed -> informOfDeletion(removed.key()));
     listed = true;
     notifyUpdated();
   }
@@ -203,7 +205,7 @@
     backoff.reset();
     version = object.resourceVersion();
     objects.put(object.key().name(), object);
-    listeners.forEach(listener -> listener.changed(object));
+    listeners.forEach(listener -> informOfChange(listener, object));
     notifyUpdated();
   }
 
@@ -213,7 +215,7 @@
     }
     version = resourceVersion;
     objects.remove(key.name());
-    listeners.forEach(listener -> listener.deleted(key));
+    informOfDeletion(key);
     notifyUpdated();
   }
 
@@ -222,7 +224,7 @@
       version = resourceVersion;
       backoff.reset();
       setAvailable(true, "watched");
-      listeners.forEach(InformerListener::confirmed);
+      informAll("confirmation", InformerListener::confirmed);
     }
   }
 
@@ -232,12 +234,39 @@
     }
     available = answers;
     LOGGER.info("dependency=store kind={} available={} cause=\"{}\"", kind, answers, cause);
-    listeners.forEach(listener -> listener.availabilityChanged(answers));
+    informAll("availability", listener -> listener.availabilityChanged(answers));
   }
 
   private void notifyUpdated() {
     Map<String, StoredObject> copy = Map.copyOf(objects);
-    listeners.forEach(listener -> listener.updated(copy));
+    informAll("all objects", listener -> listener.updated(copy));
+  }
+
+  private void informOfChange(InformerListener listener, StoredObject object) {
+    inform(listener, object.key().name(), each -> each.changed(object));
+  }
+
+  private void informOfDeletion(ObjectKey key) {
+    informAll(key.name(), listener -> listener.deleted(key));
+  }
+
+  private void informAll(String subject, Consumer<InformerListener> notification) {
+    listeners.forEach(listener -> inform(listener, subject, notification));
+  }
+
+  /** Notifies a listener; its failure must end neither the watch nor the other notifications. */
+  private void inform(
+      InformerListener listener, String subject, Consumer<InformerListener> notification) {
+    try {
+      notification.accept(listener);
+    } catch (RuntimeException | StackOverflowError failure) {
+      LOGGER.error(
+          "listener failed kind={} subject=\"{}\" cause=\"{}\"",
+          kind,
+          subject,
+          failure.toString(),
+          failure);
+    }
   }
 
   /**
--- a/store/src/main/java/org/agatefield/store/StoreInstanceList.java
+++ b/store/src/main/java/org/agatefield/store/StoreInstanceList.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -20,13 +21,15 @@
 /**
  * Reads the instance list from store objects of the kind {@link ObjectKind#INSTANCE}.
  *
- * <p>Malformed objects are skipped and logged. Safe for use by any thread.
+ * <p>Malformed objects are skipped; each of their versions is logged once. Safe for use by any
+ * thread: {@code malformed} is used by the informer's calls only, one at a time.
  */
 public final class StoreInstanceList implements InstanceList, AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(StoreInstanceList.class);
 
   private final ObjectInformer informer;
   private final List<Consumer<Snapshot>> listeners = new CopyOnWriteArrayList<>();
+  private final Map<String, String> malformed = new HashMap<>();
   private volatile Snapshot current = Snapshot.EMPTY;
 
   /**
@@ -70,7 +73,8 @@
     listeners.forEach(listener -> listener.accept(next));
   }
 
-  private static Snapshot read(Map<String, StoredObject> objects) {
+  private Snapshot read(Map<String, StoredObject> objects) {
+    malformed.keySet().retainAll(objects.keySet());
     List<EntryInstance> entries = new ArrayList<>();
     Set<String> live = new HashSet<>();
     Set<String> leaving = new HashSet<>();
@@ -84,7 +88,13 @@
           entries.add(readEntry(each.getKey(), content, state));
         }
       } catch (IllegalArgumentException exception) {
-        LOGGER.warn("skipping malformed object in instance list name={}", each.getKey(), exception);
+        String version = each.getValue().resourceVersion();
+        if (!version.equals(malformed.put(each.getKey(), version))) {
+          LOGGER.warn(
+              "skipping malformed object in instance list name={} cause=\"{}\"",
+              each.getKey(),
+              exception.getMessage());
+        }
       }
     }
     return new Snapshot(entries, live, leaving);
