Contents that peers relay are limited in depth and never keep an earlier one in use

Cause: CompressedJson read documents of peers with up to 1,000 levels, which an instance then writes again for others on a stack of 256 KB. A relayed object whose content could not be read was dropped without a word, so the earlier entry of that name stayed in use.

Change: documents of peers have at most 100 levels (contents of the store, with 64 at most, are sent within other documents); a relayed content that cannot be read is reported as null, as it is by the store's client.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjectSource.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjectSource.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.forward;
 
+import com.fasterxml.jackson.databind.node.NullNode;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -172,21 +173,20 @@
 
   private static List<StoredObject> objects(ObjectKind kind, List<PeerMessage.ObjectState> states) {
     List<StoredObject> objects = new ArrayList<>();
-    states.forEach(state -> object(kind, state).ifPresent(objects::add));
+    for (PeerMessage.ObjectState state : states) {
+      state.content().ifPresent(content -> objects.add(object(kind, state, content)));
+    }
     return objects;
   }
 
-  private static Optional<StoredObject> object(ObjectKind kind, PeerMessage.ObjectState state) {
-    return state
-        .content()
-        .flatMap(CompressedJson::decompress)
-        .map(
-            content ->
-                new StoredObject(
-                    new ObjectKey(kind, state.name()),
-                    state.resourceVersion(),
-                    List.of(),
-                    content));
+  /** Returns a relayed object; its content is null if it cannot be read. */
+  private static StoredObject object(
+      ObjectKind kind, PeerMessage.ObjectState state, byte[] content) {
+    return new StoredObject(
+        new ObjectKey(kind, state.name()),
+        state.resourceVersion(),
+        List.of(),
+        CompressedJson.decompress(content).orElse(NullNode.getInstance()));
   }
 
   private static StoreException gone(String reason) {
@@ -285,7 +285,7 @@
       if (state.content().isEmpty()) {
         listener.deleted(new ObjectKey(kind, state.name()), state.resourceVersion());
       } else {
-        object(kind, state).ifPresent(listener::changed);
+        listener.changed(object(kind, state, state.content().get()));
       }
     }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/SnapshotExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/SnapshotExchange.java
@@ -113,13 +113,16 @@
         .flatMap(CompressedJson::decompress)
         .ifPresent(content -> configuration.applyIfNewer(content, holder.id()));
     for (byte[] each : snapshot.runners()) {
-      CompressedJson.decompress(each)
-          .ifPresent(
-              entry ->
-                  runners.addFromPeer(
-                      entry.path(NAME_FIELD).asText(),
-                      entry.path(CONTENT_FIELD),
-                      snapshot.ageMilliseconds()));
+      CompressedJson.decompress(each).ifPresent(entry -> add(entry, snapshot.ageMilliseconds()));
+    }
+  }
+
+  private void add(JsonNode entry, long ageMilliseconds) {
+    String id = entry.path(NAME_FIELD).asText();
+    try {
+      runners.addFromPeer(id, entry.path(CONTENT_FIELD), ageMilliseconds);
+    } catch (RuntimeException exception) {
+      LOGGER.error("runner={} source=peer failed", id, exception);
     }
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/peers/CompressedJson.java
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/CompressedJson.java
@@ -1,5 +1,7 @@
 package org.agatefield.daemon.peers;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.ByteArrayInputStream;
@@ -16,15 +18,23 @@
 /**
  * Serializes the JSON documents that instances exchange, gzip-compressed unless they are small.
  *
- * <p>Invariant: reading a document expands to no more than the maximum document size. Safe for use
- * by any thread.
+ * <p>Invariant: reading a document expands to no more than the maximum document size and nesting.
+ * Safe for use by any thread.
  */
 public final class CompressedJson {
   private static final Logger LOGGER = LogManager.getLogger(CompressedJson.class);
   private static final int MAXIMUM_BYTES = 4_194_304;
   // Compressing fewer bytes saves too little to be worth its set-up time.
   private static final int MAXIMUM_UNCOMPRESSED_BYTES = 1_024;
-  private static final ObjectMapper MAPPER = new ObjectMapper();
+  // Trees are written and copied recursively on small stacks. Stored contents, which are less
+  // nested, are sent within other documents.
+  private static final int MAXIMUM_NESTING = 100;
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper(
+          JsonFactory.builder()
+              .streamReadConstraints(
+                  StreamReadConstraints.builder().maxNestingDepth(MAXIMUM_NESTING).build())
+              .build());
 
   private CompressedJson() {}
 
@@ -55,7 +65,7 @@
     try {
       return Optional.of(MAPPER.readTree(decompressIfNeeded(bytes)));
     } catch (IOException | AgatefieldException exception) {
-      LOGGER.warn("received invalid JSON content from a peer", exception);
+      LOGGER.warn("received invalid JSON content from a peer: {}", exception.getMessage());
       return Optional.empty();
     }
   }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RelayedObjectSourceTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RelayedObjectSourceTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import io.vertx.core.Vertx;
 import java.util.ArrayList;
@@ -129,6 +130,33 @@
     assertEquals(0, store.lists);
   }
 
+  @Test
+  void unreadableContentFromRelayIsReportedAsNullAndHidesNoOther() throws Exception {
+    ObjectRelay relay = addSource("one");
+    relay.changed(object("a", "first"));
+    relay.confirmed();
+    Recorder recorder = new Recorder();
+    try (AutoCloseable watch =
+        objects.watch(ObjectKind.RUNNER, list().resourceVersion(), recorder)) {
+      relay.changed(nested("a", 300));
+      relay.changed(object("b", "known"));
+      assertEquals("changed a null", recorder.next());
+      assertEquals("changed b known", recorder.next());
+    }
+    List<StoredObject> listed = list().objects();
+    assertEquals(2, listed.size());
+    assertTrue(
+        listed.stream().anyMatch(each -> each.key().name().equals("a") && each.content().isNull()));
+  }
+
+  private static StoredObject nested(String name, int depth) {
+    ArrayNode content = JsonNodeFactory.instance.arrayNode();
+    for (ArrayNode inner = content; depth > 1; depth--) {
+      inner = inner.addArray();
+    }
+    return new StoredObject(new ObjectKey(ObjectKind.RUNNER, name), "6", List.of(), content);
+  }
+
   @Test
   void relayWithoutObjectsIsSkipped() throws Exception {
     addSource("one");
