--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.agatefield.daemon.forward.wire.StoredObjectDialect;
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.store.InformerListener;
@@ -35,6 +37,7 @@
   private final StoredObjectDialect dialect;
   private final Map<String, RunnerEntry> entries = new HashMap<>();
   private final Map<String, JsonNode> contents = new HashMap<>();
+  private final Set<String> unreadable = new HashSet<>(); // Logged once, however often rewritten.
   private final Map<String, Long> expiredAt = new HashMap<>();
   private final Map<String, List<RunnerEntry>> usableByService = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
@@ -81,6 +84,7 @@
 
   @Override
   public void deleted(ObjectKey key) {
+    unreadable.remove(key.name());
     long now = MonotonicClock.milliseconds();
     boolean mayReturn = !storeAvailable || now - storeReturnedAt < RETURN_MILLISECONDS;
     RunnerEntry entry = entries.get(key.name());
@@ -148,10 +152,13 @@
   private void apply(String id, JsonNode content, String version) {
     Optional<RunnerEntry> decoded = dialect.decodeRunner(id, content);
     if (decoded.isEmpty()) {
-      LOGGER.warn("runner={} version={} entry=unreadable", id, version);
+      if (unreadable.add(id)) {
+        LOGGER.warn("runner={} version={} entry=unreadable", id, version);
+      }
       remove(id, "unreadable");
       return;
     }
+    unreadable.remove(id);
     RunnerEntry entry = decoded.get();
     RunnerEntry before = entries.put(id, entry);
     usableByService.clear();
