An unreadable ledger hides no other ledger and does not stop the planner

Seen by callers: read in the code and shown by a test: after another writer had left one unreadable ledger, instances no longer noticed changes of any ledger, and a planner that took over never became ready.

Cause: LedgerDirectory and LedgerTable decoded all ledgers or failed; a content of null was decoded as no ledger at all and failed later.

Change: unreadable ledgers are left out and logged, by the directory once for each version. A ledger of a configured runner that is unreadable still keeps the planner from planning, which needs to know all of them.

--- a/daemon/src/main/java/org/agatefield/daemon/placing/LedgerCodec.java
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/LedgerCodec.java
@@ -24,6 +24,9 @@
   }
 
   static RunnerLedger decode(StoredObject object) {
+    if (!object.content().isObject()) {
+      throw new IllegalStateException(object.key() + " does not contain a ledger");
+    }
     try {
       return MAPPER.treeToValue(object.content(), RunnerLedger.class);
     } catch (JsonProcessingException exception) {
--- a/daemon/src/main/java/org/agatefield/daemon/placing/LedgerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/LedgerDirectory.java
@@ -3,6 +3,7 @@
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -29,6 +30,8 @@
 import org.agatefield.store.ObjectKind;
 import org.agatefield.store.ObjectStore;
 import org.agatefield.store.StoredObject;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Provides the replicas listed in the ledgers, and load reports of the runners that are in use.
@@ -39,6 +42,7 @@
  * replicas} is replaced as a whole under the object's lock.
  */
 public final class LedgerDirectory implements ReplicaDirectory, AutoCloseable {
+  private static final Logger LOGGER = LogManager.getLogger(LedgerDirectory.class);
   private static final long POLL_MILLISECONDS = 500;
   private static final long POLL_AFTER_REQUEST_NANOSECONDS = Duration.ofSeconds(30).toNanos();
 
@@ -50,6 +54,7 @@
   private final Map<String, LoadReport> reports = new ConcurrentHashMap<>();
   private final Map<String, Long> lastRequestNanoseconds = new ConcurrentHashMap<>();
   private final Set<String> pollsInFlight = ConcurrentHashMap.newKeySet();
+  private final Map<String, String> unreadable = new HashMap<>();
   private Map<String, StoredLedger> ledgers = Map.of();
   private volatile List<Replica> replicas = List.of();
 
@@ -107,15 +112,30 @@
 
   private synchronized void updateLedgers(Map<String, StoredObject> objects) {
     Map<String, StoredLedger> newLedgers = new TreeMap<>();
+    unreadable.keySet().retainAll(objects.keySet());
     for (StoredObject object : objects.values()) {
       StoredLedger known = ledgers.get(object.key().name());
       boolean unchanged = known != null && known.isOf(object);
-      newLedgers.put(object.key().name(), unchanged ? known : StoredLedger.of(object));
+      Optional<StoredLedger> ledger = unchanged ? Optional.of(known) : decode(object);
+      ledger.ifPresent(decoded -> newLedgers.put(object.key().name(), decoded));
     }
     ledgers = newLedgers;
     rebuild();
   }
 
+  /** Decodes a ledger; empty if it is unreadable, which is logged once for each version. */
+  private Optional<StoredLedger> decode(StoredObject object) {
+    try {
+      return Optional.of(StoredLedger.of(object));
+    } catch (IllegalStateException exception) {
+      String before = unreadable.put(object.key().name(), object.resourceVersion());
+      if (!object.resourceVersion().equals(before)) {
+        LOGGER.warn("skipping unreadable ledger upstream={}", object.key().name(), exception);
+      }
+      return Optional.empty();
+    }
+  }
+
   private synchronized void rebuild() {
     ConfigurationDocument document = configuration.current();
     Map<String, Long> adapterSizes =
--- a/daemon/src/main/java/org/agatefield/daemon/placing/LedgerTable.java
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/LedgerTable.java
@@ -14,6 +14,8 @@
 import org.agatefield.store.StoreException;
 import org.agatefield.store.StoreFailure;
 import org.agatefield.store.StoredObject;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Caches the ledgers as last read or written by the planner, each with its version in the store.
@@ -22,6 +24,8 @@
  * decision was based. Thread-safe; state is guarded by the object's lock.
  */
 final class LedgerTable {
+  private static final Logger LOGGER = LogManager.getLogger(LedgerTable.class);
+
   private final ObjectStore store;
   private final Map<String, StoredLedger> ledgers = new HashMap<>();
   private final Set<String> uncertain = new HashSet<>();
@@ -55,7 +59,7 @@
             list -> {
               synchronized (this) {
                 clear();
-                list.objects().forEach(this::put);
+                list.objects().forEach(this::putIfReadable);
               }
             });
   }
@@ -107,6 +111,15 @@
     uncertain.remove(object.key().name());
   }
 
+  /** Leaves out an unreadable ledger, which may be of a runner that is not configured. */
+  private synchronized void putIfReadable(StoredObject object) {
+    try {
+      put(object);
+    } catch (IllegalStateException exception) {
+      LOGGER.warn("skipping unreadable ledger upstream={}", object.key().name(), exception);
+    }
+  }
+
   private synchronized void discard(String upstream) {
     ledgers.remove(upstream);
     uncertain.remove(upstream);
