Calls that must not repeat run at most once although the store forgets their claims

What callers saw: after the store had come back from an older copy, a repeat of a call that had been answered ran again; an outcome that arrived after the store went back was lost; the sender of a running call saw it run a second time elsewhere.

Cause: an absent claim was taken for proof that the key was never used. An older copy has forgotten claims.

Change: reads and creates of claims say whether they are conclusive: the key cannot have been used before the store's present era. The beginning of an era is in one object of the store (claims/era-N), written by whoever needs it first with the present time, which errs on the late, safe side. A version 7 key created after it by more than the clock skew is new; a key without a time, or with one in the future, may precede the era until the retention after it has ended. What is not conclusive is answered "outcome unknown, will not be run again", or with what the service says if it can be queried; also if the era changed between the read and the create. Running calls and the answers of the last minute are written again when an instance notices the new era, one after the other with pauses; the recorder of an outcome writes a forgotten claim again, with the parts of a large body.

Decided: a store that names no era, or era 1, has forgotten nothing. In any later era an installation that is new cannot be told from a forgotten one, so there, too, keys without a time are unknown for the retention and others for the clock skew (one minute); an operator who knows better can create claims/era-N with {"beganAtMilliseconds": 0} before the first call.

Why it works: whoever sent a call claimed it in an era that began before the key's repeat can prove the key new, so no later attempt reaches the send.

--- a/daemon/src/main/java/org/agatefield/daemon/Daemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/Daemon.java
@@ -47,7 +47,6 @@
 import org.agatefield.routing.HomeInstances;
 import org.agatefield.settings.DaemonSettings;
 import org.agatefield.store.HttpObjectStore;
-import org.agatefield.store.ObjectStore;
 import org.agatefield.store.StoreInstanceList;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -78,7 +77,7 @@
   private final DaemonSettings settings;
   private final FailPointHook hook;
   private final Vertx vertx;
-  private final ObjectStore store;
+  private final HttpObjectStore store;
   private final EngineClient engines;
   private final ConfigurationManager configuration;
   private final LedgerDirectory ledgers;
@@ -172,6 +171,7 @@
                 hook,
                 monitor,
                 metrics));
+    store.onHistoryLost(calls::historyLost);
     LeaseManager sweeperLease =
         closer.register(
             new LeaseManager(vertx, store, CLAIM_SWEEPER_LEASE, instanceId, LEASE_DURATION));
--- a/daemon/src/main/java/org/agatefield/daemon/calls/CallContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/CallContext.java
@@ -8,7 +8,9 @@
 record CallContext(
     Vertx vertx,
     ClaimStore claims,
+    EraBeginnings beginnings,
     ClaimRemover remover,
+    ClaimRewriter rewriter,
     HolderStateEvaluator holderStates,
     OutcomeQuery outcomes,
     FailPointHook hook,
--- a/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
@@ -102,6 +102,17 @@
     };
   }
 
+  /** Returns the claim to write again if the store has forgotten it while the call runs. */
+  synchronized Optional<Claim<ServiceResponse>> claimOfRunningCall() {
+    return switch (state.phase()) {
+      case SENDING, QUERYING_OWN_OUTCOME -> {
+        createUnknown = true; // it may appear after the call turned out not to have been sent
+        yield Optional.of(claim);
+      }
+      default -> Optional.empty();
+    };
+  }
+
   void start() {
     try {
       execute(protocol.begin());
@@ -210,7 +221,7 @@
       return;
     }
     if (found.isEmpty()) {
-      process(new ClaimEvent.Absent<>());
+      context.beginnings().isConclusive(call.key()).whenComplete(this::absenceJudged);
       return;
     }
     Claim<ServiceResponse> foundClaim = found.get().claim();
@@ -220,7 +231,25 @@
         ownClaim = found;
       }
     }
-    process(new ClaimEvent.Found<>(foundClaim, context.holderStates().stateOf(foundClaim)));
+    context
+        .beginnings()
+        .isConclusive(call.key(), found.get().object())
+        .whenComplete(
+            (conclusive, unknown) ->
+                process(
+                    new ClaimEvent.Found<>(
+                        foundClaim,
+                        context.holderStates().stateOf(foundClaim),
+                        unknown == null && conclusive)));
+  }
+
+  private void absenceJudged(Boolean conclusive, Throwable failure) {
+    if (failure == null) {
+      process(new ClaimEvent.Absent<>(conclusive));
+      return;
+    }
+    LOGGER.debug("beginning of the store's era is not known", failure);
+    process(new ClaimEvent.ReadFailed<>());
   }
 
   private void acquired(Dispatch chosen, Throwable failure) {
@@ -253,7 +282,12 @@
       synchronized (this) {
         ownClaim = Optional.of(stored);
       }
-      process(new ClaimEvent.Created<>());
+      context
+          .beginnings()
+          .isConclusive(call.key(), stored.object())
+          .whenComplete(
+              (conclusive, unknown) ->
+                  process(new ClaimEvent.Created<>(unknown == null && conclusive)));
       return;
     }
     StoreFailure known = StoreException.failureOf(failure).orElse(StoreFailure.UNKNOWN_RESULT);
--- a/daemon/src/main/java/org/agatefield/daemon/calls/ClaimRemover.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimRemover.java
@@ -10,6 +10,7 @@
 import org.agatefield.store.Backoff;
 import org.agatefield.store.StoreException;
 import org.agatefield.store.StoreFailure;
+import org.agatefield.store.StoreVersion;
 import org.agatefield.store.StoredObject;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -115,11 +116,12 @@
       finishOrRetry(removal);
       return;
     }
-    claims.delete(found.get()).whenComplete((done, error) -> deleted(removal, error));
+    claims.delete(found.get()).whenComplete((done, error) -> deleted(removal, found.get(), error));
   }
 
-  private void deleted(Removal removal, Throwable failure) {
-    if (failure != null && !isSuperseded(failure)) {
+  private void deleted(Removal removal, StoredObject object, Throwable failure) {
+    boolean historyLost = StoreVersion.parse(object.resourceVersion()).era() < claims.era();
+    if (failure != null && (historyLost || !isSuperseded(failure))) {
       retry(removal);
       return;
     }
--- a/daemon/src/main/java/org/agatefield/daemon/calls/ClaimStore.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimStore.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.calls;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.buffer.Buffer;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -47,6 +48,11 @@
                     : CompletableFuture.failedFuture(failure));
   }
 
+  /** Returns the era that the store named last. */
+  long era() {
+    return store.era();
+  }
+
   /** Creates a claim. An unknown result is resolved by the protocol, not here. */
   CompletableFuture<StoredClaim> create(String name, Claim<ServiceResponse> claim) {
     return store
@@ -57,20 +63,47 @@
   /** Writes the outcome into a claim, if it has not changed since it was read. */
   CompletableFuture<StoredObject> record(
       StoredClaim previous, Claim.Outcome<ServiceResponse> outcome, String writeIdentifier) {
-    Claim<ServiceResponse> claim = previous.claim();
-    if (outcome.answer().isEmpty()) {
-      return resolvingStore.update(
-          previous.object(), writeIdentifier, ClaimCodec.encodeLost(claim));
-    }
-    ServiceResponse answer = outcome.answer().get();
-    int parts = answer.body().length() <= PART_BYTES ? 0 : partCount(answer.body());
-    return writeParts(previous, answer.body(), 0, parts)
+    Claim<ServiceResponse> answered = previous.claim().withOutcome(outcome);
+    String name = previous.object().key().name();
+    return writeParts(name, answered)
         .thenCompose(
             written ->
                 resolvingStore.update(
-                    previous.object(),
-                    writeIdentifier,
-                    ClaimCodec.encodeAnswered(claim, answer, parts)));
+                    previous.object(), writeIdentifier, encodeWithOutcome(answered)))
+        .exceptionallyCompose(failure -> writePartsAgain(name, answered, failure));
+  }
+
+  /** Creates a claim, with its outcome if it has one, that the store has forgotten. */
+  CompletableFuture<StoredObject> createAgain(
+      String name, Claim<ServiceResponse> claim, String writeIdentifier) {
+    return writeParts(name, claim)
+        .thenCompose(
+            written -> resolvingStore.create(key(name), writeIdentifier, encodeWithOutcome(claim)));
+  }
+
+  private static ObjectNode encodeWithOutcome(Claim<ServiceResponse> claim) {
+    if (claim.outcome().isEmpty()) {
+      return ClaimCodec.encode(claim);
+    }
+    return answerOf(claim)
+        .map(answer -> ClaimCodec.encodeAnswered(claim, answer, partCount(answer.body())))
+        .orElseGet(() -> ClaimCodec.encodeLost(claim));
+  }
+
+  private static Optional<ServiceResponse> answerOf(Claim<ServiceResponse> claim) {
+    return claim.outcome().flatMap(Claim.Outcome::answer);
+  }
+
+  /**
+   * Writes the parts again if the claim may name them in a store that has forgotten them; fails
+   * with the failure in any case.
+   */
+  private CompletableFuture<StoredObject> writePartsAgain(
+      String name, Claim<ServiceResponse> claim, Throwable failure) {
+    boolean lost = StoreException.failureOf(failure).equals(Optional.of(StoreFailure.HISTORY_LOST));
+    return lost
+        ? writeParts(name, claim).thenCompose(done -> CompletableFuture.failedFuture(failure))
+        : CompletableFuture.failedFuture(failure);
   }
 
   /** Deletes a claim, if it has not changed since it was read. */
@@ -106,19 +139,26 @@
             });
   }
 
-  private CompletableFuture<Void> writeParts(StoredClaim claim, Buffer body, int part, int parts) {
+  private CompletableFuture<Void> writeParts(String name, Claim<ServiceResponse> claim) {
+    return answerOf(claim)
+        .map(answer -> writeParts(name, claim, answer.body(), 0, partCount(answer.body())))
+        .orElseGet(() -> CompletableFuture.completedFuture(null));
+  }
+
+  private CompletableFuture<Void> writeParts(
+      String name, Claim<ServiceResponse> claim, Buffer body, int part, int parts) {
     if (part == parts) {
       return CompletableFuture.completedFuture(null);
     }
     int end = Math.min(body.length(), (part + 1) * PART_BYTES);
     Buffer bytes = body.getBuffer(part * PART_BYTES, end);
-    String attempt = claim.claim().attemptId();
-    ObjectKey key = partKey(claim.object().key().name(), attempt, part);
+    String attempt = claim.attemptId();
+    ObjectKey key = partKey(name, attempt, part);
     return resolvingStore
-        .create(key, attempt, ClaimCodec.encodePart(claim.claim(), bytes))
+        .create(key, attempt, ClaimCodec.encodePart(claim, bytes))
         .handle((created, failure) -> failure)
         .thenCompose(failure -> acceptExistingPart(failure))
-        .thenCompose(written -> writeParts(claim, body, part + 1, parts));
+        .thenCompose(written -> writeParts(name, claim, body, part + 1, parts));
   }
 
   /**
@@ -137,8 +177,9 @@
     return new StoredClaim(object, ClaimCodec.decode(object.content(), parts));
   }
 
+  /** Returns the number of parts that hold a body; 0 if the claim holds it. */
   private static int partCount(Buffer body) {
-    return (body.length() + PART_BYTES - 1) / PART_BYTES;
+    return body.length() <= PART_BYTES ? 0 : (body.length() + PART_BYTES - 1) / PART_BYTES;
   }
 
   private static ObjectKey key(String name) {
--- a/daemon/src/main/java/org/agatefield/daemon/calls/OutcomeRecorder.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/OutcomeRecorder.java
@@ -10,14 +10,15 @@
 import org.agatefield.store.Backoff;
 import org.agatefield.store.StoreException;
 import org.agatefield.store.StoreFailure;
+import org.agatefield.store.StoreVersion;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
  * Writes one outcome into its claim and retries until the store has an outcome.
  *
- * <p>Invariant: a response in the store is never replaced. Tries run sequentially, so the fields
- * need no synchronization.
+ * <p>Invariant: a response in the store is never replaced. A claim that the store has forgotten is
+ * written again with the outcome. Tries run sequentially, so the fields need no synchronization.
  */
 final class OutcomeRecorder {
   private static final Logger LOGGER = LogManager.getLogger(OutcomeRecorder.class);
@@ -77,6 +78,10 @@
     }
     String attempt = claim.claim().attemptId();
     boolean own = found.filter(now -> now.claim().attemptId().equals(attempt)).isPresent();
+    if (!own && isHistoryLost()) {
+      writeAgain(found);
+      return;
+    }
     monitor.check(
         InvariantMonitor.Invariant.AT_MOST_ONCE,
         own,
@@ -89,6 +94,37 @@
     write();
   }
 
+  private boolean isHistoryLost() {
+    return StoreVersion.parse(claim.object().resourceVersion()).era() < claims.era();
+  }
+
+  /**
+   * Writes the forgotten claim again. A claim that took its place is that of an attempt that does
+   * not send the call, as the key is older than the store's era.
+   */
+  private void writeAgain(Optional<StoredClaim> found) {
+    boolean answered = found.filter(OutcomeRecorder::hasAnswer).isPresent();
+    boolean lost =
+        outcome.answer().isEmpty() && found.filter(OutcomeRecorder::hasOutcome).isPresent();
+    if (answered || lost) {
+      recorded.run();
+      return;
+    }
+    LOGGER.info("writing a forgotten claim again claim={}", claim.object().key());
+    found
+        .map(
+            other ->
+                claims.record(
+                    new StoredClaim(other.object(), claim.claim()), outcome, writeIdentifier))
+        .orElseGet(
+            () ->
+                claims.createAgain(
+                    claim.object().key().name(),
+                    claim.claim().withOutcome(outcome),
+                    writeIdentifier))
+        .whenComplete(this::written);
+  }
+
   private static boolean hasOutcome(StoredClaim found) {
     return found.claim().outcome().isPresent();
   }
--- a/daemon/src/main/java/org/agatefield/daemon/calls/RecentOutcomeCache.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/RecentOutcomeCache.java
@@ -3,9 +3,11 @@
 import com.github.benmanes.caffeine.cache.Cache;
 import com.github.benmanes.caffeine.cache.Caffeine;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.agatefield.daemon.core.ServiceResponse;
+import org.agatefield.idempotency.Claim;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.ErrorKind;
 
@@ -23,12 +25,12 @@
   private static final long MAXIMUM_REFUSALS = 10_000;
   private static final Duration REFUSAL_TIME_TO_LIVE = Duration.ofSeconds(1);
 
-  private final Cache<String, Answered> answers =
+  private final Cache<String, Claim<ServiceResponse>> answers =
       Caffeine.newBuilder()
           .maximumWeight(MAXIMUM_BYTES)
           .weigher(
-              (String name, Answered cached) ->
-                  ENTRY_OVERHEAD_BYTES + cached.answer().body().length())
+              (String name, Claim<ServiceResponse> cached) ->
+                  ENTRY_OVERHEAD_BYTES + answerOf(cached).body().length())
           .expireAfterWrite(ANSWER_TIME_TO_LIVE)
           .build();
   private final Cache<String, Refused> refusals =
@@ -37,27 +39,38 @@
           .expireAfterWrite(REFUSAL_TIME_TO_LIVE)
           .build();
 
-  private record Answered(String bodyHash, ServiceResponse answer) {}
-
   private record Refused(String bodyHash, AgatefieldException refusal) {}
 
-  /** Caches the reply to an arrival if it is a response or "outcome unknown". */
-  void cache(String name, String bodyHash, ServiceResponse answer, Throwable failure) {
+  /**
+   * Caches the reply to an arrival if it is a response or "outcome unknown".
+   *
+   * @param claim a claim of the call, not necessarily the one in the store
+   */
+  void cache(String name, Claim<ServiceResponse> claim, ServiceResponse answer, Throwable failure) {
     if (failure == null) {
-      answers.put(name, new Answered(bodyHash, answer));
+      answers.put(name, claim.withOutcome(new Claim.Outcome<>(Optional.of(answer))));
       return;
     }
     AgatefieldException refusal = AgatefieldException.from(failure);
     if (refusal.kind() == ErrorKind.OUTCOME_UNKNOWN) {
-      refusals.put(name, new Refused(bodyHash, refusal));
+      refusals.put(name, new Refused(claim.bodyHash(), refusal));
     }
   }
 
+  /** Returns claims with the cached responses, by name. */
+  Map<String, Claim<ServiceResponse>> answered() {
+    return Map.copyOf(answers.asMap());
+  }
+
+  private static ServiceResponse answerOf(Claim<ServiceResponse> claim) {
+    return claim.outcome().flatMap(Claim.Outcome::answer).orElseThrow();
+  }
+
   /** Returns the outcome of a call, if it is cached for the same request body. */
   Optional<CompletableFuture<ServiceResponse>> find(String name, String bodyHash) {
-    Answered answered = answers.getIfPresent(name);
+    Claim<ServiceResponse> answered = answers.getIfPresent(name);
     if (answered != null && answered.bodyHash().equals(bodyHash)) {
-      return Optional.of(CompletableFuture.completedFuture(answered.answer()));
+      return Optional.of(CompletableFuture.completedFuture(answerOf(answered)));
     }
     Refused refused = refusals.getIfPresent(name);
     if (refused != null && refused.bodyHash().equals(bodyHash)) {
--- a/daemon/src/main/java/org/agatefield/daemon/calls/StoreBackedCallExecutor.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/StoreBackedCallExecutor.java
@@ -55,11 +55,23 @@
       FailPointHook hook,
       InvariantMonitor monitor,
       MetricRegistry metrics) {
-    ClaimStore claims = new ClaimStore(new CircuitBreakingStore(store, MAXIMUM_STORE_PAUSE));
+    ObjectStore pausing = new CircuitBreakingStore(store, MAXIMUM_STORE_PAUSE);
+    ClaimStore claims = new ClaimStore(pausing);
+    EraBeginnings beginnings = new EraBeginnings(pausing, limits.retentionPolicy());
     ClaimRemover remover = new ClaimRemover(vertx, claims, limits.lateEffectWindow());
     HolderStateEvaluator holderStates =
         new HolderStateEvaluator(instances, remover, limits.holderGrace());
-    this.context = new CallContext(vertx, claims, remover, holderStates, outcomes, hook, monitor);
+    this.context =
+        new CallContext(
+            vertx,
+            claims,
+            beginnings,
+            remover,
+            new ClaimRewriter(vertx, claims),
+            holderStates,
+            outcomes,
+            hook,
+            monitor);
     this.instances = instances;
     this.limits = limits;
     this.retention = limits.retentionPolicy();
@@ -93,7 +105,8 @@
       created
           .reply()
           .whenComplete(
-              (answer, failure) -> recent.cache(name, call.bodySha256(), answer, failure));
+              (answer, failure) ->
+                  recent.cache(name, claimOf(call, UUID.randomUUID().toString()), answer, failure));
       created.start();
       return withDeadline(created, call);
     }
@@ -106,6 +119,19 @@
     return withDeadline(running, call);
   }
 
+  /**
+   * Writes down that an era of the store has begun, and writes what this instance knows of calls
+   * again; call it when the store has come back from an older copy.
+   */
+  public void historyLost(long era) {
+    context.beginnings().begin(era);
+    executions.forEach(
+        (name, execution) -> context.rewriter().add(name, execution::claimOfRunningCall));
+    recent
+        .answered()
+        .forEach((name, claim) -> context.rewriter().add(name, () -> Optional.of(claim)));
+  }
+
   @Override
   public int runningCalls() {
     return (int) executions.values().stream().filter(ClaimExecution::isClaimed).count();
@@ -114,6 +140,7 @@
   @Override
   public void close() {
     context.remover().close();
+    context.rewriter().close();
   }
 
   private ClaimExecution newExecution(
@@ -139,14 +166,14 @@
         sender,
         name,
         arrival,
-        claimOf(call, arrival),
+        claimOf(call, arrival.attemptId()),
         ended -> executions.remove(name, ended));
   }
 
-  private Claim<ServiceResponse> claimOf(NonRepeatableCall call, CallAttempt arrival) {
+  private Claim<ServiceResponse> claimOf(NonRepeatableCall call, String attemptId) {
     long now = System.currentTimeMillis();
     return new Claim<>(
-        arrival.attemptId(),
+        attemptId,
         instances.self().id(),
         call.bodySha256(),
         now,
--- a/idempotency/src/main/java/org/agatefield/idempotency/ClaimEvent.java
+++ b/idempotency/src/main/java/org/agatefield/idempotency/ClaimEvent.java
@@ -5,18 +5,22 @@
 /**
  * An event of an attempt, mostly the result of a {@link ClaimAction}.
  *
+ * <p>An event is conclusive if no attempt with the key can have had a claim that the store has
+ * forgotten: the key was not used before the era of the store in which the event happened.
+ *
  * @param <A> the answer
  */
 public sealed interface ClaimEvent<A> {
   /** The read found no claim. */
-  record Absent<A>() implements ClaimEvent<A> {}
+  record Absent<A>(boolean conclusive) implements ClaimEvent<A> {}
 
   /**
    * The read found a claim.
    *
    * @param holderState what is known about the instance that wrote it
    */
-  record Found<A>(Claim<A> claim, HolderState holderState) implements ClaimEvent<A> {}
+  record Found<A>(Claim<A> claim, HolderState holderState, boolean conclusive)
+      implements ClaimEvent<A> {}
 
   /** The claim could not be read. */
   record ReadFailed<A>() implements ClaimEvent<A> {}
@@ -28,7 +32,7 @@
   record AcquireFailed<A>(Throwable error) implements ClaimEvent<A> {}
 
   /** The claim was created. */
-  record Created<A>() implements ClaimEvent<A> {}
+  record Created<A>(boolean conclusive) implements ClaimEvent<A> {}
 
   /** A claim already exists; the create had no effect. */
   record CreateRejected<A>() implements ClaimEvent<A> {}
--- a/idempotency/src/main/java/org/agatefield/idempotency/ClaimProtocol.java
+++ b/idempotency/src/main/java/org/agatefield/idempotency/ClaimProtocol.java
@@ -17,8 +17,8 @@
  *
  * <ul>
  *   <li>{@link ClaimAction.Send} is returned only in {@link Phase#HOLDING}. That phase is entered
- *       only when the store is known to contain the own claim, and entered again only on proof that
- *       nothing was sent.
+ *       only when the store is known to contain the own claim, in an era before which the key was
+ *       not used, and entered again only on proof that nothing was sent.
  *   <li>{@link ClaimAction.Remove} is returned after {@link ClaimAction.Send} only on proof that
  *       nothing was sent. After it the attempt neither creates a claim nor sends the call.
  *   <li>A refusal with {@link RunState#NO} means that at some moment after this attempt started no
@@ -45,13 +45,14 @@
     return switch (state.phase()) {
       case READING -> afterRead(event, attempt, nowNanoseconds);
       case ACQUIRING -> afterAcquire(event);
-      case CREATING -> afterCreate(event);
+      case CREATING -> afterCreate(event, attempt);
       case READING_BACK -> afterReadBack(event, attempt);
       case HOLDING -> afterDeadlineCheckDue(attempt, nowNanoseconds);
       case SENDING -> afterSend(event, attempt);
       case REACQUIRING -> afterReacquire(event);
       case QUERYING_OWN_OUTCOME -> afterOwnOutcomeQuery(state, event);
       case QUERYING_FOUND_OUTCOME -> afterFoundOutcomeQuery(state, event);
+      case QUERYING_FORGOTTEN_OUTCOME -> afterForgottenOutcomeQuery(event);
       case REMOVING_ABANDONED -> afterRemoveFound(event);
       case WAITING -> step(Phase.READING, new ClaimAction.Read<>());
       case RECORDING -> step(Phase.DONE);
@@ -60,8 +61,10 @@
   }
 
   private ClaimStep<A> afterRead(ClaimEvent<A> event, CallAttempt attempt, long now) {
-    if (event instanceof ClaimEvent.Absent) {
-      return step(Phase.ACQUIRING, new ClaimAction.Acquire<>());
+    if (event instanceof ClaimEvent.Absent<A> absent) {
+      return absent.conclusive()
+          ? step(Phase.ACQUIRING, new ClaimAction.Acquire<>())
+          : queryOrRefuseForgotten(attempt);
     }
     if (event instanceof ClaimEvent.Found<A> found) {
       return afterFound(found, attempt, now);
@@ -79,9 +82,9 @@
     return step(Phase.CREATING, new ClaimAction.Create<>());
   }
 
-  private ClaimStep<A> afterCreate(ClaimEvent<A> event) {
-    if (event instanceof ClaimEvent.Created) {
-      return step(Phase.HOLDING, new ClaimAction.CheckDeadline<>());
+  private ClaimStep<A> afterCreate(ClaimEvent<A> event, CallAttempt attempt) {
+    if (event instanceof ClaimEvent.Created<A> created) {
+      return afterClaimed(created.conclusive(), attempt);
     }
     if (event instanceof ClaimEvent.CreateRejected) {
       return step(Phase.READING, new ClaimAction.ReleaseUpstream<>(), new ClaimAction.Read<>());
@@ -95,10 +98,21 @@
         storeUnavailable(RunState.NO, "the store refused the claim"));
   }
 
+  /** Continues with the own claim in the store, which is the only one unless history was lost. */
+  private ClaimStep<A> afterClaimed(boolean conclusive, CallAttempt attempt) {
+    if (conclusive) {
+      return step(Phase.HOLDING, new ClaimAction.CheckDeadline<>());
+    }
+    return prepend(
+        queryOrRefuseForgotten(attempt),
+        new ClaimAction.ReleaseUpstream<>(),
+        new ClaimAction.Remove<>());
+  }
+
   private ClaimStep<A> afterReadBack(ClaimEvent<A> event, CallAttempt attempt) {
     if (event instanceof ClaimEvent.Found<A> found) {
       if (found.claim().attemptId().equals(attempt.attemptId())) {
-        return step(Phase.HOLDING, new ClaimAction.CheckDeadline<>());
+        return afterClaimed(found.conclusive(), attempt);
       }
       return prepend(
           endAfterRemoval(found, attempt),
@@ -106,7 +120,8 @@
           new ClaimAction.Remove<>());
     }
     // The create may still take effect; sending now could duplicate the send of another attempt.
-    RunState runState = event instanceof ClaimEvent.Absent ? RunState.NO : RunState.UNKNOWN;
+    boolean absent = event instanceof ClaimEvent.Absent<A> found && found.conclusive();
+    RunState runState = absent ? RunState.NO : RunState.UNKNOWN;
     return step(
         Phase.DONE,
         new ClaimAction.ReleaseUpstream<>(),
@@ -175,6 +190,13 @@
     return refuseUnknown();
   }
 
+  private ClaimStep<A> afterForgottenOutcomeQuery(ClaimEvent<A> event) {
+    if (event instanceof ClaimEvent.OutcomeReceived<A> received) {
+      return step(Phase.DONE, new ClaimAction.Reply<>(received.answer()));
+    }
+    return refuseForgotten();
+  }
+
   private ClaimStep<A> afterRemoveFound(ClaimEvent<A> event) {
     if (event instanceof ClaimEvent.Removed) {
       return step(Phase.READING, new ClaimAction.Read<>());
@@ -211,6 +233,9 @@
           .map(answer -> step(Phase.DONE, new ClaimAction.Reply<>(answer)))
           .orElseGet(() -> queryOrRefuse(claim, attempt));
     }
+    if (found.holderState() == HolderState.ABANDONED && !found.conclusive()) {
+      return queryOrRefuseForgotten(attempt);
+    }
     if (found.holderState() == HolderState.ABANDONED) {
       return step(Phase.REMOVING_ABANDONED, new ClaimAction.RemoveFound<>(claim));
     }
@@ -237,6 +262,19 @@
         List.of(new ClaimAction.QueryService<>()));
   }
 
+  private ClaimStep<A> queryOrRefuseForgotten(CallAttempt attempt) {
+    return attempt.outcomeQueryable()
+        ? step(Phase.QUERYING_FORGOTTEN_OUTCOME, new ClaimAction.QueryService<>())
+        : refuseForgotten();
+  }
+
+  private ClaimStep<A> refuseForgotten() {
+    return refuse(
+        ErrorKind.OUTCOME_UNKNOWN,
+        RunState.UNKNOWN,
+        "the store has lost its latest history; the call may have run and will not be run again");
+  }
+
   private ClaimStep<A> refuseUnknown() {
     return refuse(
         ErrorKind.OUTCOME_UNKNOWN,
--- a/idempotency/src/main/java/org/agatefield/idempotency/ClaimState.java
+++ b/idempotency/src/main/java/org/agatefield/idempotency/ClaimState.java
@@ -31,6 +31,8 @@
     QUERYING_OWN_OUTCOME,
     /** The service's response about the outcome of another attempt. */
     QUERYING_FOUND_OUTCOME,
+    /** The service's response about the outcome of attempts that the store may have forgotten. */
+    QUERYING_FORGOTTEN_OUTCOME,
     /** Confirmation that the outcome is stored. */
     RECORDING,
     /** The removal of an abandoned claim that was found. */
--- a/idempotency/src/main/java/org/agatefield/idempotency/RetentionPolicy.java
+++ b/idempotency/src/main/java/org/agatefield/idempotency/RetentionPolicy.java
@@ -45,6 +45,22 @@
     return created.isPresent() && created.getAsLong() + retentionMilliseconds < nowMilliseconds;
   }
 
+  /**
+   * Returns whether a call with the key may have been claimed before an era of the store began, so
+   * that an absent claim proves nothing. A key without a time, or with one that is in the future,
+   * may, until the retention of all such claims has ended.
+   *
+   * @param eraBeganMilliseconds wall-clock time at or after which the era began
+   */
+  public boolean mayPrecede(String key, long eraBeganMilliseconds, long nowMilliseconds) {
+    OptionalLong created = timeOf(key);
+    boolean timed =
+        created.isPresent() && created.getAsLong() <= nowMilliseconds + clockSkewMilliseconds;
+    return timed
+        ? created.getAsLong() <= eraBeganMilliseconds + clockSkewMilliseconds
+        : nowMilliseconds <= keepUntil(key, eraBeganMilliseconds);
+  }
+
   /** Returns whether a claim may be deleted. */
   public boolean maySweep(long keepUntilMilliseconds, long nowMilliseconds) {
     return nowMilliseconds > keepUntilMilliseconds;
--- a/idempotency/src/test/java/org/agatefield/idempotency/RetentionPolicyTest.java
+++ b/idempotency/src/test/java/org/agatefield/idempotency/RetentionPolicyTest.java
@@ -54,6 +54,23 @@
     assertEquals(OptionalLong.of(NOW), RetentionPolicy.timeOf(keyCreatedAt(NOW)));
   }
 
+  @Property(tries = 20_000, seed = "42")
+  void timeOrderedKeyThatWasUsedBeforeAnEraIsRecognized(
+      @ForAll @LongRange(min = -SKEW / 2, max = SKEW / 2) long callerSkew,
+      @ForAll @LongRange(min = -SKEW / 2, max = SKEW / 2) long eraSkew,
+      @ForAll @LongRange(min = 0, max = HOUR) long later) {
+    String key = keyCreatedAt(NOW + callerSkew);
+    assertTrue(POLICY.mayPrecede(key, NOW + eraSkew, NOW + later));
+  }
+
+  @Test
+  void keyMayPrecedeAnEraUnlessItsTimeProvesTheOpposite() {
+    assertFalse(POLICY.mayPrecede(keyCreatedAt(NOW + SKEW + 1), NOW, NOW + SKEW + 1));
+    assertTrue(POLICY.mayPrecede(keyCreatedAt(NOW + 2 * HOUR), NOW, NOW + HOUR / 2));
+    assertTrue(POLICY.mayPrecede("order 17", NOW, NOW + HOUR));
+    assertFalse(POLICY.mayPrecede("order 17", NOW, NOW + HOUR + 2 * SKEW + 1));
+  }
+
   @Test
   void claimNamesDependOnCallerServiceAndKey() {
     String name = ClaimNames.nameOf("a", "bc", "d");
