Order nothing by a ledger of an older copy until no forgotten order can take effect

What callers would see: a runner is ordered to load more than its memory, and requests fail there.

Cause: a ledger that the store has brought back lacks reservations whose orders were sent. A new planner took it for complete, reserved the same memory again and ordered it at once; a delayed order of the earlier era could load beside it.

Change: a ledger that a planner of a later era of the store (token >> 32, above 1) takes over counts as unsettled until its highest token is one of that era, which lasts over further takeovers. Until then a runner gets no moves and only one order: an engine that checks tokens is told to refuse all below the planner's; one that does not must report after the quarantine. Then the known rules apply: what the engine holds without an entry is adopted and unloaded, and nothing is loaded beside memory that is used without explanation. A planner does nothing by a grant of an earlier era than the store's.

Evidence: mvn -pl placement -am test -Dtest=RunnerReconcilerTest: three of its four new tests failed on the code before (LOAD was ordered at once); the fourth shows that the first era behaves as before. LedgerSimulationTest and PlacementControllerTest pass.

Why it works: every forgotten order has a token below that of the planner of the new era and was sent before its takeover, as the lease of the new era is granted only after earlier grants have ended.

--- a/daemon/src/main/java/org/agatefield/daemon/placing/OrderSender.java
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/OrderSender.java
@@ -33,7 +33,7 @@
 
   /** Sends an order under the lease with the given token; fails if its result is unknown. */
   CompletableFuture<OrderResult> send(Upstream runner, PlannedOrder order, long leaseToken) {
-    Optional<LeaseGrant> grant = placementContext.lease().currentGrant();
+    Optional<LeaseGrant> grant = placementContext.currentGrant();
     if (grant.filter(each -> each.fencingToken() == leaseToken).isEmpty()) {
       return CompletableFuture.failedFuture(
           new IllegalStateException("the planner's lease was lost"));
--- a/daemon/src/main/java/org/agatefield/daemon/placing/PlacementContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/PlacementContext.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.vertx.core.Vertx;
+import java.util.Optional;
 import org.agatefield.daemon.core.ConfigurationSource;
 import org.agatefield.daemon.core.DemandDirectory;
 import org.agatefield.daemon.core.FailPointHook;
@@ -9,6 +10,8 @@
 import org.agatefield.daemon.core.InvariantMonitor;
 import org.agatefield.daemon.core.LeaseView;
 import org.agatefield.engine.EngineClient;
+import org.agatefield.lease.LeaseGrant;
+import org.agatefield.placement.LedgerTransitions;
 import org.agatefield.store.ObjectStore;
 
 /**
@@ -35,4 +38,11 @@
     InstanceDirectory instances,
     InvariantMonitor monitor,
     MetricRegistry metrics,
-    FailPointHook hook) {}
+    FailPointHook hook) {
+  /** Returns the grant of the planner's lease, if it was given in the store's present era. */
+  Optional<LeaseGrant> currentGrant() {
+    return lease
+        .currentGrant()
+        .filter(grant -> LedgerTransitions.eraOf(grant.fencingToken()) >= store.era());
+  }
+}
--- a/daemon/src/main/java/org/agatefield/daemon/placing/PlacementController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/placing/PlacementController.java
@@ -16,6 +16,7 @@
 import org.agatefield.model.UpstreamKind;
 import org.agatefield.placement.DrainPolicy;
 import org.agatefield.placement.LedgerAges;
+import org.agatefield.placement.LedgerTransitions;
 import org.agatefield.placement.LoadBudget;
 import org.agatefield.placement.MoveKind;
 import org.agatefield.placement.PlacementInput;
@@ -95,7 +96,7 @@
   }
 
   private void round() {
-    Optional<LeaseGrant> grant = placementContext.lease().currentGrant();
+    Optional<LeaseGrant> grant = placementContext.currentGrant();
     if (grant.isEmpty()) {
       resetLease();
       return;
@@ -321,7 +322,8 @@
     Upstream runner = input.configuration().upstream(move.upstream()).orElseThrow();
     RunnerState state = state(runner);
     Optional<RunnerLedger> ledger = table.get(runner.name());
-    if (state.isBusy() || ledger.isEmpty() || !table.isCertain(runner.name())) {
+    boolean settled = ledger.filter(LedgerTransitions::isSettled).isPresent();
+    if (state.isBusy() || !settled || !table.isCertain(runner.name())) {
       return;
     }
     LOGGER.info(
--- a/placement/src/main/java/org/agatefield/placement/LedgerAges.java
+++ b/placement/src/main/java/org/agatefield/placement/LedgerAges.java
@@ -20,10 +20,12 @@
   private record ConfirmedUnload(long orderToken, long sentAtNanoseconds) {}
 
   private final Map<String, Map<VersionId, Observation>> observations = new HashMap<>();
+  private final Map<String, Long> firstObservedNanoseconds = new HashMap<>();
   private final Map<String, Map<VersionId, ConfirmedUnload>> confirmedUnloads = new HashMap<>();
 
   /** Records a runner's ledger as it is at a time. */
   public void observe(RunnerLedger ledger, long nowNanoseconds) {
+    firstObservedNanoseconds.putIfAbsent(ledger.upstream(), nowNanoseconds);
     Map<VersionId, Observation> earlier = observations.getOrDefault(ledger.upstream(), Map.of());
     Map<VersionId, Observation> current = new HashMap<>();
     for (LedgerEntry entry : ledger.entries()) {
@@ -37,6 +39,11 @@
     observations.put(ledger.upstream(), current);
   }
 
+  /** Returns when a runner's ledger was first observed, or {@code otherwise}. */
+  public long firstObservedNanoseconds(String upstream, long otherwise) {
+    return firstObservedNanoseconds.getOrDefault(upstream, otherwise);
+  }
+
   /** Returns how long the entry has been observed unchanged; 0 if it was not observed. */
   public long ageNanoseconds(String upstream, LedgerEntry entry, long nowNanoseconds) {
     return nowNanoseconds - firstSeenNanoseconds(upstream, entry, nowNanoseconds);
@@ -68,6 +75,7 @@
   /** Discards all observations; called when the planner acquires its lease again. */
   public void clear() {
     observations.clear();
+    firstObservedNanoseconds.clear();
     confirmedUnloads.clear();
   }
 }
--- a/placement/src/main/java/org/agatefield/placement/LedgerTransitions.java
+++ b/placement/src/main/java/org/agatefield/placement/LedgerTransitions.java
@@ -16,8 +16,37 @@
   /** Bits that number the orders of one lease grant; the grant's token takes the higher bits. */
   private static final int SEQUENCE_BITS = 24;
 
+  /** Bits of a grant's token below the era of the store in which it was granted. */
+  private static final int GRANT_BITS = 32;
+
+  private static final long FIRST_ERA = 1;
+
   private LedgerTransitions() {}
 
+  /** Returns the era of the store in which a lease token was granted; 0 if the store names none. */
+  public static long eraOf(long leaseToken) {
+    return leaseToken >> GRANT_BITS;
+  }
+
+  /**
+   * Returns whether no order that the store has forgotten can take effect any more. A ledger of an
+   * earlier era of the store, or none, may be an older copy that lacks orders that were sent.
+   */
+  public static boolean isSettled(RunnerLedger ledger) {
+    long era = eraOf(ledger.plannerToken());
+    return era <= FIRST_ERA || ledger.highestToken() >= era << (GRANT_BITS + SEQUENCE_BITS);
+  }
+
+  /** Returns the token that is above those of all orders of earlier planners. */
+  static long settlingToken(RunnerLedger ledger) {
+    return ledger.plannerToken() << SEQUENCE_BITS;
+  }
+
+  /** Records proof that no forgotten order can take effect any more. */
+  static RunnerLedger settle(RunnerLedger ledger) {
+    return withHighestToken(ledger, Math.max(ledger.highestToken(), settlingToken(ledger)));
+  }
+
   /** Assigns the ledger to the planner with that lease token. */
   public static RunnerLedger takeOver(RunnerLedger ledger, long memoryMegabytes, long leaseToken) {
     require(
--- a/placement/src/main/java/org/agatefield/placement/RunnerReconciler.java
+++ b/placement/src/main/java/org/agatefield/placement/RunnerReconciler.java
@@ -22,6 +22,10 @@
  *       not held.
  * </ul>
  *
+ * <p>If the ledger may lack orders, because the store came back from an older copy, nothing else is
+ * done until no such order can take effect any more: an engine that checks tokens must report that
+ * it refuses them, another one must report after the quarantine.
+ *
  * <p>The report must have been requested after the last order to the runner ended. Immutable and
  * thread-safe.
  *
@@ -60,6 +64,9 @@
       long nowNanoseconds) {
     Snapshot snapshot =
         new Snapshot(ledger, observation, checksFencingTokens, ages, nowNanoseconds);
+    if (!LedgerTransitions.isSettled(ledger)) {
+      return settle(snapshot);
+    }
     return afterRestart(snapshot)
         .or(() -> adoptUnknownVersion(snapshot))
         .or(() -> firstOf(snapshot, RunnerReconciler::recordLoaded))
@@ -82,6 +89,25 @@
         .findFirst();
   }
 
+  private Optional<ReconciliationStep> settle(Snapshot snapshot) {
+    RunnerLedger ledger = snapshot.ledger();
+    long token = LedgerTransitions.settlingToken(ledger);
+    if (snapshot.checksFencingTokens() && snapshot.report().highestFencingToken() < token) {
+      PlannedOrder raise =
+          new PlannedOrder(PlannedOrder.Action.RAISE_TOKEN, new VersionId("", ""), 0, token);
+      return Optional.of(ReconciliationStep.order(ledger, raise, "the store came back older"));
+    }
+    long now = snapshot.nowNanoseconds();
+    long end =
+        snapshot.ages().firstObservedNanoseconds(ledger.upstream(), now) + quarantineNanoseconds;
+    if (!snapshot.checksFencingTokens() && snapshot.observation().askedAtNanoseconds() < end) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        ReconciliationStep.write(
+            LedgerTransitions.settle(ledger), "no forgotten order can take effect"));
+  }
+
   private static Optional<ReconciliationStep> afterRestart(Snapshot snapshot) {
     RunnerLedger ledger = snapshot.ledger();
     LoadReport report = snapshot.report();
--- a/placement/src/test/java/org/agatefield/placement/RunnerReconcilerTest.java
+++ b/placement/src/test/java/org/agatefield/placement/RunnerReconcilerTest.java
@@ -86,6 +86,64 @@
     assertEquals(20, entry.reservedMegabytes());
   }
 
+  /** The ledger of an older copy, which lacks orders that were sent, after a takeover in era 2. */
+  private RunnerLedger older() {
+    return LedgerTransitions.takeOver(loading, 50, (2L << 32) + 1);
+  }
+
+  @Test
+  void engineMustRefuseForgottenOrdersBeforeAnythingIsOrderedByAnOlderLedger() {
+    long floor = (2L << 32) + 1 << 24;
+    ages.observe(older(), 1);
+    ReconciliationStep raise =
+        next(older(), observed(0, List.of(), loading.highestToken() + 7, 10), true, 10)
+            .orElseThrow();
+    assertEquals(
+        new PlannedOrder(PlannedOrder.Action.RAISE_TOKEN, new VersionId("", ""), 0, floor),
+        raise.order().orElseThrow());
+    assertEquals(older(), raise.ledger());
+    ReconciliationStep settled =
+        next(older(), observed(0, List.of(), floor, 20), true, 20).orElseThrow();
+    assertEquals(Optional.empty(), settled.order());
+    assertFalse(settled.releasesMemory());
+    PlannedOrder load =
+        next(settled.ledger(), observed(0, List.of(), floor, 30), true, 30)
+            .flatMap(ReconciliationStep::order)
+            .orElseThrow();
+    assertEquals(PlannedOrder.Action.LOAD, load.action());
+    assertEquals(floor + 1, load.fencingToken());
+  }
+
+  @Test
+  void engineThatIgnoresTokensGetsNoOrderByAnOlderLedgerBeforeTheQuarantineEnds() {
+    ages.observe(older(), 1);
+    assertEquals(Optional.empty(), next(older(), observed(0, List.of(), 0, 100), false, 150));
+    ReconciliationStep settled =
+        next(older(), observed(50, List.of(), 0, 101), false, 150).orElseThrow();
+    assertEquals(Optional.empty(), settled.order());
+    ages.observe(settled.ledger(), 150);
+    assertEquals(
+        Optional.empty(), next(settled.ledger(), observed(50, List.of(), 0, 160), false, 160));
+  }
+
+  @Test
+  void plannersThatTakeOverLaterKeepWaitingUntilTheOlderLedgerIsSettled() {
+    RunnerLedger again = LedgerTransitions.takeOver(older(), 50, (2L << 32) + 2);
+    ages.observe(again, 1);
+    assertEquals(Optional.empty(), next(again, observed(0, List.of(), 0, 50), false, 50));
+  }
+
+  @Test
+  void ledgerOfTheStoresFirstEraIsUsedAtOnce() {
+    RunnerLedger first = LedgerTransitions.takeOver(loading, 50, (1L << 32) + 1);
+    assertEquals(
+        PlannedOrder.Action.LOAD,
+        next(first, observed(0, List.of(), 0, 10), true, 10)
+            .flatMap(ReconciliationStep::order)
+            .orElseThrow()
+            .action());
+  }
+
   private static RunnerObservation observed(
       long usedMegabytes, List<String> versions, long highestToken, long askedAt) {
     return new RunnerObservation(
