An accepted configuration stays in force although the store comes back without it

What operators saw: a configuration whose apply had been acknowledged was gone for every instance that started later, while the others kept it; an apply on the generation that had come back was accepted under the lost one's number, so that two documents had the same generation and the instances that knew the first never followed the second.

Cause: instances adopt only higher generations and nobody wrote the accepted document again.

Change: each instance remembers the last 32 documents that it adopted. When it notices that the store came back from an older copy, it reads the document in the store and writes its own again if the one found is, unchanged, a predecessor that it knows or if there is none; the write is conditional, and the first instance's makes that of the others needless. A document that is not known here was accepted meanwhile and stays. An apply on a generation below the active one is a conflict with the active document.

Not solved: a document that was accepted after the store came back, at an instance that did not know the lost one, has a lower or equal generation; instances that know the lost one log that as an error and stay with it.

--- a/daemon/src/main/java/org/agatefield/daemon/Daemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/Daemon.java
@@ -106,6 +106,7 @@
         closer.register(
             new ConfigurationManager(
                 vertx, store, platform.pollInterval(), metrics, monitor, hook));
+    store.onHistoryLost(configuration::historyLost);
     ledgers =
         closer.register(
             new LedgerDirectory(vertx, store, platform.pollInterval(), configuration, engines));
--- a/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationManager.java
+++ b/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationManager.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.agatefield.configuration.ConfigurationDifference;
 import org.agatefield.daemon.core.ConfigurationSink;
 import org.agatefield.daemon.core.ConfigurationSource;
 import org.agatefield.daemon.core.FailPoint;
@@ -41,6 +42,7 @@
   private final ObjectStore store;
   private final ActiveConfiguration active;
   private final ConfigurationHistory history;
+  private final ConfirmedDocuments confirmed;
   private final ObjectInformer informer;
   private final FailPointHook hook;
 
@@ -61,6 +63,8 @@
     this.active = new ActiveConfiguration(monitor);
     this.history = new ConfigurationHistory(store);
     this.informer = new ObjectInformer(vertx, store, ObjectKind.CONFIGURATION, pollInterval);
+    this.confirmed = new ConfirmedDocuments(store, history, RETRIES);
+    active.subscribe(confirmed::remember);
     informer.listen(new CurrentListener());
     Gauge<Long> generation = () -> active.current().generation();
     metrics.registerGauge("agatefield.configuration.generation", generation);
@@ -98,11 +102,25 @@
    * @param document a document parsed by {@link org.agatefield.configuration.ConfigurationReader}
    */
   public CompletableFuture<ConfigurationDocument> apply(ConfigurationDocument document) {
+    ConfigurationDocument known = active.current();
+    if (document.generation() < known.generation()) {
+      return CompletableFuture.failedFuture(
+          new ConfigurationConflictException(ConfigurationDifference.between(known, document)));
+    }
     return new ConfigurationUpdate(store, history, document, RETRIES)
         .run()
         .thenApply(this::accepted);
   }
 
+  /**
+   * Writes the active document again if the store has lost it; call it when the store has come back
+   * from an older copy.
+   */
+  public void historyLost(long era) {
+    LOGGER.info("checking the configuration in the store era={}", era);
+    confirmed.writeAgain();
+  }
+
   private ConfigurationDocument accepted(ConfigurationDocument document) {
     String subject = Long.toString(document.generation());
     LOGGER.info("configuration accepted generation={}", subject);
