--- a/fleet/src/test/java/org/agatefield/fleet/placing/RestoredConfigurationTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/placing/RestoredConfigurationTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.codahale.metrics.MetricRegistry;
+import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.List;
@@ -128,6 +129,22 @@
     assertEquals(document(1, 20), instanceThatHas(1).current());
   }
 
+  @Test
+  void instancesFollowDocumentThatWasAcceptedAfterTheStoreCameBack() {
+    final ObjectTable.Copy none = table.copy();
+    ConfigurationManager other = instance();
+    other.apply(document(0, 20)).join();
+    other.close();
+    final JsonNode accepted = table.get("configurations", "current").body();
+    table.restore(none);
+    ConfigurationManager before = instance();
+    before.apply(document(0, 10)).join();
+    before.apply(document(1, 11)).join();
+    table.restore(none);
+    table.create("configurations", accepted, 1);
+    await().atMost(TIMEOUT).until(() -> before.current().equals(document(1, 20)));
+  }
+
   private static final class NoMonitor implements InvariantMonitor {
     @Override
     public void check(Invariant invariant, boolean holds, Supplier<String> evidence) {}
