--- a/lease/src/main/java/org/agatefield/lease/LeaseVersion.java
+++ b/lease/src/main/java/org/agatefield/lease/LeaseVersion.java
@@ -9,6 +9,7 @@
  */
 public record LeaseVersion(String text, long era, long sequence) {
   private static final int TOKEN_BITS_PER_ERA = 32;
+  private static final long MAXIMUM_SEQUENCE = (1L << TOKEN_BITS_PER_ERA) - 1;
 
   /** Returns the version of a lease in a store that never comes back older. */
   public static LeaseVersion of(String text) {
@@ -25,6 +26,6 @@
    * every other grant of this era so far, even of one that a write of an earlier era has hidden.
    */
   long minimumToken() {
-    return firstToken() + sequence;
+    return firstToken() + Math.min(sequence, MAXIMUM_SEQUENCE);
   }
 }
