--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -83,6 +83,8 @@
   private final Closer closer = new Closer();
   private final MetricRegistry metrics = new MetricRegistry();
   private final Counter crashCount = metrics.counter("agatefield.runners.crashes");
+  private final Counter uncaughtExceptions =
+      metrics.counter("agatefield.event-loop.uncaught-exceptions");
   private final ForwardingSettings settings;
   private final PlatformDialect dialect;
   private final Vertx vertx;
@@ -128,6 +130,7 @@
     this.dialect = dialect;
     this.vertx = vertx;
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
+    vertx.exceptionHandler(this::exceptionUncaught);
     this.context = vertx.getOrCreateContext();
     this.waiting = new WaitingRequests(vertx);
     this.configuration = new ConfigurationTracker(dialect.storedObjects());
@@ -144,6 +147,11 @@
             .setInternalBlockingPoolSize(1));
   }
 
+  private void exceptionUncaught(Throwable exception) {
+    uncaughtExceptions.inc();
+    LOGGER.error("uncaught exception on an event loop", exception);
+  }
+
   /**
    * Starts the daemon and returns when it listens on all addresses; closes everything on failure.
    *
