A stream that began with a comment is not restarted at another runner

Callers could get the events of a second run under the head of the first one. Cause: a replacement for a silent runner was sought while nothing had been delivered; a comment began the stream meanwhile, and the choice of a runner did not ask again whether the stream can still be continued elsewhere. Why it works: the attempt at the silent runner simply stays open.

--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
@@ -82,7 +82,7 @@
       return List.of();
     }
     replacing = false;
-    if (chosenRunner.equals(runner) || !tryRunAgain()) {
+    if (chosenRunner.equals(runner) || cannotResume() || !tryRunAgain()) {
       return List.of();
     }
     int replaced = attempt;
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
@@ -38,6 +38,7 @@
     LATE_FAILURE,
     EXPIRED,
     FORBIDDEN,
+    INTERNAL_ERROR,
     CALLER_GONE
   }
 
@@ -86,6 +87,7 @@
       case LATE_FAILURE -> request.failed(over, true);
       case EXPIRED -> request.expired();
       case FORBIDDEN -> request.forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS);
+      case INTERNAL_ERROR -> request.internalError();
       case CALLER_GONE -> request.callerGone();
     };
   }
@@ -230,6 +232,17 @@
         List.of(new RequestAction.AbortStream(AbortReason.RETRIES_EXHAUSTED)), last.ended(2));
   }
 
+  @Test
+  void streamThatBeganWithCommentWhileReplacementWasSoughtIsNotRestarted() {
+    ForwardedRequest request =
+        new ForwardedRequest(RetryMode.RESUME, 3, Optional.empty(), () -> true);
+    request.start();
+    request.chosen("silent");
+    request.stalled(1);
+    request.comment(1);
+    assertEquals(List.of(), request.chosen("other"));
+  }
+
   @Test
   void internalErrorEndsRequestByWhetherItMayHaveRun() {
     ForwardedRequest unsent =
