A stream that has begun has time until its caller misses the next event

Callers saw a stream cut although a runner was free to go on with it. Cause: the limit for the start of a response (arrival plus the time that callers wait for the first event) was asked for streams that have begun too, so that the start policy refused every runner once it had passed: after a break, and for a replacement of a silent runner. Why it works: the limit counts from the last event of the response, as callers do; before the first event it is what it was.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -56,7 +56,6 @@
   private final Buffer content;
   private final long arrivedAt;
   private final long deadline;
-  private final long startBy;
   private final ForwardingTable table;
   private final Optional<ClientAccount> account;
   private final ForwardedRequest state;
@@ -70,6 +69,7 @@
   private boolean quotaTaken;
   private int sends;
   private long firstEventAt = -1;
+  private long lastEventAt = -1;
 
   /**
    * The inputs of a request that has been admitted. Immutable.
@@ -101,7 +101,6 @@
             route.timeoutMilliseconds(),
             terms.deadlineMilliseconds().orElse(route.timeoutMilliseconds()));
     this.deadline = arrivedAt + Math.max(1, allowed - RESPONSE_MARGIN_MILLISECONDS);
-    this.startBy = Math.min(deadline, arrivedAt + ResponseStartTimeout.milliseconds(route));
     this.state =
         new ForwardedRequest(
             route.retryMode(),
@@ -162,7 +161,8 @@
     }
     long quotaTimeout =
         Math.min(
-            MAXIMUM_QUOTA_WAIT_MILLISECONDS, (long) (QUOTA_TIME_SHARE * (startBy - arrivedAt)));
+            MAXIMUM_QUOTA_WAIT_MILLISECONDS,
+            (long) (QUOTA_TIME_SHARE * (nextEventBy() - arrivedAt)));
     context
         .quotas()
         .decide(account.get(), quota.get().cost(terms), quotaTimeout, this::quotaDecided);
@@ -196,6 +196,12 @@
         .ifPresent(quota -> context.quotas().refund(account.get(), quota.cost(terms)));
   }
 
+  /** Returns when the caller stops waiting for the response, or for the next event of a stream. */
+  private long nextEventBy() {
+    long waitsSince = Math.max(arrivedAt, lastEventAt);
+    return Math.min(deadline, waitsSince + ResponseStartTimeout.milliseconds(route));
+  }
+
   private void startForwarding() {
     terms.prompt().ifPresent(prompt -> context.demand().arrived(service, prompt, priority()));
     perform(state.start());
@@ -273,8 +279,10 @@
       attempt.cancel();
     } else if (action instanceof RequestAction.BeginStream) {
       firstEventAt = MonotonicClock.milliseconds();
+      lastEventAt = firstEventAt;
       response.beginStream(attempt.streamHead(), attempt.lastEvent());
     } else if (action instanceof RequestAction.ContinueStream) {
+      lastEventAt = MonotonicClock.milliseconds();
       response.continueStream(attempt.lastEvent());
     } else if (action instanceof RequestAction.Final finalAction) {
       finish(finalAction);
@@ -335,7 +343,7 @@
 
   /** Queues the request if a runner accepts requests again early enough; otherwise refuses it. */
   private void waitForBackoff(long until, long now) {
-    if (until + FIRST_EVENT_MILLISECONDS <= startBy) {
+    if (until + FIRST_EVENT_MILLISECONDS <= nextEventBy()) {
       startWaiting();
       return;
     }
@@ -355,7 +363,7 @@
       expectedAt += (long) (MILLISECONDS_PER_SECOND * ahead / limited.permitsPerSecond());
     }
     expectedAt = Math.min(expectedAt, expectedReplicaAt(now));
-    if (expectedAt + FIRST_EVENT_MILLISECONDS <= startBy) {
+    if (expectedAt + FIRST_EVENT_MILLISECONDS <= nextEventBy()) {
       permitKey = Optional.of(key);
       startWaiting();
       return;
@@ -390,7 +398,7 @@
     String model = terms.prompt().orElseThrow().model();
     OptionalLong expectedAt = context.presence().expectedAt(model, now);
     long readyAt = expectedAt.orElse(arrivedAt + PLANNING_MILLISECONDS);
-    boolean inTime = readyAt + FIRST_EVENT_MILLISECONDS <= startBy && readyAt > now;
+    boolean inTime = readyAt + FIRST_EVENT_MILLISECONDS <= nextEventBy() && readyAt > now;
     boolean overdue = expectedAt.isPresent() && readyAt <= now;
     if (inTime || overdue) {
       startWaiting();
@@ -430,7 +438,7 @@
             new SendPolicy.Timing(
                 route.objectiveMilliseconds(),
                 Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
-                startBy - now));
+                nextEventBy() - now));
   }
 
   private void sendWithPermit(RunnerSelector.Selection.Found found) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ResponseStartTimeout.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ResponseStartTimeout.java
@@ -3,7 +3,10 @@
 import org.agatefield.forwarding.Route;
 import org.agatefield.forwarding.RouteKind;
 
-/** Computes how long callers wait for a response to start before they disconnect. Stateless. */
+/**
+ * Computes how long callers wait for a response to start, or for the next event of a stream, before
+ * they disconnect. Stateless.
+ */
 final class ResponseStartTimeout {
   // Per the specification, the longest of two seconds, four objectives and eight gap objectives.
   private static final long MINIMUM_MILLISECONDS = 2_000;
