Requests that are the same have the same fingerprint in the logs

Each attempt of a caller has its own identifier, so that no line told that a request had come before. The fingerprint is a digest of method, target, client account and body: the same on all instances, with and without a prompt.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -15,6 +15,7 @@
 import org.agatefield.forwarding.GenerationParameters;
 import org.agatefield.forwarding.RefusalReason;
 import org.agatefield.forwarding.RequestAction;
+import org.agatefield.forwarding.RequestFingerprint;
 import org.agatefield.forwarding.RequestMetadata;
 import org.agatefield.forwarding.RetryDelay;
 import org.agatefield.forwarding.Route;
@@ -53,6 +54,7 @@
   private final Route route;
   private final String service;
   private final RequestMetadata terms;
+  private final RequestFingerprint fingerprint;
   private final Buffer content;
   private final long arrivedAt;
   private final long deadline;
@@ -95,6 +97,12 @@
     this.service = route.serviceFor(randomValue);
     this.terms = admitted.terms();
     this.content = content;
+    this.fingerprint =
+        RequestFingerprint.of(
+            request.method().name(),
+            request.uri(),
+            account.map(ClientAccount::name),
+            content.getBytes());
     this.arrivedAt = arrivedAt;
     long allowed =
         Math.min(
@@ -604,7 +612,7 @@
     context.metrics().finished(route.kind(), outcome, elapsed);
     LOGGER.info(
         "request={} route={} service={} outcome={} runner={} sends={} first_ms={} total_ms={}"
-            + " limit_ms={} model={} adapter={} tokens={} config={} account={}",
+            + " limit_ms={} model={} adapter={} tokens={} config={} account={} fingerprint={}",
         terms.id(),
         route.name(),
         service,
@@ -618,7 +626,8 @@
         terms.prompt().flatMap(GenerationParameters::adapter).orElse(""),
         terms.prompt().map(GenerationParameters::promptTokens).orElse(0),
         table.version(),
-        account.map(ClientAccount::name).orElse(""));
+        account.map(ClientAccount::name).orElse(""),
+        fingerprint.value());
   }
 
   private String respond(RequestAction.Final finalAction) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/KeyDigest.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/KeyDigest.java
@@ -2,7 +2,6 @@
 
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
 import java.util.HexFormat;
 
@@ -14,9 +13,6 @@
 public final class KeyDigest {
   private static final HexFormat HEX = HexFormat.of();
   private static final int BYTES = 32;
-  // Cloned for each key, so that the security provider is loaded with the first configuration and
-  // not during the first request.
-  private static final MessageDigest SHA_256_PROTOTYPE = sha256();
 
   private final byte[] bytes;
 
@@ -26,20 +22,7 @@
 
   /** Returns the digest of a key as a client or the operator wrote it. */
   public static KeyDigest of(String key) {
-    try {
-      MessageDigest digest = (MessageDigest) SHA_256_PROTOTYPE.clone();
-      return new KeyDigest(digest.digest(key.getBytes(StandardCharsets.UTF_8)));
-    } catch (CloneNotSupportedException exception) {
-      throw new IllegalStateException("SHA-256 implementation cannot be cloned", exception);
-    }
-  }
-
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException exception) {
-      throw new IllegalStateException("SHA-256 is not available on this Java platform", exception);
-    }
+    return new KeyDigest(Sha256.create().digest(key.getBytes(StandardCharsets.UTF_8)));
   }
 
   /**
