--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -6,6 +6,8 @@
 import java.util.Set;
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
+import org.agatefield.daemon.quarantine.CrashDetector;
+import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.forwarding.SendPolicy;
@@ -49,8 +51,8 @@
     Supplier<Optional<ForwardingTable>> table,
     RunnerSelector selector,
     RunnerAvailability availability,
-    RunnerCrashDetector crashes,
-    PromptQuarantine quarantine,
+    CrashDetector crashes,
+    RequestQuarantine quarantine,
     RunnerLimits limits,
     RunnerPermits permits,
     SendPolicy sending,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -29,6 +29,11 @@
 import org.agatefield.admission.QuotaTolerance;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
 import org.agatefield.daemon.leases.LeaseManager;
+import org.agatefield.daemon.quarantine.ConnectionProbe;
+import org.agatefield.daemon.quarantine.CrashDetector;
+import org.agatefield.daemon.quarantine.QuarantineRecords;
+import org.agatefield.daemon.quarantine.RequestQuarantine;
+import org.agatefield.daemon.quarantine.Timers;
 import org.agatefield.forwarding.AccountTable;
 import org.agatefield.forwarding.EarliestStartChooser;
 import org.agatefield.forwarding.ForwardingTable;
@@ -107,7 +112,7 @@
   private RunnerAvailability availability;
   private RunnerLimits limits;
   private RunnerPermits permits;
-  private PromptQuarantine quarantine;
+  private RequestQuarantine quarantine;
   private FleetSize fleetSize;
   private RegionalQuotaPolicy quotas;
   private ModelPlanner planner;
@@ -221,13 +226,13 @@
         (delay, task) ->
             context.runOnContext(run -> vertx.setTimer(Math.max(1, delay), fired -> task.run()));
     quarantine =
-        new PromptQuarantine(
+        new RequestQuarantine(
             MonotonicClock::milliseconds,
             timers,
             peers,
             new QuarantineRecords(store, System::currentTimeMillis, timers),
             random::nextInt,
-            part -> List.copyOf(exchanges).forEach(RequestExchange::endQuarantined));
+            trait -> List.copyOf(exchanges).forEach(RequestExchange::endQuarantined));
     store.onHistoryLost(era -> context.runOnContext(run -> quarantine.storeLostHistory()));
     createWatches(store);
     startForwarding(random);
@@ -306,16 +311,16 @@
     NetClient prober =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_MILLISECONDS));
     closer.register(prober::close);
-    RunnerCrashDetector crashes =
-        new RunnerCrashDetector(
+    CrashDetector crashes =
+        new CrashDetector(
             vertx,
             new ConnectionProbe(prober),
             MonotonicClock::milliseconds,
-            (runner, parts) -> {
+            (process, traits) -> {
               crashCount.inc();
-              quarantine.crashed(runner, parts);
+              quarantine.crashed(process, traits);
             });
-    runners.listen(crashes);
+    runners.listen(new CrashedRunnerListener(crashes));
     ingress =
         new IngressServer(
             new ForwardingContext(
@@ -349,7 +354,7 @@
     metrics.registerGauge(
         "agatefield.forwarding.answer-bytes", (Gauge<Long>) responseMemory::totalBytes);
     metrics.registerGauge(
-        "agatefield.prompts.quarantined-parts", (Gauge<Integer>) quarantine::size);
+        "agatefield.requests.quarantined-traits", (Gauge<Integer>) quarantine::size);
     metrics.registerGauge("agatefield.runners.limited", (Gauge<Integer>) limits::count);
     metrics.registerGauge("agatefield.configuration.version", (Gauge<Long>) configuration::version);
     metrics.registerGauge(
@@ -425,7 +430,7 @@
     tasks.every(PlannerClient.NOTICE_MILLISECONDS, now -> plannerClient.announce());
     tasks.every(EXPIRY_CHECK_MILLISECONDS, runners::removeExpired);
     tasks.every(FleetSize.SAMPLE_INTERVAL_MILLISECONDS, fleetSize::sample);
-    tasks.every(PromptQuarantine.EXCHANGE_MILLISECONDS, quarantine::exchange);
+    tasks.every(RequestQuarantine.EXCHANGE_MILLISECONDS, quarantine::exchange);
     tasks.every(RegionalQuotaPolicy.REFRESH_MILLISECONDS, quotas::refresh);
     tasks.start();
   }
@@ -435,6 +440,21 @@
     peers.close();
   }
 
+  /** Tells the detector of crashes what the directory learns. */
+  private record CrashedRunnerListener(CrashDetector crashes) implements RunnerDirectory.Listener {
+    @Override
+    public void runnerChanged(RunnerEntry entry, boolean newProcess) {
+      if (newProcess) {
+        crashes.replaced(entry.id(), entry.startTimeMilliseconds());
+      }
+    }
+
+    @Override
+    public void runnerGone(String id) {
+      crashes.gone(id);
+    }
+  }
+
   /** Provides the runners of the directory with the regions of the settings. */
   private final class DirectoryRunners implements RunnerPermits.Runners {
     @Override
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.agatefield.daemon.peers.MembershipDriver;
+import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.membership.DomainRelays;
 import org.agatefield.membership.MembershipEvent;
 import org.agatefield.membership.MembershipSettings;
@@ -37,7 +38,7 @@
     implements LoadExchange.Fleet,
         RegionalQuotaPolicy.Fleet,
         RunnerPermits.Fleet,
-        PromptQuarantine.Fleet,
+        RequestQuarantine.Fleet,
         AutoCloseable {
   // Callers use a directory response that lists a dead instance for seconds, so dead instances are
   // detected in about two seconds.
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.ErrorKind;
 import org.agatefield.model.Instance;
@@ -17,7 +18,7 @@
   private final RegionalQuotaPolicy quotas;
   private final RunnerLimits limits;
   private final RunnerPermits permits;
-  private final PromptQuarantine quarantine;
+  private final RequestQuarantine quarantine;
 
   /**
    * Creates an inbox.
@@ -33,7 +34,7 @@
       RegionalQuotaPolicy quotas,
       RunnerLimits limits,
       RunnerPermits permits,
-      PromptQuarantine quarantine) {
+      RequestQuarantine quarantine) {
     this.snapshots = snapshots;
     this.relays = relays;
     this.loads = loads;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RegionalQuotaPolicy.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RegionalQuotaPolicy.java
@@ -15,6 +15,7 @@
 import org.agatefield.admission.QuotaBuckets;
 import org.agatefield.admission.QuotaTolerance;
 import org.agatefield.admission.TokenRate;
+import org.agatefield.daemon.quarantine.Timers;
 import org.agatefield.forwarding.AccountTable;
 import org.agatefield.forwarding.ClientAccount;
 import org.agatefield.forwarding.TokenQuota;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -9,6 +9,7 @@
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.ResponseKind;
 import org.agatefield.daemon.forward.wire.RunnerDialect;
+import org.agatefield.daemon.quarantine.UpstreamProcess;
 import org.agatefield.forwarding.EventStreamSplitter;
 import org.agatefield.forwarding.ForwardedRequest;
 import org.agatefield.forwarding.RequestAction;
@@ -211,11 +212,16 @@
     if (outlivedStart()) {
       recordSurvival();
     } else {
-      context.crashes().disconnected(runner, traits.ids());
+      context.crashes().disconnected(process(), traits.ids());
     }
     failed("broken off: " + cause, Optional.empty());
   }
 
+  private UpstreamProcess process() {
+    return new UpstreamProcess(
+        runner.id(), runner.startTimeMilliseconds(), runner.address(), runner.draining());
+  }
+
   private void recordSurvival() {
     if (!survivalRecorded) {
       survivalRecorded = true;
@@ -383,7 +389,7 @@
       context.metrics().stalled();
       context.selector().failed(runner.id());
       if (!began) {
-        context.crashes().stalled(runner, traits.ids());
+        context.crashes().stalled(process(), traits.ids());
       }
       LOGGER.info(
           "request={} attempt={} runner={} silent_ms={} began={}",
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -304,7 +304,7 @@
   private boolean refuseQuarantined() {
     boolean quarantined = isQuarantined();
     if (quarantined) {
-      perform(state.notChosen(RefusalReason.PROMPT_CRASHES_RUNNERS));
+      perform(state.notChosen(RefusalReason.REQUEST_CRASHES_RUNNERS));
     }
     return quarantined;
   }
@@ -312,7 +312,7 @@
   /** Ends the request, sent or not, if one of its traits has just been quarantined. */
   void endQuarantined() {
     if (isQuarantined()) {
-      perform(state.forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS));
+      perform(state.forbidden(RefusalReason.REQUEST_CRASHES_RUNNERS));
     }
   }
 
@@ -653,7 +653,7 @@
       // A quarantine lasts for minutes, so its end needs no jitter.
       response.refuse(
           refusal.reason(),
-          refusal.reason() == RefusalReason.PROMPT_CRASHES_RUNNERS
+          refusal.reason() == RefusalReason.REQUEST_CRASHES_RUNNERS
               ? retryMilliseconds
               : CallerResponse.jittered(retryMilliseconds));
       return "refused_" + refusal.reason();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ConnectionProbe.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/ConnectionProbe.java
@@ -1,4 +1,4 @@
-package org.agatefield.daemon.forward;
+package org.agatefield.daemon.quarantine;
 
 import io.netty.channel.ConnectTimeoutException;
 import io.vertx.core.Future;
@@ -10,7 +10,7 @@
  * Tests whether a process listens on an address by opening a connection. Safe for use by any
  * thread.
  */
-final class ConnectionProbe {
+public final class ConnectionProbe {
   private final NetClient client;
 
   /** The result of a probe. */
@@ -24,7 +24,7 @@
   }
 
   /** Creates a probe that uses the connect timeout of {@code client}. */
-  ConnectionProbe(NetClient client) {
+  public ConnectionProbe(NetClient client) {
     this.client = client;
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerCrashDetector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/CrashDetector.java
@@ -1,4 +1,4 @@
-package org.agatefield.daemon.forward;
+package org.agatefield.daemon.quarantine;
 
 import io.vertx.core.Vertx;
 import java.util.HashMap;
@@ -6,21 +6,20 @@
 import java.util.Map;
 import java.util.function.BiConsumer;
 import java.util.function.LongSupplier;
-import org.agatefield.forwarding.RunnerEntry;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * Distinguishes crashes of runners from the loss of single connections.
+ * Distinguishes crashes of upstreams from the loss of single connections.
  *
- * <p>A runner has crashed if a connection to it was lost and it then refuses connections, its entry
- * disappears, or another process takes its place. Runners that are leaving do not crash. Invariant:
- * each crash is reported with the prompt parts of all requests that were lost with it before their
- * responses had begun; requests whose loss is noticed later are reported separately with the same
- * runner. Confined to one event loop.
+ * <p>An upstream has crashed if a connection to it was lost and it then refuses connections, it
+ * disappears, or another process takes its place. Upstreams that are leaving do not crash.
+ * Invariant: each crash is reported with the traits of all requests that were lost with it before
+ * their responses had begun; requests whose loss is noticed later are reported separately with the
+ * same process. Confined to one event loop.
  */
-final class RunnerCrashDetector implements RunnerDirectory.Listener {
-  private static final Logger LOGGER = LogManager.getLogger(RunnerCrashDetector.class);
+public final class CrashDetector {
+  private static final Logger LOGGER = LogManager.getLogger(CrashDetector.class);
   // The connections of a process are closed within milliseconds of each other.
   private static final long COLLECTION_MILLISECONDS = 20;
   // Entries of crashed runners disappear after three missed heartbeats.
@@ -29,12 +28,12 @@
   private final Vertx vertx;
   private final ConnectionProbe probe;
   private final LongSupplier clock;
-  private final BiConsumer<RunnerEntry, Map<String, Integer>> onCrash;
-  private final Map<String, Loss> losses = new HashMap<>(); // By runner identifier.
+  private final BiConsumer<UpstreamProcess, Map<String, Integer>> onCrash;
+  private final Map<String, Loss> losses = new HashMap<>(); // By upstream identifier.
 
-  /** The connections that one process of a runner has lost. */
+  /** The connections to one process that were lost. */
   private static final class Loss {
-    private final RunnerEntry runner;
+    private final UpstreamProcess process;
     private final long at;
     private final Map<String, Integer> positions = new HashMap<>();
     private int requests;
@@ -42,8 +41,8 @@
     private boolean crashed;
     private boolean examining;
 
-    Loss(RunnerEntry runner, long at) {
-      this.runner = runner;
+    Loss(UpstreamProcess process, long at) {
+      this.process = process;
       this.at = at;
     }
   }
@@ -52,14 +51,14 @@
    * Creates a detector.
    *
    * @param clock returns monotonic milliseconds
-   * @param onCrash receives the crashed runner and the parts of the prompts lost with it, with the
-   *     greatest position of each
+   * @param onCrash receives the crashed process and the traits of the requests lost with it, with
+   *     the greatest position of each
    */
-  RunnerCrashDetector(
+  public CrashDetector(
       Vertx vertx,
       ConnectionProbe probe,
       LongSupplier clock,
-      BiConsumer<RunnerEntry, Map<String, Integer>> onCrash) {
+      BiConsumer<UpstreamProcess, Map<String, Integer>> onCrash) {
     this.vertx = vertx;
     this.probe = probe;
     this.clock = clock;
@@ -69,34 +68,34 @@
   /**
    * Records that a request was lost with its connection before its response had begun.
    *
-   * @param parts the parts of its prompt in order
+   * @param traits its traits in order
    */
-  void disconnected(RunnerEntry runner, List<String> parts) {
-    lost(runner, parts, true);
+  public void disconnected(UpstreamProcess process, List<String> traits) {
+    lost(process, traits, true);
   }
 
   /**
-   * Records that the runner has sent nothing for a request for too long; it may have crashed.
+   * Records that the upstream has sent nothing for a request for too long; it may have crashed.
    *
-   * @param parts the parts of its prompt in order
+   * @param traits its traits in order
    */
-  void stalled(RunnerEntry runner, List<String> parts) {
-    lost(runner, parts, false);
+  public void stalled(UpstreamProcess process, List<String> traits) {
+    lost(process, traits, false);
   }
 
-  private void lost(RunnerEntry runner, List<String> parts, boolean disconnected) {
-    if (runner.draining()) {
+  private void lost(UpstreamProcess process, List<String> traits, boolean disconnected) {
+    if (process.leaving()) {
       return;
     }
     long now = clock.getAsLong();
     losses.values().removeIf(loss -> now - loss.at > RETENTION_MILLISECONDS);
-    Loss loss = losses.get(runner.id());
-    if (loss == null || loss.runner.startTimeMilliseconds() != runner.startTimeMilliseconds()) {
-      loss = new Loss(runner, now);
-      losses.put(runner.id(), loss);
+    Loss loss = losses.get(process.upstream());
+    if (loss == null || loss.process.startTimeMilliseconds() != process.startTimeMilliseconds()) {
+      loss = new Loss(process, now);
+      losses.put(process.upstream(), loss);
     }
-    for (int position = 0; position < parts.size(); position++) {
-      loss.positions.merge(parts.get(position), position, Math::max);
+    for (int position = 0; position < traits.size(); position++) {
+      loss.positions.merge(traits.get(position), position, Math::max);
     }
     loss.requests++;
     loss.disconnected |= disconnected;
@@ -107,19 +106,17 @@
     }
   }
 
-  @Override
-  public void runnerChanged(RunnerEntry entry, boolean newProcess) {
-    Loss loss = losses.get(entry.id());
-    if (newProcess
-        && loss != null
-        && loss.runner.startTimeMilliseconds() != entry.startTimeMilliseconds()) {
+  /** Records that another process of an upstream has started. */
+  public void replaced(String upstream, long startTimeMilliseconds) {
+    Loss loss = losses.get(upstream);
+    if (loss != null && loss.process.startTimeMilliseconds() != startTimeMilliseconds) {
       confirm(loss, "another process");
     }
   }
 
-  @Override
-  public void runnerGone(String id) {
-    Loss loss = losses.get(id);
+  /** Records that an upstream has disappeared. */
+  public void gone(String upstream) {
+    Loss loss = losses.get(upstream);
     if (loss != null) {
       confirm(loss, "entry gone");
     }
@@ -131,7 +128,7 @@
       return;
     }
     probe
-        .probe(loss.runner.address())
+        .probe(loss.process.address())
         .onSuccess(
             result -> {
               loss.examining = false;
@@ -140,11 +137,11 @@
                 return;
               }
               if (!loss.disconnected && result == ConnectionProbe.Result.LISTENING) {
-                losses.remove(loss.runner.id(), loss); // It was only slow.
+                losses.remove(loss.process.upstream(), loss); // It was only slow.
               } else {
                 LOGGER.info(
                     "runner={} lost_requests={} crashed=unknown probe={}",
-                    loss.runner.id(),
+                    loss.process.upstream(),
                     loss.requests,
                     result);
               }
@@ -161,12 +158,12 @@
   private void report(Loss loss, String evidence) {
     loss.examining = false;
     LOGGER.info(
-        "runner={} born={} crashed=true evidence=\"{}\" lost_requests={} parts={}",
-        loss.runner.id(),
-        loss.runner.startTimeMilliseconds(),
+        "runner={} born={} crashed=true evidence=\"{}\" lost_requests={} traits={}",
+        loss.process.upstream(),
+        loss.process.startTimeMilliseconds(),
         evidence,
         loss.requests,
         loss.positions.keySet());
-    onCrash.accept(loss.runner, Map.copyOf(loss.positions));
+    onCrash.accept(loss.process, Map.copyOf(loss.positions));
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/QuarantineRecords.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/QuarantineRecords.java
@@ -1,4 +1,4 @@
-package org.agatefield.daemon.forward;
+package org.agatefield.daemon.quarantine;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -18,13 +18,13 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * Keeps the quarantined prompt parts in the platform's store, so that they survive the end of all
+ * Keeps the quarantined traits in the platform's store, so that they survive the end of all
  * instances.
  *
  * <p>Times in the store are wall-clock times, since no process outlives its monotonic clock.
  * Confined to one event loop.
  */
-final class QuarantineRecords implements PromptQuarantine.Records {
+public final class QuarantineRecords implements RequestQuarantine.Records {
   private static final Logger LOGGER = LogManager.getLogger(QuarantineRecords.class);
   private static final String NUMBER_FIELD = "number";
   private static final String UNTIL_FIELD = "until_ms";
@@ -40,26 +40,26 @@
    * @param wallClock returns the time of day in milliseconds
    * @param timers run the completion of calls on the event loop
    */
-  QuarantineRecords(ObjectStore store, LongSupplier wallClock, Timers timers) {
+  public QuarantineRecords(ObjectStore store, LongSupplier wallClock, Timers timers) {
     this.store = store;
     this.wallClock = wallClock;
     this.timers = timers;
   }
 
   @Override
-  public CompletableFuture<Void> save(PromptQuarantine.Quarantined part) {
+  public CompletableFuture<Void> save(RequestQuarantine.Quarantined trait) {
     JsonNode content =
         JsonNodeFactory.instance
             .objectNode()
-            .put(NUMBER_FIELD, part.number())
-            .put(UNTIL_FIELD, wallClock.getAsLong() + part.remainingMilliseconds());
+            .put(NUMBER_FIELD, trait.number())
+            .put(UNTIL_FIELD, wallClock.getAsLong() + trait.remainingMilliseconds());
     return onEventLoop(
         store
-            .create(key(part.part()), UUID.randomUUID().toString(), content)
+            .create(key(trait.trait()), UUID.randomUUID().toString(), content)
             .handle(
                 (created, failure) -> {
                   if (failure != null && failureOf(failure) == StoreFailure.CONFLICT) {
-                    return replace(part, content);
+                    return replace(trait, content);
                   }
                   return failure == null
                       ? CompletableFuture.completedFuture(created)
@@ -71,26 +71,26 @@
 
   /** Replaces the object of a quarantine with a lower number. */
   private CompletableFuture<StoredObject> replace(
-      PromptQuarantine.Quarantined part, JsonNode content) {
+      RequestQuarantine.Quarantined trait, JsonNode content) {
     return store
-        .get(key(part.part()))
+        .get(key(trait.trait()))
         .thenCompose(
             previous ->
-                previous.content().path(NUMBER_FIELD).asInt() >= part.number()
+                previous.content().path(NUMBER_FIELD).asInt() >= trait.number()
                     ? CompletableFuture.completedFuture(previous)
                     : store.update(previous, UUID.randomUUID().toString(), content));
   }
 
   @Override
-  public void delete(String part, int number) {
-    onEventLoop(store.get(key(part)).thenCompose(found -> deleteUpTo(number, found)))
+  public void delete(String trait, int number) {
+    onEventLoop(store.get(key(trait)).thenCompose(found -> deleteUpTo(number, found)))
         .whenComplete(
             (done, failure) -> {
               if (failure == null || failureOf(failure) == StoreFailure.NOT_FOUND) {
                 return;
               }
-              LOGGER.info("part={} deleted=false failure=\"{}\"", part, failure.getMessage());
-              timers.after(DELETE_RETRY_MILLISECONDS, () -> delete(part, number));
+              LOGGER.info("trait={} deleted=false failure=\"{}\"", trait, failure.getMessage());
+              timers.after(DELETE_RETRY_MILLISECONDS, () -> delete(trait, number));
             });
   }
 
@@ -101,7 +101,7 @@
   }
 
   @Override
-  public CompletableFuture<List<PromptQuarantine.Quarantined>> load() {
+  public CompletableFuture<List<RequestQuarantine.Quarantined>> load() {
     return onEventLoop(store.list(ObjectKind.QUARANTINE))
         .thenApply(list -> current(list.objects()));
   }
@@ -122,14 +122,14 @@
     return result;
   }
 
-  private List<PromptQuarantine.Quarantined> current(List<StoredObject> objects) {
+  private List<RequestQuarantine.Quarantined> current(List<StoredObject> objects) {
     long now = wallClock.getAsLong();
-    List<PromptQuarantine.Quarantined> current = new ArrayList<>();
+    List<RequestQuarantine.Quarantined> current = new ArrayList<>();
     for (StoredObject object : objects) {
       long until = object.content().path(UNTIL_FIELD).asLong();
       if (until > now) {
         current.add(
-            new PromptQuarantine.Quarantined(
+            new RequestQuarantine.Quarantined(
                 object.key().name(), object.content().path(NUMBER_FIELD).asInt(), until - now));
       } else {
         delete(object.key().name(), object.content().path(NUMBER_FIELD).asInt());
@@ -145,7 +145,7 @@
         : StoreFailure.UNKNOWN_RESULT;
   }
 
-  private static ObjectKey key(String part) {
-    return new ObjectKey(ObjectKind.QUARANTINE, part);
+  private static ObjectKey key(String trait) {
+    return new ObjectKey(ObjectKind.QUARANTINE, trait);
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/QuarantinedParts.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/QuarantinedTraits.java
@@ -1,4 +1,4 @@
-package org.agatefield.daemon.forward;
+package org.agatefield.daemon.quarantine;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -14,14 +14,14 @@
 import org.apache.logging.log4j.Logger;
 
 /**
- * The quarantined prompt parts that one instance knows, and those whose quarantine is over.
+ * The quarantined traits that one instance knows, and those whose quarantine is over.
  *
- * <p>The quarantines of a part are numbered from 1. Invariants: a quarantine whose number has ended
- * never begins again; of two quarantines of a part the one with the higher number applies. All
- * times are monotonic milliseconds of the caller. Confined to one event loop.
+ * <p>The quarantines of a trait are numbered from 1. Invariants: a quarantine whose number has
+ * ended never begins again; of two quarantines of a trait the one with the higher number applies.
+ * All times are monotonic milliseconds of the caller. Confined to one event loop.
  */
-final class QuarantinedParts {
-  private static final Logger LOGGER = LogManager.getLogger(QuarantinedParts.class);
+final class QuarantinedTraits {
+  private static final Logger LOGGER = LogManager.getLogger(QuarantinedTraits.class);
 
   private final Map<String, Entry> entries = new HashMap<>();
   private final Map<String, Ended> ended = new HashMap<>();
@@ -91,21 +91,21 @@
     return entries.isEmpty() && ended.isEmpty();
   }
 
-  boolean contains(String part) {
-    return entries.containsKey(part);
+  boolean contains(String trait) {
+    return entries.containsKey(trait);
   }
 
-  Optional<Entry> entry(String part) {
-    return Optional.ofNullable(entries.get(part));
+  Optional<Entry> entry(String trait) {
+    return Optional.ofNullable(entries.get(trait));
   }
 
-  Set<String> parts() {
+  Set<String> traits() {
     return Set.copyOf(entries.keySet());
   }
 
-  /** Returns the number of the last quarantine of a part that is over; 0 if there was none. */
-  int endedNumber(String part) {
-    Ended last = ended.get(part);
+  /** Returns the number of the last quarantine of a trait that is over; 0 if there was none. */
+  int endedNumber(String trait) {
+    Ended last = ended.get(trait);
     return last == null ? 0 : last.number();
   }
 
@@ -114,19 +114,19 @@
     entries.values().forEach(entry -> entry.losses++);
   }
 
-  /** Returns the parts whose last quarantine is over. */
-  Set<String> endedParts() {
+  /** Returns the traits whose last quarantine is over. */
+  Set<String> endedTraits() {
     return ended.keySet().stream()
-        .filter(part -> !entries.containsKey(part))
+        .filter(trait -> !entries.containsKey(trait))
         .collect(Collectors.toUnmodifiableSet());
   }
 
-  /** Returns when the last quarantine among parts ends; empty if none is quarantined. */
-  OptionalLong until(Collection<String> parts, long now) {
+  /** Returns when the last quarantine among traits ends; empty if none is quarantined. */
+  OptionalLong until(Collection<String> traits, long now) {
     if (entries.isEmpty()) {
       return OptionalLong.empty();
     }
-    return parts.stream()
+    return traits.stream()
         .map(entries::get)
         .filter(entry -> entry != null && entry.until > now)
         .mapToLong(entry -> entry.until)
@@ -138,22 +138,27 @@
    *
    * @param remainingMilliseconds the time until it ends
    * @param stored whether the store holds it
-   * @return whether the part was not quarantined before
+   * @return whether the trait was not quarantined before
    */
   boolean begin(
-      String part, int number, long remainingMilliseconds, boolean stored, String cause, long now) {
-    Entry before = entries.get(part);
+      String trait,
+      int number,
+      long remainingMilliseconds,
+      boolean stored,
+      String cause,
+      long now) {
+    Entry before = entries.get(trait);
     if (before != null && before.number == number) {
       before.stored |= stored;
     }
     boolean known = before != null && before.number >= number;
-    if (known || number <= endedNumber(part) || remainingMilliseconds <= 0) {
+    if (known || number <= endedNumber(trait) || remainingMilliseconds <= 0) {
       return false;
     }
-    entries.put(part, new Entry(number, now, now + remainingMilliseconds, stored));
+    entries.put(trait, new Entry(number, now, now + remainingMilliseconds, stored));
     LOGGER.warn(
-        "part={} quarantined=true number={} cause=\"{}\" for_ms={}",
-        part,
+        "trait={} quarantined=true number={} cause=\"{}\" for_ms={}",
+        trait,
         number,
         cause,
         remainingMilliseconds);
@@ -161,30 +166,30 @@
   }
 
   /**
-   * Ends all quarantines of a part up to a number.
+   * Ends all quarantines of a trait up to a number.
    *
-   * @return whether the part is no longer quarantined because of this
+   * @return whether the trait is no longer quarantined because of this
    */
-  boolean end(String part, int number, String cause, long now) {
-    if (number > endedNumber(part)) {
-      ended.put(part, new Ended(number, now));
+  boolean end(String trait, int number, String cause, long now) {
+    if (number > endedNumber(trait)) {
+      ended.put(trait, new Ended(number, now));
     }
-    Entry entry = entries.get(part);
+    Entry entry = entries.get(trait);
     if (entry == null || entry.number > number) {
       return false;
     }
-    entries.remove(part);
-    LOGGER.warn("part={} quarantined=false number={} cause=\"{}\"", part, entry.number, cause);
+    entries.remove(trait);
+    LOGGER.warn("trait={} quarantined=false number={} cause=\"{}\"", trait, entry.number, cause);
     return true;
   }
 
-  /** Ends the quarantines whose time is over and returns their parts. */
+  /** Ends the quarantines whose time is over and returns their traits. */
   List<String> expire(long now) {
     List<String> expired = new ArrayList<>();
-    for (String part : parts()) {
-      Entry entry = entries.get(part);
-      if (entry.until <= now && end(part, entry.number, "time is over", now)) {
-        expired.add(part);
+    for (String trait : traits()) {
+      Entry entry = entries.get(trait);
+      if (entry.until <= now && end(trait, entry.number, "time is over", now)) {
+        expired.add(trait);
       }
     }
     return expired;
@@ -196,24 +201,24 @@
   }
 
   /** Returns the quarantines for another instance. */
-  List<PeerMessage.QuarantinedPart> messages(Collection<String> parts, long now) {
-    List<PeerMessage.QuarantinedPart> messages = new ArrayList<>();
-    for (String part : parts) {
-      entry(part)
+  List<PeerMessage.QuarantinedTrait> messages(Collection<String> traits, long now) {
+    List<PeerMessage.QuarantinedTrait> messages = new ArrayList<>();
+    for (String trait : traits) {
+      entry(trait)
           .map(
               entry ->
-                  new PeerMessage.QuarantinedPart(
-                      part, entry.number, Math.max(0, entry.until - now), entry.stored))
+                  new PeerMessage.QuarantinedTrait(
+                      trait, entry.number, Math.max(0, entry.until - now), entry.stored))
           .ifPresent(messages::add);
     }
     return messages;
   }
 
-  /** Returns the ends of quarantines of the given parts for another instance. */
-  List<PeerMessage.EndedQuarantine> endedMessages(Collection<String> parts) {
-    return parts.stream()
+  /** Returns the ends of quarantines of the given traits for another instance. */
+  List<PeerMessage.EndedQuarantine> endedMessages(Collection<String> traits) {
+    return traits.stream()
         .filter(ended::containsKey)
-        .map(part -> new PeerMessage.EndedQuarantine(part, endedNumber(part)))
+        .map(trait -> new PeerMessage.EndedQuarantine(trait, endedNumber(trait)))
         .toList();
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PromptQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/RequestQuarantine.java
@@ -1,4 +1,4 @@
-package org.agatefield.daemon.forward;
+package org.agatefield.daemon.quarantine;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -12,33 +12,32 @@
 import java.util.function.IntUnaryOperator;
 import java.util.function.LongSupplier;
 import org.agatefield.forwarding.CrashAttribution;
-import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.model.Instance;
 import org.agatefield.peer.PeerMessage;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * Keeps prompts that crash runners away from them.
+ * Keeps requests that crash runners away from them.
  *
- * <p>All instances share what was in hand at each crash and which parts runners have survived, and
+ * <p>All instances share what was in hand at each crash and which traits runners have survived, and
  * draw the same conclusions from it with {@link CrashAttribution}. A culprit is quarantined on all
  * instances and in the store, so that the knowledge outlives every process. A quarantine ends when
- * a runner survives the part, or after {@link #DURATION_MILLISECONDS}. Invariant: while a part is
+ * a runner survives the trait, or after {@link #DURATION_MILLISECONDS}. Invariant: while a trait is
  * quarantined here, this instance starts no request with it at a runner.
  *
  * <p>Messages may arrive seconds late, so ages cannot tell whether a survival or a quarantine is
- * newer. The quarantines of a part are numbered instead: the end of a quarantine ends all with the
+ * newer. The quarantines of a trait are numbered instead: the end of a quarantine ends all with the
  * same or a lower number everywhere. Confined to one event loop.
  */
-final class PromptQuarantine {
+public final class RequestQuarantine {
   /** The interval at which evidence is exchanged with a random instance. */
-  static final long EXCHANGE_MILLISECONDS = 1_000;
+  public static final long EXCHANGE_MILLISECONDS = 1_000;
 
-  /** How long a part stays quarantined. */
-  static final long DURATION_MILLISECONDS = 600_000;
+  /** How long a trait stays quarantined. */
+  public static final long DURATION_MILLISECONDS = 600_000;
 
-  private static final Logger LOGGER = LogManager.getLogger(PromptQuarantine.class);
+  private static final Logger LOGGER = LogManager.getLogger(RequestQuarantine.class);
   // Covers a report to another region, the delay of its reply, and the way back.
   private static final long SETTLE_MILLISECONDS = 150;
   private static final int MAXIMUM_REPLY_DELAY_MILLISECONDS = 50;
@@ -54,13 +53,13 @@
   private final IntUnaryOperator random;
   private final Consumer<String> onQuarantined;
   private final SharedCrashEvidence evidence = new SharedCrashEvidence();
-  private final QuarantinedParts quarantined = new QuarantinedParts();
+  private final QuarantinedTraits quarantined = new QuarantinedTraits();
   private boolean evaluationScheduled;
   private boolean loaded;
   private long lastLoadAt;
 
   /** Provides the other instances. */
-  interface Fleet {
+  public interface Fleet {
     Instance self();
 
     /** Returns the responsive instances including this one. */
@@ -73,37 +72,37 @@
     void send(Instance instance, PeerMessage message);
   }
 
-  /** Keeps quarantined parts beyond the life of the processes. */
-  interface Records {
-    /** Stores a quarantined part; the future may fail. */
-    CompletableFuture<Void> save(Quarantined part);
+  /** Keeps quarantined traits beyond the life of the processes. */
+  public interface Records {
+    /** Stores a quarantined trait; the future may fail. */
+    CompletableFuture<Void> save(Quarantined trait);
 
     /**
-     * Deletes a part whose quarantines up to a number are over, if one of these is stored; tries
+     * Deletes a trait whose quarantines up to a number are over, if one of these is stored; tries
      * again until it succeeds.
      */
-    void delete(String part, int number);
+    void delete(String trait, int number);
 
-    /** Reads the parts whose quarantine has not ended. */
+    /** Reads the traits whose quarantine has not ended. */
     CompletableFuture<List<Quarantined>> load();
   }
 
   /**
-   * A quarantined part. Immutable.
+   * A quarantined trait. Immutable.
    *
-   * @param number counts the quarantines of the part from 1
+   * @param number counts the quarantines of the trait from 1
    * @param remainingMilliseconds the time until its quarantine ends
    */
-  record Quarantined(String part, int number, long remainingMilliseconds) {}
+  public record Quarantined(String trait, int number, long remainingMilliseconds) {}
 
   /**
    * Creates a quarantine that is empty until it has learnt from other instances or the store.
    *
    * @param clock returns monotonic milliseconds
    * @param random returns a random number below its argument
-   * @param onQuarantined receives each part as it is quarantined
+   * @param onQuarantined receives each trait as it is quarantined
    */
-  PromptQuarantine(
+  public RequestQuarantine(
       LongSupplier clock,
       Timers timers,
       Fleet fleet,
@@ -119,8 +118,8 @@
     this.lastLoadAt = clock.getAsLong() - LOAD_INTERVAL_MILLISECONDS;
   }
 
-  /** Starts to read the parts that were quarantined before this process started. */
-  void start() {
+  /** Starts to read the traits that were quarantined before this process started. */
+  public void start() {
     load();
   }
 
@@ -128,44 +127,46 @@
    * Writes to the store what it has lost, because it came back from an older copy: quarantines that
    * it does not know, and the ends of those that it still holds.
    */
-  void storeLostHistory() {
+  public void storeLostHistory() {
     quarantined.storeLostHistory();
     LOGGER.info(
-        "quarantine store_lost_history=true parts={} ended={}",
-        quarantined.parts(),
-        quarantined.endedParts());
-    quarantined.parts().forEach(this::saveInTurn);
-    quarantined.endedParts().forEach(part -> records.delete(part, quarantined.endedNumber(part)));
+        "quarantine store_lost_history=true traits={} ended={}",
+        quarantined.traits(),
+        quarantined.endedTraits());
+    quarantined.traits().forEach(this::saveInTurn);
+    quarantined
+        .endedTraits()
+        .forEach(trait -> records.delete(trait, quarantined.endedNumber(trait)));
   }
 
-  /** Returns the number of quarantined parts. */
-  int size() {
+  /** Returns the number of quarantined traits. */
+  public int size() {
     return quarantined.size();
   }
 
   /**
-   * Returns when the last quarantine among the given parts ends, in monotonic milliseconds; empty
+   * Returns when the last quarantine among the given traits ends, in monotonic milliseconds; empty
    * if none is quarantined.
    */
-  OptionalLong quarantinedUntil(Collection<String> parts) {
-    return quarantined.until(parts, clock.getAsLong());
+  public OptionalLong quarantinedUntil(Collection<String> traits) {
+    return quarantined.until(traits, clock.getAsLong());
   }
 
   /**
    * Records a crash that this instance noticed.
    *
-   * @param positions the parts of the prompts that were lost before their responses had begun, with
-   *     the greatest position of each in its prompts
+   * @param positions the traits of the requests that were lost before their responses had begun,
+   *     with the greatest position of each among those of its requests
    */
-  void crashed(RunnerEntry runner, Map<String, Integer> positions) {
+  public void crashed(UpstreamProcess process, Map<String, Integer> positions) {
     long now = clock.getAsLong();
     Map<String, Integer> suspects = new HashMap<>(positions);
-    suspects.keySet().removeIf(part -> evidence.isSound(part, now));
+    suspects.keySet().removeIf(trait -> evidence.isSound(trait, now));
     if (suspects.isEmpty()) {
       return;
     }
     CrashAttribution.Crash crash =
-        new CrashAttribution.Crash(runner.id(), runner.startTimeMilliseconds());
+        new CrashAttribution.Crash(process.upstream(), process.startTimeMilliseconds());
     record(crash, suspects, now);
     fleet.broadcast(
         new PeerMessage.CrashEvidence(
@@ -173,43 +174,43 @@
     timers.after(CHECK_AFTER_CRASH_MILLISECONDS, () -> checkStore(suspects.keySet()));
   }
 
-  /** Records that a runner has begun a response on parts and continued to run. */
-  void survived(Collection<String> parts) {
+  /** Records that a runner has begun a response on traits and continued to run. */
+  public void survived(Collection<String> traits) {
     long now = clock.getAsLong();
     List<String> news = new ArrayList<>();
-    for (String part : parts) {
-      boolean suspect = evidence.survived(part, now);
-      if (acquit(part, now) || suspect) {
-        news.add(part);
+    for (String trait : traits) {
+      boolean suspect = evidence.survived(trait, now);
+      if (acquit(trait, now) || suspect) {
+        news.add(trait);
       }
     }
     share(news);
   }
 
   /** Applies what another instance knows. */
-  void evidenceReceived(PeerMessage.CrashEvidence received) {
+  public void evidenceReceived(PeerMessage.CrashEvidence received) {
     long now = clock.getAsLong();
     for (PeerMessage.EndedQuarantine each : received.ended()) {
-      quarantined.end(each.part(), each.number(), "another instance ended it", now);
+      quarantined.end(each.trait(), each.number(), "another instance ended it", now);
     }
     List<String> news = new ArrayList<>();
-    for (PeerMessage.PartSurvival survival : received.survivals()) {
+    for (PeerMessage.TraitSurvival survival : received.survivals()) {
       long at = now - survival.ageMilliseconds();
-      evidence.survived(survival.part(), at);
-      evidence.survivalShared(survival.part(), at);
-      if (evidence.isSound(survival.part(), now) && acquit(survival.part(), now)) {
-        news.add(survival.part());
+      evidence.survived(survival.trait(), at);
+      evidence.survivalShared(survival.trait(), at);
+      if (evidence.isSound(survival.trait(), now) && acquit(survival.trait(), now)) {
+        news.add(survival.trait());
       }
     }
     received.crashes().forEach(crash -> crashReceived(crash, now));
-    for (PeerMessage.QuarantinedPart part : received.quarantined()) {
-      if (objects(part, now)) {
-        quarantined.end(part.part(), part.number(), "a runner survived it", now);
-        news.add(part.part());
+    for (PeerMessage.QuarantinedTrait trait : received.quarantined()) {
+      if (objects(trait, now)) {
+        quarantined.end(trait.trait(), trait.number(), "a runner survived it", now);
+        news.add(trait.trait());
       } else {
         Quarantined culprit =
-            new Quarantined(part.part(), part.number(), part.remainingMilliseconds());
-        adopt(culprit, part.stored(), "peer");
+            new Quarantined(trait.trait(), trait.number(), trait.remainingMilliseconds());
+        adopt(culprit, trait.stored(), "peer");
       }
     }
     share(news);
@@ -221,49 +222,49 @@
         new CrashAttribution.Crash(crash.runner(), crash.startTimeMilliseconds()),
         crash.positions(),
         at);
-    // Several instances may know that a part is sound; the first reply spares the others.
+    // Several instances may know that a trait is sound; the first reply spares the others.
     timers.after(
         random.applyAsInt(MAXIMUM_REPLY_DELAY_MILLISECONDS),
         () -> share(evidence.unsharedSound(crash.positions().keySet(), at)));
   }
 
-  /** Returns whether this instance knows that a part is sound that another one quarantines. */
-  private boolean objects(PeerMessage.QuarantinedPart part, long now) {
-    return !quarantined.contains(part.part())
-        && part.number() > quarantined.endedNumber(part.part())
-        && evidence.isSound(part.part(), now);
+  /** Returns whether this instance knows that a trait is sound that another one quarantines. */
+  private boolean objects(PeerMessage.QuarantinedTrait trait, long now) {
+    return !quarantined.contains(trait.trait())
+        && trait.number() > quarantined.endedNumber(trait.trait())
+        && evidence.isSound(trait.trait(), now);
   }
 
-  /** Ends the quarantine of a part that a runner has survived; returns whether there was one. */
-  private boolean acquit(String part, long now) {
-    Optional<QuarantinedParts.Entry> entry = quarantined.entry(part);
+  /** Ends the quarantine of a trait that a runner has survived; returns whether there was one. */
+  private boolean acquit(String trait, long now) {
+    Optional<QuarantinedTraits.Entry> entry = quarantined.entry(trait);
     if (entry.isEmpty()) {
       return false;
     }
-    quarantined.end(part, entry.get().number(), "a runner survived it", now);
-    records.delete(part, quarantined.endedNumber(part));
+    quarantined.end(trait, entry.get().number(), "a runner survived it", now);
+    records.delete(trait, quarantined.endedNumber(trait));
     return true;
   }
 
-  /** Shares that runners have survived parts, and that the quarantines of these are over. */
-  private void share(Collection<String> parts) {
-    if (parts.isEmpty()) {
+  /** Shares that runners have survived traits, and that the quarantines of these are over. */
+  private void share(Collection<String> traits) {
+    if (traits.isEmpty()) {
       return;
     }
     long now = clock.getAsLong();
-    List<PeerMessage.PartSurvival> survivals = evidence.survivalMessages(parts, now);
-    survivals.forEach(each -> evidence.survivalShared(each.part(), now - each.ageMilliseconds()));
+    List<PeerMessage.TraitSurvival> survivals = evidence.survivalMessages(traits, now);
+    survivals.forEach(each -> evidence.survivalShared(each.trait(), now - each.ageMilliseconds()));
     fleet.broadcast(
         new PeerMessage.CrashEvidence(
-            List.of(), survivals, List.of(), quarantined.endedMessages(parts)));
+            List.of(), survivals, List.of(), quarantined.endedMessages(traits)));
   }
 
   /** Sends what is known to a random instance, ends quarantines, and reads the store if needed. */
-  void exchange(long now) {
+  public void exchange(long now) {
     endExpired(now);
     evidence.forgetOld(now);
     quarantined.forgetEnded(DURATION_MILLISECONDS, now);
-    quarantined.parts().forEach(this::saveInTurn);
+    quarantined.traits().forEach(this::saveInTurn);
     if (!loaded) {
       load();
     }
@@ -277,14 +278,14 @@
         new PeerMessage.CrashEvidence(
             evidence.crashMessages(now),
             List.of(),
-            quarantined.messages(quarantined.parts(), now),
+            quarantined.messages(quarantined.traits(), now),
             quarantined.endedMessages()));
   }
 
   private void endExpired(long now) {
-    for (String part : quarantined.expire(now)) {
+    for (String trait : quarantined.expire(now)) {
       if (rank() == 0) {
-        records.delete(part, quarantined.endedNumber(part));
+        records.delete(trait, quarantined.endedNumber(trait));
       }
     }
   }
@@ -299,13 +300,13 @@
 
   private void evaluate() {
     evaluationScheduled = false;
-    for (String part : evidence.culprits(quarantined.parts())) {
-      int number = quarantined.endedNumber(part) + 1;
+    for (String trait : evidence.culprits(quarantined.traits())) {
+      int number = quarantined.endedNumber(trait) + 1;
       adopt(
-          new Quarantined(part, number, DURATION_MILLISECONDS),
+          new Quarantined(trait, number, DURATION_MILLISECONDS),
           false,
-          "crashes " + evidence.crashesOf(part));
-      announce(part);
+          "crashes " + evidence.crashesOf(trait));
+      announce(trait);
     }
   }
 
@@ -313,23 +314,23 @@
     long remaining = Math.min(DURATION_MILLISECONDS, culprit.remainingMilliseconds());
     boolean isNew =
         quarantined.begin(
-            culprit.part(), culprit.number(), remaining, stored, cause, clock.getAsLong());
+            culprit.trait(), culprit.number(), remaining, stored, cause, clock.getAsLong());
     if (isNew) {
-      saveInTurn(culprit.part());
-      onQuarantined.accept(culprit.part());
+      saveInTurn(culprit.trait());
+      onQuarantined.accept(culprit.trait());
     }
   }
 
-  private void announce(String part) {
+  private void announce(String trait) {
     long now = clock.getAsLong();
     fleet.broadcast(
         new PeerMessage.CrashEvidence(
-            List.of(), List.of(), quarantined.messages(List.of(part), now), List.of()));
+            List.of(), List.of(), quarantined.messages(List.of(trait), now), List.of()));
   }
 
   /** Stores a quarantine unless another instance has done so or is to do so first. */
-  private void saveInTurn(String part) {
-    QuarantinedParts.Entry entry = quarantined.entry(part).orElseThrow();
+  private void saveInTurn(String trait) {
+    QuarantinedTraits.Entry entry = quarantined.entry(trait).orElseThrow();
     long now = clock.getAsLong();
     // Others may not have noticed that the store came back older, so nobody's turn is awaited then.
     boolean turn = entry.isLost() || now - entry.beganAt() >= SAVE_TURN_MILLISECONDS * rank();
@@ -338,18 +339,18 @@
     }
     entry.savingStarted();
     records
-        .save(new Quarantined(part, entry.number(), Math.max(0, entry.until() - now)))
+        .save(new Quarantined(trait, entry.number(), Math.max(0, entry.until() - now)))
         .whenComplete(
             (done, failure) -> {
               entry.savingEnded(failure == null);
               LOGGER.info(
-                  "part={} number={} stored={} failure=\"{}\"",
-                  part,
+                  "trait={} number={} stored={} failure=\"{}\"",
+                  trait,
                   entry.number(),
                   failure == null,
                   failure == null ? "" : failure.getMessage());
               if (failure == null) {
-                announce(part);
+                announce(trait);
               }
             });
   }
@@ -377,21 +378,21 @@
     records
         .load()
         .whenComplete(
-            (parts, failure) -> {
+            (traits, failure) -> {
               if (failure != null) {
                 LOGGER.info("quarantine loaded=false failed=\"{}\"", failure.getMessage());
                 return;
               }
               loaded = true;
-              parts.forEach(this::adoptStored);
+              traits.forEach(this::adoptStored);
             });
   }
 
-  private void adoptStored(Quarantined part) {
-    boolean known = quarantined.contains(part.part());
-    adopt(part, true, "store");
+  private void adoptStored(Quarantined trait) {
+    boolean known = quarantined.contains(trait.trait());
+    adopt(trait, true, "store");
     if (!known) {
-      announce(part.part());
+      announce(trait.trait());
     }
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/SharedCrashEvidence.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/SharedCrashEvidence.java
@@ -1,4 +1,4 @@
-package org.agatefield.daemon.forward;
+package org.agatefield.daemon.quarantine;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -15,8 +15,8 @@
  * The evidence about crashes of runners that one instance has collected, and what of it the other
  * instances have been told.
  *
- * <p>Invariant: the size is bounded however many requests there are, as most parts occur in one of
- * them only. Survivals are kept for a minute, and longer only for parts that were in hand at a
+ * <p>Invariant: the size is bounded however many requests there are, as most traits occur in one of
+ * them only. Survivals are kept for a minute, and longer only for traits that were in hand at a
  * crash that is still evidence; they are shared only for suspects. All times are monotonic
  * milliseconds of the caller. Confined to one event loop.
  */
@@ -25,53 +25,56 @@
   private final Set<String> suspected = new HashSet<>();
   private final Map<String, Long> sharedSurvivals = new HashMap<>();
 
-  /** Records a crash with its suspects and the greatest position of each in its prompts. */
+  /**
+   * Records a crash with its suspects and the greatest position of each among those of its
+   * requests.
+   */
   void crashed(CrashAttribution.Crash crash, Map<String, Integer> positions, long at) {
     attribution.crashed(crash, positions, at);
     positions.keySet().stream()
-        .filter(part -> !attribution.isSound(part, at))
+        .filter(trait -> !attribution.isSound(trait, at))
         .forEach(suspected::add);
   }
 
-  /** Records that a runner survived a part; returns whether the part was suspected. */
-  boolean survived(String part, long at) {
-    attribution.survived(part, at);
-    return suspected.remove(part);
+  /** Records that a runner survived a trait; returns whether the trait was suspected. */
+  boolean survived(String trait, long at) {
+    attribution.survived(trait, at);
+    return suspected.remove(trait);
   }
 
-  /** Notes that the other instances know that a part was survived at a time. */
-  void survivalShared(String part, long at) {
-    sharedSurvivals.merge(part, at, Math::max);
+  /** Notes that the other instances know that a trait was survived at a time. */
+  void survivalShared(String trait, long at) {
+    sharedSurvivals.merge(trait, at, Math::max);
   }
 
   /** Returns those of the suspects of a crash that are sound as only this instance may know. */
   List<String> unsharedSound(Collection<String> suspects, long crashAt) {
     List<String> sound = new ArrayList<>();
-    for (String part : suspects) {
-      Long shared = sharedSurvivals.get(part);
+    for (String trait : suspects) {
+      Long shared = sharedSurvivals.get(trait);
       boolean known = shared != null && crashAt - shared <= CrashAttribution.SOUND_MILLISECONDS;
-      if (attribution.isSound(part, crashAt) && !known) {
-        sound.add(part);
+      if (attribution.isSound(trait, crashAt) && !known) {
+        sound.add(trait);
       }
     }
     return sound;
   }
 
-  boolean isSound(String part, long at) {
-    return attribution.isSound(part, at);
+  boolean isSound(String trait, long at) {
+    return attribution.isSound(trait, at);
   }
 
-  boolean isSuspected(String part) {
-    return suspected.contains(part);
+  boolean isSuspected(String trait) {
+    return suspected.contains(trait);
   }
 
-  /** Returns the parts that cause crashes besides those that are quarantined. */
+  /** Returns the traits that cause crashes besides those that are quarantined. */
   Set<String> culprits(Set<String> quarantined) {
     return attribution.culprits(quarantined);
   }
 
-  Set<CrashAttribution.Crash> crashesOf(String part) {
-    return attribution.crashesOf(part);
+  Set<CrashAttribution.Crash> crashesOf(String trait) {
+    return attribution.crashesOf(trait);
   }
 
   void forgetOld(long now) {
@@ -112,12 +115,12 @@
         record.positions());
   }
 
-  /** Returns the survivals of parts for another instance. */
-  List<PeerMessage.PartSurvival> survivalMessages(Collection<String> parts, long now) {
-    List<PeerMessage.PartSurvival> messages = new ArrayList<>();
-    for (String part : parts) {
-      long at = attribution.lastSurvival(part).orElse(now);
-      messages.add(new PeerMessage.PartSurvival(part, Math.max(0, now - at)));
+  /** Returns the survivals of traits for another instance. */
+  List<PeerMessage.TraitSurvival> survivalMessages(Collection<String> traits, long now) {
+    List<PeerMessage.TraitSurvival> messages = new ArrayList<>();
+    for (String trait : traits) {
+      long at = attribution.lastSurvival(trait).orElse(now);
+      messages.add(new PeerMessage.TraitSurvival(trait, Math.max(0, now - at)));
     }
     return messages;
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/Timers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/Timers.java
@@ -1,7 +1,7 @@
-package org.agatefield.daemon.forward;
+package org.agatefield.daemon.quarantine;
 
 /** Schedules tasks on the event loop. Confined to that loop unless an implementation says more. */
 @FunctionalInterface
-interface Timers {
+public interface Timers {
   void after(long milliseconds, Runnable task);
 }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerCrashDetectorTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/quarantine/CrashDetectorTest.java
@@ -1,4 +1,4 @@
-package org.agatefield.daemon.forward;
+package org.agatefield.daemon.quarantine;
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
@@ -11,25 +11,21 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
-import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.model.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-class RunnerCrashDetectorTest {
+class CrashDetectorTest {
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final long NO_CRASH_MILLISECONDS = 300; // Several times the duration of a probe.
 
   private final Vertx vertx = Vertx.vertx();
   private final Context context = vertx.getOrCreateContext();
   private final List<Map<String, Integer>> crashes = new CopyOnWriteArrayList<>();
-  private RunnerCrashDetector detector;
+  private CrashDetector detector;
   private NetServer server;
 
   @BeforeEach
@@ -43,12 +39,12 @@
             .toCompletableFuture()
             .join();
     detector =
-        new RunnerCrashDetector(
+        new CrashDetector(
             vertx,
             new ConnectionProbe(
                 vertx.createNetClient(new NetClientOptions().setConnectTimeout(400))),
-            MonotonicClock::milliseconds,
-            (runner, positions) -> crashes.add(positions));
+            () -> System.nanoTime() / 1_000_000,
+            (process, positions) -> crashes.add(positions));
   }
 
   @AfterEach
@@ -56,20 +52,9 @@
     vertx.close().toCompletionStage().toCompletableFuture().join();
   }
 
-  private RunnerEntry runner(long startTime, boolean draining) {
-    return new RunnerEntry(
-        "i-1",
-        startTime,
-        OptionalLong.empty(),
-        "service",
-        new Address("127.0.0.1", server.actualPort()),
-        "domain",
-        96,
-        draining,
-        OptionalLong.empty(),
-        Optional.empty(),
-        Set.of(),
-        Set.of());
+  private UpstreamProcess process(long startTime, boolean leaving) {
+    return new UpstreamProcess(
+        "i-1", startTime, new Address("127.0.0.1", server.actualPort()), leaving);
   }
 
   private void onEventLoop(Runnable action) {
@@ -91,8 +76,8 @@
     stopServer();
     onEventLoop(
         () -> {
-          detector.disconnected(runner(1, false), List.of("a", "b"));
-          detector.disconnected(runner(1, false), List.of("c", "a"));
+          detector.disconnected(process(1, false), List.of("a", "b"));
+          detector.disconnected(process(1, false), List.of("c", "a"));
         });
     await().atMost(TIMEOUT).until(() -> crashes.size() == 1);
     assertEquals(Map.of("a", 1, "b", 1, "c", 0), crashes.get(0));
@@ -101,36 +86,36 @@
   @Test
   void stalledRequestOfRunnerThatRefusesConnectionsIsInHandAtItsCrash() {
     stopServer();
-    onEventLoop(() -> detector.stalled(runner(1, false), List.of("a")));
+    onEventLoop(() -> detector.stalled(process(1, false), List.of("a")));
     await().atMost(TIMEOUT).until(() -> crashes.size() == 1);
   }
 
   @Test
   void lostConnectionOfRunnerThatAcceptsOthersIsNoCrashUnlessAnotherProcessFollows()
       throws Exception {
-    onEventLoop(() -> detector.disconnected(runner(1, false), List.of("a")));
+    onEventLoop(() -> detector.disconnected(process(1, false), List.of("a")));
     Thread.sleep(NO_CRASH_MILLISECONDS);
     assertTrue(crashes.isEmpty());
-    onEventLoop(() -> detector.runnerChanged(runner(1, false), false));
+    onEventLoop(() -> detector.replaced("i-1", 1));
     assertTrue(crashes.isEmpty());
-    onEventLoop(() -> detector.runnerChanged(runner(2, false), true));
+    onEventLoop(() -> detector.replaced("i-1", 2));
     assertEquals(1, crashes.size());
   }
 
   @Test
   void stalledRequestOfSlowRunnerIsNotInHandAtLaterCrashes() throws Exception {
-    onEventLoop(() -> detector.stalled(runner(1, false), List.of("a")));
+    onEventLoop(() -> detector.stalled(process(1, false), List.of("a")));
     Thread.sleep(NO_CRASH_MILLISECONDS);
-    onEventLoop(() -> detector.runnerChanged(runner(2, false), true));
+    onEventLoop(() -> detector.replaced("i-1", 2));
     assertTrue(crashes.isEmpty());
   }
 
   @Test
   void endOfDrainingRunnerIsNoCrash() throws Exception {
     stopServer();
-    onEventLoop(() -> detector.disconnected(runner(1, true), List.of("a")));
+    onEventLoop(() -> detector.disconnected(process(1, true), List.of("a")));
     Thread.sleep(NO_CRASH_MILLISECONDS);
-    onEventLoop(() -> detector.runnerGone("i-1"));
+    onEventLoop(() -> detector.gone("i-1"));
     assertTrue(crashes.isEmpty());
   }
 }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/PromptQuarantineTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/quarantine/RequestQuarantineTest.java
@@ -1,4 +1,4 @@
-package org.agatefield.daemon.forward;
+package org.agatefield.daemon.quarantine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -9,14 +9,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
-import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.model.Address;
 import org.agatefield.model.FailureDomain;
 import org.agatefield.model.Instance;
@@ -24,8 +22,8 @@
 import org.agatefield.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
 
-/** Simulates instances that share what they know about prompts that crash runners. */
-class PromptQuarantineTest {
+/** Simulates instances that share what they know about requests that crash runners. */
+class RequestQuarantineTest {
   private static final int INSTANCES = 5;
   private static final long LATENCY_MILLISECONDS = 15;
 
@@ -60,10 +58,10 @@
 
   /** One instance over all its processes. */
   private final class Simulated
-      implements PromptQuarantine.Fleet, PromptQuarantine.Records, Timers {
+      implements RequestQuarantine.Fleet, RequestQuarantine.Records, Timers {
     private final Instance self;
     private final List<PeerMessage> held = new ArrayList<>();
-    private PromptQuarantine quarantine;
+    private RequestQuarantine quarantine;
     private boolean cut;
     private boolean earlierBuild;
     private int process;
@@ -83,15 +81,15 @@
       process++;
       int started = process;
       quarantine =
-          new PromptQuarantine(
-              () -> now, this, this, this, bound -> random.nextInt(bound), part -> {});
+          new RequestQuarantine(
+              () -> now, this, this, this, bound -> random.nextInt(bound), trait -> {});
       quarantine.start();
       exchange(started);
     }
 
     private void exchange(int started) {
       after(
-          PromptQuarantine.EXCHANGE_MILLISECONDS,
+          RequestQuarantine.EXCHANGE_MILLISECONDS,
           () -> {
             if (process == started) {
               quarantine.exchange(now);
@@ -103,7 +101,7 @@
     @Override
     public void after(long milliseconds, Runnable task) {
       int started = process;
-      PromptQuarantineTest.this.after(
+      RequestQuarantineTest.this.after(
           milliseconds,
           () -> {
             if (process == started) {
@@ -144,7 +142,7 @@
         to.held.add(message);
         return;
       }
-      PromptQuarantineTest.this.after(
+      RequestQuarantineTest.this.after(
           LATENCY_MILLISECONDS + random.nextInt(30), () -> to.receive(message));
     }
 
@@ -162,21 +160,21 @@
     }
 
     @Override
-    public CompletableFuture<Void> save(PromptQuarantine.Quarantined part) {
+    public CompletableFuture<Void> save(RequestQuarantine.Quarantined trait) {
       if (!storeAvailable) {
         return CompletableFuture.failedFuture(new IllegalStateException("store unavailable"));
       }
-      store.put(part.part(), new Stored(part.number(), now + part.remainingMilliseconds()));
+      store.put(trait.trait(), new Stored(trait.number(), now + trait.remainingMilliseconds()));
       return CompletableFuture.completedFuture(null);
     }
 
     @Override
-    public void delete(String part, int number) {
-      store.computeIfPresent(part, (name, stored) -> stored.number() > number ? stored : null);
+    public void delete(String trait, int number) {
+      store.computeIfPresent(trait, (name, stored) -> stored.number() > number ? stored : null);
     }
 
     @Override
-    public CompletableFuture<List<PromptQuarantine.Quarantined>> load() {
+    public CompletableFuture<List<RequestQuarantine.Quarantined>> load() {
       if (!storeAvailable) {
         return CompletableFuture.failedFuture(new IllegalStateException("store unavailable"));
       }
@@ -185,13 +183,13 @@
               .filter(each -> each.getValue().until() > now)
               .map(
                   each ->
-                      new PromptQuarantine.Quarantined(
+                      new RequestQuarantine.Quarantined(
                           each.getKey(), each.getValue().number(), each.getValue().until() - now))
               .toList());
     }
 
-    boolean isQuarantined(String part) {
-      return quarantine.quarantinedUntil(List.of(part)).isPresent();
+    boolean isQuarantined(String trait) {
+      return quarantine.quarantinedUntil(List.of(trait)).isPresent();
     }
   }
 
@@ -202,31 +200,19 @@
     runFor(100);
   }
 
-  private void crash(Simulated at, String... parts) {
+  private void crash(Simulated at, String... traits) {
     crashes++;
     Map<String, Integer> positions = new HashMap<>();
-    for (String part : parts) {
-      positions.put(part, positions.size());
+    for (String trait : traits) {
+      positions.put(trait, positions.size());
     }
-    RunnerEntry runner =
-        new RunnerEntry(
-            "i-" + crashes,
-            crashes,
-            OptionalLong.empty(),
-            "service",
-            new Address("10.1.0.1", 80),
-            "domain",
-            96,
-            false,
-            OptionalLong.empty(),
-            java.util.Optional.empty(),
-            Set.of(),
-            Set.of());
-    at.quarantine.crashed(runner, positions);
+    UpstreamProcess process =
+        new UpstreamProcess("i-" + crashes, crashes, new Address("10.1.0.1", 80), false);
+    at.quarantine.crashed(process, positions);
   }
 
-  private long quarantinedAt(String part) {
-    return instances.stream().filter(each -> each.isQuarantined(part)).count();
+  private long quarantinedAt(String trait) {
+    return instances.stream().filter(each -> each.isQuarantined(trait)).count();
   }
 
   @Test
@@ -362,7 +348,7 @@
     crash(instances.get(0), "deadly");
     runFor(1_000);
     crash(instances.get(1), "deadly");
-    runFor(PromptQuarantine.DURATION_MILLISECONDS + 5_000);
+    runFor(RequestQuarantine.DURATION_MILLISECONDS + 5_000);
     assertEquals(0, quarantinedAt("deadly"));
     assertTrue(store.isEmpty());
     crash(instances.get(0), "deadly");
--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -13,18 +13,19 @@
 import java.util.TreeSet;
 
 /**
- * Determines from the crashes of runners which parts of prompts cause them.
+ * Determines from the crashes of runners which traits of requests cause them (see {@link
+ * RequestTraits}).
  *
- * <p>Every part that a crashed runner had in hand, and on which it had not begun a response, is a
- * suspect of that crash. Parts on which a runner has recently begun a response and continued to run
- * are sound. A part is a culprit if it is a suspect of several crashes at different times and no
- * other part explains the same crashes as well. Of parts that nothing separates, those at the
- * greatest position are culprits, as the fewest other prompts contain them. A part that has
+ * <p>Every trait that a crashed runner had in hand, and on which it had not begun a response, is a
+ * suspect of that crash. Traits on which a runner has recently begun a response and continued to
+ * run are sound. A trait is a culprit if it is a suspect of several crashes at different times and
+ * no other trait explains the same crashes as well. Of traits that nothing separates, those at the
+ * greatest position are culprits, as the fewest other requests have them. A trait that has
  * accompanied such a culprit at all of its crashes, and is a suspect of a crash without it, was the
  * cause of them all.
  *
  * <p>Invariants: the result depends only on the recorded facts and their times, not on their order;
- * crashes that a known culprit explains are not held against other parts, but for those that occur
+ * crashes that a known culprit explains are not held against other traits, but for those that occur
  * at all of its crashes and at more; the size is bounded. Not thread safe. Reads no clock: all
  * times are monotonic milliseconds of the caller.
  */
@@ -32,13 +33,13 @@
   /** How long a crash remains evidence. */
   public static final long EVIDENCE_MILLISECONDS = 600_000;
 
-  /** Parts that runners survived are not suspects of crashes within this time afterwards. */
+  /** Traits that runners survived are not suspects of crashes within this time afterwards. */
   public static final long SOUND_MILLISECONDS = 20_000;
 
   /** How long others may report a crash after it occurred. */
   public static final long REPORT_MILLISECONDS = 30_000;
 
-  // Covers the latest report of the last crash before which the part is sound, and its way.
+  // Covers the latest report of the last crash before which the trait is sound, and its way.
   private static final long SURVIVAL_MILLISECONDS =
       SOUND_MILLISECONDS + REPORT_MILLISECONDS + 10_000;
   // Runners that are lost together, for example with their failure domain, are one occurrence.
@@ -46,7 +47,7 @@
   private static final int OCCURRENCES_OF_ONLY_SUSPECT = 2;
   private static final int OCCURRENCES_OF_EQUAL_SUSPECTS = 3;
   private static final int MAXIMUM_CRASHES = 256;
-  private static final int MAXIMUM_PARTS_PER_CRASH = 256;
+  private static final int MAXIMUM_TRAITS_PER_CRASH = 256;
   private static final int MAXIMUM_SURVIVALS = 8_192;
 
   private final Map<Crash, RecordedCrash> crashes = new LinkedHashMap<>();
@@ -70,7 +71,8 @@
    * What is known of a crash. Immutable.
    *
    * @param at when it was first noticed
-   * @param positions the parts that were in hand, with the position of each in its prompt
+   * @param positions the traits that were in hand, with the position of each among those of its
+   *     request
    */
   public record RecordedCrash(long at, Map<String, Integer> positions) {
     /** Copies the map. */
@@ -80,19 +82,19 @@
   }
 
   /**
-   * Records a crash, or further parts that were in hand at a crash that is already recorded.
+   * Records a crash, or further traits that were in hand at a crash that is already recorded.
    *
-   * @param positions the parts on which the runner had not begun a response, with the position of
-   *     each in its prompt
+   * @param positions the traits on which the runner had not begun a response, with the position of
+   *     each among those of its request
    */
   public void crashed(Crash crash, Map<String, Integer> positions, long at) {
     forgetCrashes(at);
     RecordedCrash known = crashes.get(crash);
     Map<String, Integer> all = new TreeMap<>(positions);
     if (known != null) {
-      known.positions().forEach((part, position) -> all.merge(part, position, Math::max));
+      known.positions().forEach((trait, position) -> all.merge(trait, position, Math::max));
     }
-    while (all.size() > MAXIMUM_PARTS_PER_CRASH) {
+    while (all.size() > MAXIMUM_TRAITS_PER_CRASH) {
       all.remove(all.keySet().iterator().next());
     }
     crashes.put(crash, new RecordedCrash(known == null ? at : Math.min(known.at(), at), all));
@@ -105,7 +107,7 @@
 
   /**
    * Forgets the crashes that are no longer evidence, and the survivals that neither a recorded
-   * crash nor the late report of one needs. Most parts occur in one request only, so that their
+   * crash nor the late report of one needs. Most traits occur in one request only, so that their
    * survivals would otherwise be kept in numbers.
    */
   public void forgetOld(long now) {
@@ -123,7 +125,7 @@
     crashes.values().removeIf(known -> now - known.at() > EVIDENCE_MILLISECONDS);
   }
 
-  /** Returns the number of parts whose survival is known. */
+  /** Returns the number of traits whose survival is known. */
   int survivalCount() {
     return survivals.size();
   }
@@ -140,35 +142,35 @@
     return recent;
   }
 
-  /** Records that a runner has begun a response on a part and continued to run. */
-  public void survived(String part, long at) {
-    Long before = survivals.remove(part); // Moves the part to the end of the order of removal.
-    survivals.put(part, before == null ? at : Math.max(before, at));
+  /** Records that a runner has begun a response on a trait and continued to run. */
+  public void survived(String trait, long at) {
+    Long before = survivals.remove(trait); // Moves the trait to the end of the order of removal.
+    survivals.put(trait, before == null ? at : Math.max(before, at));
   }
 
-  /** Returns when a runner last survived a part. */
-  public Optional<Long> lastSurvival(String part) {
-    return Optional.ofNullable(survivals.get(part));
+  /** Returns when a runner last survived a trait. */
+  public Optional<Long> lastSurvival(String trait) {
+    return Optional.ofNullable(survivals.get(trait));
   }
 
-  /** Returns whether a part is no suspect of a crash at the given time. */
-  public boolean isSound(String part, long crashAt) {
-    Long survival = survivals.get(part);
+  /** Returns whether a trait is no suspect of a crash at the given time. */
+  public boolean isSound(String trait, long crashAt) {
+    Long survival = survivals.get(trait);
     return survival != null && crashAt - survival <= SOUND_MILLISECONDS;
   }
 
-  /** Returns the parts that are suspects of at least one recorded crash. */
+  /** Returns the traits that are suspects of at least one recorded crash. */
   public Set<String> suspects() {
     return crashesBySuspect(Set.of()).keySet();
   }
 
-  /** Returns the crashes of which a part is a suspect. */
-  public Set<Crash> crashesOf(String part) {
-    return crashesBySuspect(Set.of()).getOrDefault(part, Set.of());
+  /** Returns the crashes of which a trait is a suspect. */
+  public Set<Crash> crashesOf(String trait) {
+    return crashesBySuspect(Set.of()).getOrDefault(trait, Set.of());
   }
 
   /**
-   * Returns the parts that are culprits besides those already known.
+   * Returns the traits that are culprits besides those already known.
    *
    * @param known the known culprits
    */
@@ -203,23 +205,23 @@
   }
 
   /**
-   * Adds to the unexplained crashes of each part those of the culprits at all of whose crashes it
+   * Adds to the unexplained crashes of each trait those of the culprits at all of whose crashes it
    * is a suspect too, if it then explains more occurrences than the culprit.
    */
   private Map<String, Set<Crash>> withInherited(
       Map<String, Set<Crash>> unexplained, Set<String> culprits) {
     Map<String, Set<Crash>> suspected = crashesBySuspect(Set.of());
     Map<String, Set<Crash>> result = new HashMap<>();
-    unexplained.forEach((part, own) -> result.put(part, new HashSet<>(own)));
+    unexplained.forEach((trait, own) -> result.put(trait, new HashSet<>(own)));
     for (String culprit : culprits) {
       Set<Crash> explained = crashesWith(culprit);
       int occurrences = occurrences(explained);
       if (occurrences >= OCCURRENCES_OF_EQUAL_SUSPECTS) {
         unexplained.forEach(
-            (part, own) -> {
-              if (suspected.get(part).containsAll(explained)
+            (trait, own) -> {
+              if (suspected.get(trait).containsAll(explained)
                   && occurrences(union(own, explained)) > occurrences) {
-                result.get(part).addAll(explained);
+                result.get(trait).addAll(explained);
               }
             });
       }
@@ -227,11 +229,11 @@
     return result;
   }
 
-  private Set<Crash> crashesWith(String part) {
+  private Set<Crash> crashesWith(String trait) {
     Set<Crash> with = new HashSet<>();
     crashes.forEach(
         (crash, record) -> {
-          if (record.positions().containsKey(part)) {
+          if (record.positions().containsKey(trait)) {
             with.add(crash);
           }
         });
@@ -244,26 +246,26 @@
     return union;
   }
 
-  private boolean isCulprit(String part, int occurrences, Map<String, Set<Crash>> suspected) {
+  private boolean isCulprit(String trait, int occurrences, Map<String, Set<Crash>> suspected) {
     if (occurrences < OCCURRENCES_OF_ONLY_SUSPECT) {
       return false;
     }
-    Set<Crash> own = suspected.get(part);
+    Set<Crash> own = suspected.get(trait);
     for (Map.Entry<String, Set<Crash>> other : suspected.entrySet()) {
-      boolean explainsAll = !other.getKey().equals(part) && other.getValue().containsAll(own);
+      boolean explainsAll = !other.getKey().equals(trait) && other.getValue().containsAll(own);
       boolean equal = explainsAll && other.getValue().size() == own.size();
       boolean decided = equal && occurrences >= OCCURRENCES_OF_EQUAL_SUSPECTS;
-      if (explainsAll && !(decided && position(part, own) >= position(other.getKey(), own))) {
+      if (explainsAll && !(decided && position(trait, own) >= position(other.getKey(), own))) {
         return false;
       }
     }
     return true;
   }
 
-  /** Returns the greatest position of a part in the prompts of the given crashes. */
-  private int position(String part, Set<Crash> of) {
+  /** Returns the greatest position of a trait at the given crashes. */
+  private int position(String trait, Set<Crash> of) {
     return of.stream()
-        .mapToInt(crash -> crashes.get(crash).positions().getOrDefault(part, 0))
+        .mapToInt(crash -> crashes.get(crash).positions().getOrDefault(trait, 0))
         .max()
         .orElse(0);
   }
@@ -274,9 +276,9 @@
         (crash, record) -> {
           if (record.positions().keySet().stream().noneMatch(explaining::contains)) {
             record.positions().keySet().stream()
-                .filter(part -> !isSound(part, record.at()))
+                .filter(trait -> !isSound(trait, record.at()))
                 .forEach(
-                    part -> suspected.computeIfAbsent(part, key -> new HashSet<>()).add(crash));
+                    trait -> suspected.computeIfAbsent(trait, key -> new HashSet<>()).add(crash));
           }
         });
     return suspected;
--- a/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
@@ -26,6 +26,6 @@
   QUOTA_UNKNOWN,
   /** The code that handles the request has failed. */
   INTERNAL_ERROR,
-  /** A part of the prompt has crashed the runners that began to answer it. */
-  PROMPT_CRASHES_RUNNERS
+  /** The request, or a part of its prompt, has crashed the runners that began to run it. */
+  REQUEST_CRASHES_RUNNERS
 }
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardedRequestTest.java
@@ -86,7 +86,7 @@
       case LATE_EVENT -> request.event(over, Optional.of("late"));
       case LATE_FAILURE -> request.failed(over, true);
       case EXPIRED -> request.expired();
-      case FORBIDDEN -> request.forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS);
+      case FORBIDDEN -> request.forbidden(RefusalReason.REQUEST_CRASHES_RUNNERS);
       case INTERNAL_ERROR -> request.internalError();
       case CALLER_GONE -> request.callerGone();
     };
@@ -274,13 +274,13 @@
     ForwardedRequest sent = new ForwardedRequest(RetryMode.RESUME, 2, Optional.empty(), () -> true);
     sent.start();
     assertEquals(
-        List.of(new RequestAction.Refuse(RefusalReason.PROMPT_CRASHES_RUNNERS)),
+        List.of(new RequestAction.Refuse(RefusalReason.REQUEST_CRASHES_RUNNERS)),
         new ForwardedRequest(RetryMode.RESUME, 2, Optional.empty(), () -> true)
-            .forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS));
+            .forbidden(RefusalReason.REQUEST_CRASHES_RUNNERS));
     sent.chosen("a");
     assertEquals(
         List.of(new RequestAction.Cancel(1), new RequestAction.Fail(FailureReason.RUNNER_FAILED)),
-        sent.forbidden(RefusalReason.PROMPT_CRASHES_RUNNERS));
+        sent.forbidden(RefusalReason.REQUEST_CRASHES_RUNNERS));
   }
 
   private static ForwardedRequest silentStream(RetryAllowance allowance) {
--- a/peer/src/main/java/org/agatefield/peer/CrashEvidenceCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/CrashEvidenceCodec.java
@@ -19,16 +19,16 @@
       crash.positions().forEach((part, position) -> encoded.addParts(part).addPositions(position));
       builder.addCrashes(encoded);
     }
-    for (PeerMessage.PartSurvival survival : evidence.survivals()) {
+    for (PeerMessage.TraitSurvival survival : evidence.survivals()) {
       builder.addSurvivals(
           PeerProtocol.PartSurvival.newBuilder()
-              .setPart(survival.part())
+              .setPart(survival.trait())
               .setAgeMilliseconds((int) survival.ageMilliseconds()));
     }
-    for (PeerMessage.QuarantinedPart part : evidence.quarantined()) {
+    for (PeerMessage.QuarantinedTrait part : evidence.quarantined()) {
       builder.addQuarantined(
           PeerProtocol.QuarantinedPart.newBuilder()
-              .setPart(part.part())
+              .setPart(part.trait())
               .setNumber(part.number())
               .setRemainingMilliseconds((int) part.remainingMilliseconds())
               .setStored(part.stored()));
@@ -36,7 +36,7 @@
     for (PeerMessage.EndedQuarantine ended : evidence.ended()) {
       builder.addEnded(
           PeerProtocol.EndedQuarantine.newBuilder()
-              .setPart(ended.part())
+              .setPart(ended.trait())
               .setNumber(ended.number()));
     }
     return builder.build();
@@ -56,13 +56,13 @@
         evidence.getSurvivalsList().stream()
             .map(
                 survival ->
-                    new PeerMessage.PartSurvival(
+                    new PeerMessage.TraitSurvival(
                         survival.getPart(), Integer.toUnsignedLong(survival.getAgeMilliseconds())))
             .toList(),
         evidence.getQuarantinedList().stream()
             .map(
                 part ->
-                    new PeerMessage.QuarantinedPart(
+                    new PeerMessage.QuarantinedTrait(
                         part.getPart(),
                         part.getNumber(),
                         Integer.toUnsignedLong(part.getRemainingMilliseconds()),
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -266,17 +266,17 @@
       implements PeerMessage {}
 
   /**
-   * Shares evidence about crashes of runners and the prompt parts that cause them. Immutable.
+   * Shares evidence about crashes of runners and the traits of requests that cause them. Immutable.
    *
    * @param crashes crashes with the suspects of each
-   * @param survivals parts that are not the cause of earlier crashes
-   * @param quarantined parts with which no request may be sent to runners
+   * @param survivals traits that are not the cause of earlier crashes
+   * @param quarantined traits with which no request may be sent to runners
    * @param ended quarantines that are over
    */
   record CrashEvidence(
       List<RunnerCrash> crashes,
-      List<PartSurvival> survivals,
-      List<QuarantinedPart> quarantined,
+      List<TraitSurvival> survivals,
+      List<QuarantinedTrait> quarantined,
       List<EndedQuarantine> ended)
       implements PeerMessage {
     /** Copies the lists. */
@@ -293,8 +293,8 @@
    *
    * @param runner the runner's identifier
    * @param startTimeMilliseconds the wall-clock time of the process's start
-   * @param positions the parts of the prompts that were lost before their responses had begun, with
-   *     the greatest position of each in its prompts
+   * @param positions the traits of the requests that were lost before their responses had begun,
+   *     with the greatest position of each among those of its requests
    */
   record RunnerCrash(
       String runner,
@@ -307,24 +307,24 @@
     }
   }
 
-  /** A part on which a runner has begun a response without crashing. Immutable. */
-  record PartSurvival(String part, long ageMilliseconds) {}
+  /** A trait on which a runner has begun a response without crashing. Immutable. */
+  record TraitSurvival(String trait, long ageMilliseconds) {}
 
   /**
-   * The end of all quarantines of a part up to a number. Immutable.
+   * The end of all quarantines of a trait up to a number. Immutable.
    *
    * @param number the number of the last quarantine that is over
    */
-  record EndedQuarantine(String part, int number) {}
+  record EndedQuarantine(String trait, int number) {}
 
   /**
-   * A part with which no request may be sent to runners. Immutable.
+   * A trait with which no request may be sent to runners. Immutable.
    *
-   * @param number counts the quarantines of the part from 1
+   * @param number counts the quarantines of the trait from 1
    * @param remainingMilliseconds the time until its quarantine ends
    * @param stored whether the store holds it
    */
-  record QuarantinedPart(String part, int number, long remainingMilliseconds, boolean stored) {}
+  record QuarantinedTrait(String trait, int number, long remainingMilliseconds, boolean stored) {}
 
   /**
    * Requests the configuration and the runner entries that an instance knows. Immutable.
--- a/peer/src/test/java/org/agatefield/peer/VersionCompatibilityTest.java
+++ b/peer/src/test/java/org/agatefield/peer/VersionCompatibilityTest.java
@@ -49,8 +49,8 @@
     PeerMessage evidence =
         new PeerMessage.CrashEvidence(
             List.of(new PeerMessage.RunnerCrash("i-1", 5, 40, Map.of("a1", 0, "b2", 1))),
-            List.of(new PeerMessage.PartSurvival("a1", 7)),
-            List.of(new PeerMessage.QuarantinedPart("b2", 2, 90, true)),
+            List.of(new PeerMessage.TraitSurvival("a1", 7)),
+            List.of(new PeerMessage.QuarantinedTrait("b2", 2, 90, true)),
             List.of(new PeerMessage.EndedQuarantine("b2", 1)));
     assertEquals(Optional.of(evidence), overTheWire(evidence));
     Envelope envelope = PeerCodec.encode(0, false, evidence);
