--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -247,6 +247,26 @@
     endOnError(() -> actions.forEach(this::perform));
   }
 
+  private void perform(RequestAction action) {
+    if (action instanceof RequestAction.Choose choice) {
+      excluded = choice.excluded();
+      selectRunner();
+    } else if (action instanceof RequestAction.Send send) {
+      send(send);
+    } else if (action instanceof RequestAction.Cancel) {
+      attempt.cancel();
+    } else if (action instanceof RequestAction.BeginStream) {
+      firstEventAt = MonotonicClock.milliseconds();
+      lastEventAt = firstEventAt;
+      response.beginStream(attempt.streamHead(), attempt.lastEvent());
+    } else if (action instanceof RequestAction.ContinueStream) {
+      lastEventAt = MonotonicClock.milliseconds();
+      response.continueStream(attempt.lastEvent());
+    } else if (action instanceof RequestAction.Final finalAction) {
+      finish(finalAction);
+    }
+  }
+
   /** Runs a step of the request; if it fails, ends the request, which nothing else would do. */
   private void endOnError(Runnable step) {
     try {
@@ -280,26 +300,6 @@
     return chosenRunner == null ? "" : chosenRunner.id();
   }
 
-  private void perform(RequestAction action) {
-    if (action instanceof RequestAction.Choose choice) {
-      excluded = choice.excluded();
-      selectRunner();
-    } else if (action instanceof RequestAction.Send send) {
-      send(send);
-    } else if (action instanceof RequestAction.Cancel) {
-      attempt.cancel();
-    } else if (action instanceof RequestAction.BeginStream) {
-      firstEventAt = MonotonicClock.milliseconds();
-      lastEventAt = firstEventAt;
-      response.beginStream(attempt.streamHead(), attempt.lastEvent());
-    } else if (action instanceof RequestAction.ContinueStream) {
-      lastEventAt = MonotonicClock.milliseconds();
-      response.continueStream(attempt.lastEvent());
-    } else if (action instanceof RequestAction.Final finalAction) {
-      finish(finalAction);
-    }
-  }
-
   /** Refuses the request if it has a trait that crashes runners. */
   private boolean refuseQuarantined() {
     boolean quarantined = isQuarantined();
--- a/daemon/src/main/java/org/agatefield/daemon/quarantine/RequestQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/RequestQuarantine.java
@@ -60,6 +60,7 @@
 
   /** Provides the other instances. */
   public interface Fleet {
+    /** Returns this instance. */
     Instance self();
 
     /** Returns the responsive instances including this one. */
