A request that may have crashed a runner does not reach the last one that is left

Callers saw all three runners of a plain service end within 0.4 s, and all their other requests refused or failed for the 3 s until they were back. Cause: a request that was cut went on at once, before anything could tell whether its runner had crashed, until no runner was left. Why it works: the next runner is chosen once a probe has told whether the last one crashed (20 ms and a round trip, at most 100 ms). While a request is suspected and all runners of its service but one have crashed, it is refused as not run, or fails if it may have run. Sound requests that were in hand at a crash are as safe at the remaining runners as before; a service of one runner is not concerned.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -211,10 +211,16 @@
   public void disconnected(String cause) {
     if (outlivedStart()) {
       recordSurvival();
-    } else {
-      context.crashes().disconnected(process(), traits.ids());
+      failed("broken off: " + cause, Optional.empty());
+      return;
     }
-    failed("broken off: " + cause, Optional.empty());
+    release();
+    context.selector().failed(runner.id());
+    // The choice of the next runner depends on whether this one has crashed.
+    context
+        .crashes()
+        .disconnected(
+            process(), traits.ids(), () -> attemptFailed("broken off: " + cause, Optional.empty()));
   }
 
   private UpstreamProcess process() {
@@ -238,6 +244,10 @@
   public void failed(String cause, Optional<UpstreamResponse> failure) {
     release();
     context.selector().failed(runner.id());
+    attemptFailed(cause, failure);
+  }
+
+  private void attemptFailed(String cause, Optional<UpstreamResponse> failure) {
     LOGGER.info(
         "request={} attempt={} runner={} failed=\"{}\" began={} traits={}",
         terms.id(),
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -39,6 +39,7 @@
   // Covers a demand report, a planning run and a load from disk.
   private static final long PLANNING_MILLISECONDS = 1_500;
   private static final long FIRST_EVENT_MILLISECONDS = 250;
+  private static final long RUNNER_RESTART_MILLISECONDS = 3_000;
   private static final long ADAPTER_RETRY_MILLISECONDS = 80; // Covers several adapter loads.
   // Most holder failures are resolved within this time.
   private static final long MAXIMUM_QUOTA_WAIT_MILLISECONDS = 1_500;
@@ -309,6 +310,23 @@
     return quarantined;
   }
 
+  /** Refuses the request if it may crash the only runner that is left of its service. */
+  private boolean spareLastRunner() {
+    boolean spare =
+        context.quarantine().isSuspected(traits.ids())
+            && context
+                .selector()
+                .isLastRunnerLeft(
+                    service,
+                    entry ->
+                        context.quarantine().hasCrashed(entry.id(), entry.startTimeMilliseconds()));
+    if (spare) {
+      retryAfter = RUNNER_RESTART_MILLISECONDS;
+      perform(state.notChosen(RefusalReason.MAY_CRASH_LAST_RUNNER));
+    }
+    return spare;
+  }
+
   /** Ends the request, sent or not, if one of its traits has just been quarantined. */
   void endQuarantined() {
     if (isQuarantined()) {
@@ -324,7 +342,7 @@
   }
 
   private void selectRunner() {
-    if (refuseQuarantined() || refuseIfTooLate()) {
+    if (refuseQuarantined() || refuseIfTooLate() || spareLastRunner()) {
       return;
     }
     long now = MonotonicClock.milliseconds();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.agatefield.forwarding.GenerationParameters;
 import org.agatefield.forwarding.RunnerCandidate;
@@ -166,6 +167,17 @@
         until, unavailable.stream().mapToDouble(permits::expectedPerSecond).sum());
   }
 
+  /**
+   * Returns whether all runners of a service but one at most have crashed and not come back yet;
+   * false for a service with one runner.
+   *
+   * @param hasCrashed whether the process of an entry has crashed
+   */
+  boolean isLastRunnerLeft(String service, Predicate<RunnerEntry> hasCrashed) {
+    List<RunnerEntry> usable = directory.usable(service);
+    return usable.size() > 1 && usable.stream().filter(hasCrashed.negate()).limit(2).count() <= 1;
+  }
+
   /** Returns whether a runner that was selected earlier still accepts requests. */
   boolean isUsable(RunnerEntry runner) {
     long now = MonotonicClock.milliseconds();
--- a/daemon/src/main/java/org/agatefield/daemon/quarantine/CrashDetector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/CrashDetector.java
@@ -1,6 +1,7 @@
 package org.agatefield.daemon.quarantine;
 
 import io.vertx.core.Vertx;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,8 @@
   private static final long COLLECTION_MILLISECONDS = 20;
   // Entries of crashed runners disappear after three missed heartbeats.
   private static final long RETENTION_MILLISECONDS = 10_000;
+  // A probe takes one round trip, unless nothing answers.
+  private static final long MAXIMUM_EXAMINATION_MILLISECONDS = 100;
 
   private final Vertx vertx;
   private final ConnectionProbe probe;
@@ -36,6 +39,7 @@
     private final UpstreamProcess process;
     private final long at;
     private final Map<String, Integer> positions = new HashMap<>();
+    private final List<Runnable> awaitingExamination = new ArrayList<>();
     private int requests;
     private boolean disconnected;
     private boolean crashed;
@@ -69,9 +73,15 @@
    * Records that a request was lost with its connection before its response had begun.
    *
    * @param traits its traits in order
+   * @param onExamined called once, as soon as it is known whether the process has crashed, or
+   *     cannot be known soon
    */
-  public void disconnected(UpstreamProcess process, List<String> traits) {
-    lost(process, traits, true);
+  public void disconnected(UpstreamProcess process, List<String> traits, Runnable onExamined) {
+    if (process.leaving()) {
+      onExamined.run();
+      return;
+    }
+    lost(process, traits, true).awaitingExamination.add(onExamined);
   }
 
   /**
@@ -80,13 +90,12 @@
    * @param traits its traits in order
    */
   public void stalled(UpstreamProcess process, List<String> traits) {
-    lost(process, traits, false);
+    if (!process.leaving()) {
+      lost(process, traits, false);
+    }
   }
 
-  private void lost(UpstreamProcess process, List<String> traits, boolean disconnected) {
-    if (process.leaving()) {
-      return;
-    }
+  private Loss lost(UpstreamProcess process, List<String> traits, boolean disconnected) {
     long now = clock.getAsLong();
     losses.values().removeIf(loss -> now - loss.at > RETENTION_MILLISECONDS);
     Loss loss = losses.get(process.upstream());
@@ -104,6 +113,7 @@
       Loss reported = loss;
       vertx.setTimer(COLLECTION_MILLISECONDS, fired -> examine(reported));
     }
+    return loss;
   }
 
   /** Records that another process of an upstream has started. */
@@ -125,29 +135,42 @@
   private void examine(Loss loss) {
     if (loss.crashed) {
       report(loss, "later loss");
+      examined(loss);
       return;
     }
+    vertx.setTimer(MAXIMUM_EXAMINATION_MILLISECONDS, fired -> examined(loss));
     probe
         .probe(loss.process.address())
         .onSuccess(
             result -> {
-              loss.examining = false;
-              if (result == ConnectionProbe.Result.REFUSED) {
-                confirm(loss, "connection refused");
-                return;
-              }
-              if (!loss.disconnected && result == ConnectionProbe.Result.LISTENING) {
-                losses.remove(loss.process.upstream(), loss); // It was only slow.
-              } else {
-                LOGGER.info(
-                    "runner={} lost_requests={} crashed=unknown probe={}",
-                    loss.process.upstream(),
-                    loss.requests,
-                    result);
-              }
+              probed(loss, result);
+              examined(loss);
             });
   }
 
+  private void probed(Loss loss, ConnectionProbe.Result result) {
+    loss.examining = false;
+    if (result == ConnectionProbe.Result.REFUSED) {
+      confirm(loss, "connection refused");
+      return;
+    }
+    if (!loss.disconnected && result == ConnectionProbe.Result.LISTENING) {
+      losses.remove(loss.process.upstream(), loss); // It was only slow.
+    } else {
+      LOGGER.info(
+          "runner={} lost_requests={} crashed=unknown probe={}",
+          loss.process.upstream(),
+          loss.requests,
+          result);
+    }
+  }
+
+  private static void examined(Loss loss) {
+    List<Runnable> awaiting = List.copyOf(loss.awaitingExamination);
+    loss.awaitingExamination.clear();
+    awaiting.forEach(Runnable::run);
+  }
+
   private void confirm(Loss loss, String evidence) {
     if (!loss.crashed) {
       loss.crashed = true;
--- a/daemon/src/main/java/org/agatefield/daemon/quarantine/RequestQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/RequestQuarantine.java
@@ -153,6 +153,16 @@
     return quarantined.until(traits, clock.getAsLong());
   }
 
+  /** Returns whether one of the given traits may have caused a crash, as far as is known. */
+  public boolean isSuspected(Collection<String> traits) {
+    return traits.stream().anyMatch(evidence::isSuspected);
+  }
+
+  /** Returns whether a process of an upstream is known to have crashed. */
+  public boolean hasCrashed(String upstream, long startTimeMilliseconds) {
+    return evidence.hasCrashed(new CrashAttribution.Crash(upstream, startTimeMilliseconds));
+  }
+
   /**
    * Records a crash that this instance noticed.
    *
--- a/daemon/src/main/java/org/agatefield/daemon/quarantine/SharedCrashEvidence.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/SharedCrashEvidence.java
@@ -64,6 +64,10 @@
     return attribution.isSound(trait, at);
   }
 
+  boolean hasCrashed(CrashAttribution.Crash process) {
+    return attribution.isRecorded(process);
+  }
+
   boolean isSuspected(String trait) {
     return suspected.contains(trait);
   }
--- a/daemon/src/test/java/org/agatefield/daemon/quarantine/CrashDetectorTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/quarantine/CrashDetectorTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.agatefield.model.Address;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,6 +26,7 @@
   private final Vertx vertx = Vertx.vertx();
   private final Context context = vertx.getOrCreateContext();
   private final List<Map<String, Integer>> crashes = new CopyOnWriteArrayList<>();
+  private final AtomicInteger examined = new AtomicInteger();
   private CrashDetector detector;
   private NetServer server;
 
@@ -76,11 +78,11 @@
     stopServer();
     onEventLoop(
         () -> {
-          detector.disconnected(process(1, false), List.of("a", "b"));
-          detector.disconnected(process(1, false), List.of("c", "a"));
+          detector.disconnected(process(1, false), List.of("a", "b"), examined::incrementAndGet);
+          detector.disconnected(process(1, false), List.of("c", "a"), examined::incrementAndGet);
         });
-    await().atMost(TIMEOUT).until(() -> crashes.size() == 1);
-    assertEquals(Map.of("a", 1, "b", 1, "c", 0), crashes.get(0));
+    await().atMost(TIMEOUT).until(() -> examined.get() == 2);
+    assertEquals(List.of(Map.of("a", 1, "b", 1, "c", 0)), crashes);
   }
 
   @Test
@@ -93,8 +95,9 @@
   @Test
   void lostConnectionOfRunnerThatAcceptsOthersIsNoCrashUnlessAnotherProcessFollows()
       throws Exception {
-    onEventLoop(() -> detector.disconnected(process(1, false), List.of("a")));
-    Thread.sleep(NO_CRASH_MILLISECONDS);
+    onEventLoop(
+        () -> detector.disconnected(process(1, false), List.of("a"), examined::incrementAndGet));
+    await().atMost(TIMEOUT).until(() -> examined.get() == 1);
     assertTrue(crashes.isEmpty());
     onEventLoop(() -> detector.replaced("i-1", 1));
     assertTrue(crashes.isEmpty());
@@ -113,7 +116,8 @@
   @Test
   void endOfDrainingRunnerIsNoCrash() throws Exception {
     stopServer();
-    onEventLoop(() -> detector.disconnected(process(1, true), List.of("a")));
+    onEventLoop(
+        () -> detector.disconnected(process(1, true), List.of("a"), examined::incrementAndGet));
     Thread.sleep(NO_CRASH_MILLISECONDS);
     onEventLoop(() -> detector.gone("i-1"));
     assertTrue(crashes.isEmpty());
--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -130,6 +130,11 @@
     return survivals.size();
   }
 
+  /** Returns whether the crash of a process is recorded. */
+  public boolean isRecorded(Crash process) {
+    return crashes.containsKey(process);
+  }
+
   /** Returns the crashes of the given number of milliseconds before a time. */
   public Map<Crash, RecordedCrash> recent(long milliseconds, long now) {
     Map<Crash, RecordedCrash> recent = new LinkedHashMap<>();
--- a/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
@@ -26,6 +26,8 @@
   QUOTA_UNKNOWN,
   /** The code that handles the request has failed. */
   INTERNAL_ERROR,
+  /** The request may have crashed a runner, and only one runner of its service is left. */
+  MAY_CRASH_LAST_RUNNER,
   /** The request, or a part of its prompt, has crashed the runners that began to run it. */
   REQUEST_CRASHES_RUNNERS
 }
