Bodies are digested while they are read

A body of 4 MB took 74 ms to digest at once on the event loop (compiled by C1 only, as deployed; 55 us for 3 KB), during which nothing else was served. Each piece is now digested as it arrives.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
@@ -9,6 +9,7 @@
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.IngressLimits;
 import org.agatefield.forwarding.RefusalReason;
+import org.agatefield.forwarding.RequestFingerprint;
 import org.agatefield.forwarding.RequestMetadata;
 import org.agatefield.forwarding.Route;
 import org.apache.logging.log4j.LogManager;
@@ -56,7 +57,11 @@
     return context.table().get().map(ForwardingTable::limits).orElse(IngressLimits.DEFAULTS);
   }
 
-  private void handleBody(HttpServerRequest request, Buffer content, long arrivedAt) {
+  private void handleBody(
+      HttpServerRequest request,
+      Buffer content,
+      RequestFingerprint.BodyDigest bodyDigest,
+      long arrivedAt) {
     CallerResponse response = new CallerResponse(request, context);
     Optional<ForwardingTable> table = context.table().get();
     if (table.isEmpty()) {
@@ -100,7 +105,8 @@
     new RequestExchange(
             context,
             request,
-            new RequestExchange.AdmittedRequest(table.get(), route.get(), account, terms),
+            new RequestExchange.AdmittedRequest(
+                table.get(), route.get(), account, terms, bodyDigest),
             content,
             arrivedAt,
             ThreadLocalRandom.current().nextDouble())
@@ -123,6 +129,7 @@
     private final HttpServerRequest request;
     private final long arrivedAt = context.delay().earliestArrival(MonotonicClock.milliseconds());
     private final Buffer content = Buffer.buffer();
+    private final RequestFingerprint.BodyDigest bodyDigest = new RequestFingerprint.BodyDigest();
     private boolean done;
     private long ownBytes;
 
@@ -167,6 +174,7 @@
       ownBytes += bytes.length();
       bufferedBytes += bytes.length();
       content.appendBuffer(bytes);
+      bodyDigest.update(bytes.getBytes());
     }
 
     private void complete() {
@@ -175,7 +183,7 @@
       }
       done = true;
       request.response().endHandler(ended -> finished());
-      handleBody(request, content, arrivedAt);
+      handleBody(request, content, bodyDigest, arrivedAt);
     }
 
     private void abort(Runnable answer) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -82,7 +82,11 @@
    * @param account the client account that the request belongs to; empty if the route needs none
    */
   record AdmittedRequest(
-      ForwardingTable table, Route route, Optional<ClientAccount> account, RequestMetadata terms) {}
+      ForwardingTable table,
+      Route route,
+      Optional<ClientAccount> account,
+      RequestMetadata terms,
+      RequestFingerprint.BodyDigest bodyDigest) {}
 
   RequestExchange(
       ForwardingContext context,
@@ -105,7 +109,7 @@
             request.method().name(),
             request.uri(),
             account.map(ClientAccount::name),
-            content.getBytes());
+            admitted.bodyDigest());
     this.traits = RequestTraits.of(terms.prompt(), fingerprint);
     this.arrivedAt = arrivedAt;
     long allowed =
--- a/forwarding/src/main/java/org/agatefield/forwarding/RequestFingerprint.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RequestFingerprint.java
@@ -28,16 +28,40 @@
    */
   public static RequestFingerprint of(
       String method, String target, Optional<String> account, byte[] body) {
+    BodyDigest bodyDigest = new BodyDigest();
+    bodyDigest.update(body);
+    return of(method, target, account, bodyDigest);
+  }
+
+  /**
+   * Returns the fingerprint of a request whose body was digested while it was read.
+   *
+   * @param target the path with the query
+   * @param account the name of the client account; empty if callers are not told apart
+   * @param body the digest of the whole body, which is not used again
+   */
+  public static RequestFingerprint of(
+      String method, String target, Optional<String> account, BodyDigest body) {
     MessageDigest digest = Sha256.create();
     update(digest, method.getBytes(StandardCharsets.UTF_8));
     update(digest, target.getBytes(StandardCharsets.UTF_8));
     digest.update((byte) (account.isPresent() ? 1 : 0));
     update(digest, account.orElse("").getBytes(StandardCharsets.UTF_8));
-    update(digest, body);
+    digest.update(body.digest.digest());
     byte[] half = Arrays.copyOf(digest.digest(), BYTES);
     return new RequestFingerprint(PREFIX + HexFormat.of().formatHex(half));
   }
 
+  /** Digests a body piece by piece, so that a large one never occupies its thread for long. */
+  public static final class BodyDigest {
+    private final MessageDigest digest = Sha256.create();
+
+    /** Adds the next bytes of the body. */
+    public void update(byte[] bytes) {
+      digest.update(bytes);
+    }
+  }
+
   /** Adds a field with its length, so that no two sequences of fields give the same bytes. */
   private static void update(MessageDigest digest, byte[] field) {
     digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(0, field.length));
--- a/forwarding/src/test/java/org/agatefield/forwarding/RequestFingerprintTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/RequestFingerprintTest.java
@@ -41,6 +41,16 @@
     assertEquals(all.size(), values.size());
   }
 
+  @Test
+  void bodyThatWasReadInPiecesHasTheSameFingerprint() {
+    RequestFingerprint.BodyDigest pieces = new RequestFingerprint.BodyDigest();
+    pieces.update("bo".getBytes(StandardCharsets.UTF_8));
+    pieces.update("dy".getBytes(StandardCharsets.UTF_8));
+    assertEquals(
+        fingerprint("POST", "/a", Optional.empty(), "body"),
+        RequestFingerprint.of("POST", "/a", Optional.empty(), pieces));
+  }
+
   @Test
   void fingerprintIsNoPartOfPromptAndShowsNothingOfTheRequest() {
     String value = fingerprint("POST", "/a", Optional.of("clinic"), "body").value();
