--- a/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
@@ -156,6 +156,7 @@
         response()
             .refuse(
                 RefusalReason.INTERNAL_ERROR, CallerResponse.jittered(ERROR_RETRY_MILLISECONDS));
+        release();
       }
     }
 
