The end of a runner that has announced it is no crash, whenever it was announced

Found by review: a slow sound request that two runners of a rolling release cut was taken for the cause and refused for ten minutes. Cause: whether a runner was leaving was judged by its entry as it was when the request was sent. Why it works: it is judged at the loss, by the entry of that moment: draining, a notice in an answer, or an entry that was taken away before the loss. The entry of a runner that crashes stays until its heartbeats are missed.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -225,7 +225,10 @@
 
   private UpstreamProcess process() {
     return new UpstreamProcess(
-        runner.id(), runner.startTimeMilliseconds(), runner.address(), runner.draining());
+        runner.id(),
+        runner.startTimeMilliseconds(),
+        runner.address(),
+        context.selector().isLeaving(runner));
   }
 
   private void recordSurvival() {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -178,6 +178,20 @@
     return usable.size() > 1 && usable.stream().filter(hasCrashed.negate()).limit(2).count() <= 1;
   }
 
+  /**
+   * Returns whether the process of a runner that was selected earlier has announced its end since,
+   * by its state, in an answer, or by taking its entry away.
+   */
+  boolean isLeaving(RunnerEntry runner) {
+    return directory
+        .entry(runner.id())
+        .map(
+            entry ->
+                entry.startTimeMilliseconds() == runner.startTimeMilliseconds()
+                    && (entry.draining() || availability.isLeaving(entry)))
+        .orElse(true);
+  }
+
   /** Returns whether a runner that was selected earlier still accepts requests. */
   boolean isUsable(RunnerEntry runner) {
     long now = MonotonicClock.milliseconds();
