Of requests that nothing separates, none is spared because its prompt is shorter

Found by review: with a deadly plain request and a sound generation at the same three crashes, the generation was convicted and the deadly request went on. Cause: positions rank the parts of one prompt; fingerprints were ranked by them too, so that the request with more parts lost. Why it works: all fingerprints have the same rank, after all parts.

--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -267,8 +267,14 @@
     return true;
   }
 
-  /** Returns the greatest position of a trait at the given crashes. */
+  /**
+   * Returns the greatest position of a trait at the given crashes; fingerprints come after all
+   * parts of prompts.
+   */
   private int position(String trait, Set<Crash> of) {
+    if (RequestFingerprint.isFingerprint(trait)) {
+      return Integer.MAX_VALUE;
+    }
     return of.stream()
         .mapToInt(crash -> crashes.get(crash).positions().getOrDefault(trait, 0))
         .max()
--- a/forwarding/src/main/java/org/agatefield/forwarding/RequestFingerprint.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RequestFingerprint.java
@@ -52,6 +52,11 @@
     return new RequestFingerprint(PREFIX + HexFormat.of().formatHex(half));
   }
 
+  /** Returns whether the identifier of a trait is the fingerprint of a request. */
+  static boolean isFingerprint(String trait) {
+    return trait.startsWith(PREFIX);
+  }
+
   /** Digests a body piece by piece, so that a large one never occupies its thread for long. */
   public static final class BodyDigest {
     private final MessageDigest digest = Sha256.create();
--- a/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
@@ -74,6 +74,15 @@
     assertEquals(Set.of("child"), attribution.culprits(Set.of()));
   }
 
+  @Test
+  void ofRequestsThatNothingSeparatesNoneIsSparedBecauseItsPromptIsShorter() {
+    Map<String, Integer> requests = Map.of("part", 1, "request-plain", 0, "request-prompted", 2);
+    attribution.crashed(FIRST, requests, 1_000);
+    attribution.crashed(SECOND, requests, 2_000);
+    attribution.crashed(THIRD, requests, 3_000);
+    assertEquals(Set.of("request-plain", "request-prompted"), attribution.culprits(Set.of()));
+  }
+
   @Test
   void runnersLostTogetherCountOnce() {
     attribution.crashed(FIRST, parts("a"), 1_000);
