Attempts of one request that crash runners at short intervals count each

Found by review: a request that comes at two instances at once crashed six runners within 190 ms, which counted as one occurrence and convicted nothing; the next burst was sent in full (6 sends too late at 8 runners, 9 at 10). Cause: crashes within 200 ms of each other count once, as runners that are lost together have many parts in common. Why it works: a request is at one runner at a time and its next send follows the loss of the one before, so that crashes 50 ms apart are separate for a fingerprint. For parts of prompts nothing changes.

--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -44,6 +44,9 @@
       SOUND_MILLISECONDS + REPORT_MILLISECONDS + 10_000;
   // Runners that are lost together, for example with their failure domain, are one occurrence.
   private static final long SEPARATE_MILLISECONDS = 200;
+  // A request is at one runner at a time, and its next send follows the loss of the one before. The
+  // rest covers the difference between the times at which instances notice the same loss.
+  private static final long SEPARATE_MILLISECONDS_OF_REQUEST = 50;
   private static final int OCCURRENCES_OF_ONLY_SUSPECT = 2;
   private static final int OCCURRENCES_OF_EQUAL_SUSPECTS = 3;
   private static final int MAXIMUM_CRASHES = 256;
@@ -197,7 +200,7 @@
     Set<String> best = new HashSet<>();
     int most = 0;
     for (Map.Entry<String, Set<Crash>> each : suspected.entrySet()) {
-      int occurrences = occurrences(each.getValue());
+      int occurrences = occurrences(each.getKey(), each.getValue());
       if (isCulprit(each.getKey(), occurrences, suspected) && occurrences >= most) {
         if (occurrences > most) {
           best.clear();
@@ -220,12 +223,12 @@
     unexplained.forEach((trait, own) -> result.put(trait, new HashSet<>(own)));
     for (String culprit : culprits) {
       Set<Crash> explained = crashesWith(culprit);
-      int occurrences = occurrences(explained);
+      int occurrences = occurrences(culprit, explained);
       if (occurrences >= OCCURRENCES_OF_EQUAL_SUSPECTS) {
         unexplained.forEach(
             (trait, own) -> {
               if (suspected.get(trait).containsAll(explained)
-                  && occurrences(union(own, explained)) > occurrences) {
+                  && occurrences(trait, union(own, explained)) > occurrences) {
                 result.get(trait).addAll(explained);
               }
             });
@@ -295,15 +298,19 @@
     return suspected;
   }
 
-  /** Returns the number of crashes, counting those close to each other once. */
-  private int occurrences(Set<Crash> of) {
+  /** Returns the number of crashes of a trait, counting those close to each other once. */
+  private int occurrences(String trait, Set<Crash> of) {
+    long separate =
+        RequestFingerprint.isFingerprint(trait)
+            ? SEPARATE_MILLISECONDS_OF_REQUEST
+            : SEPARATE_MILLISECONDS;
     List<Long> times = new ArrayList<>();
     of.forEach(crash -> times.add(crashes.get(crash).at()));
     times.sort(null);
     int count = 0;
     long counted = 0;
     for (long at : times) {
-      if (count == 0 || at - counted >= SEPARATE_MILLISECONDS) {
+      if (count == 0 || at - counted >= separate) {
         count++;
         counted = at;
       }
--- a/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
@@ -74,6 +74,15 @@
     assertEquals(Set.of("child"), attribution.culprits(Set.of()));
   }
 
+  @Test
+  void attemptsOfOneRequestThatCrashRunnersAtShortIntervalsAreSeparate() {
+    attribution.crashed(FIRST, parts("request-a"), 1_000);
+    attribution.crashed(SECOND, parts("request-a"), 1_030);
+    assertEquals(Set.of(), attribution.culprits(Set.of()));
+    attribution.crashed(THIRD, parts("request-a"), 1_080);
+    assertEquals(Set.of("request-a"), attribution.culprits(Set.of()));
+  }
+
   @Test
   void ofRequestsThatNothingSeparatesNoneIsSparedBecauseItsPromptIsShorter() {
     Map<String, Integer> requests = Map.of("part", 1, "request-plain", 0, "request-prompted", 2);
