A request that looks for a runner again has the time that a load takes from then on

Found by review: a stream that broke off after more than 1.5 s was cut at once if another runner was to load its model, although its caller still waited. Cause: the time for the planning of a load counted from the arrival. Why it works: it counts from the moment at which a runner is sought, within the time that the caller waits for the next event. Also: an attempt that could not be created no longer keeps its request from being answered.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -75,6 +75,7 @@
   private int sends;
   private long firstEventAt = -1;
   private long lastEventAt = -1;
+  private long seeksRunnerSince;
 
   /**
    * The inputs of a request that has been admitted. Immutable.
@@ -112,6 +113,7 @@
             admitted.bodyDigest());
     this.traits = RequestTraits.of(terms.prompt(), fingerprint);
     this.arrivedAt = arrivedAt;
+    this.seeksRunnerSince = arrivedAt;
     long allowed =
         Math.min(
             route.timeoutMilliseconds(),
@@ -255,11 +257,12 @@
   private void perform(RequestAction action) {
     if (action instanceof RequestAction.Choose choice) {
       excluded = choice.excluded();
+      seeksRunnerSince = MonotonicClock.milliseconds();
       selectRunner();
     } else if (action instanceof RequestAction.Send send) {
       send(send);
     } else if (action instanceof RequestAction.Cancel) {
-      attempt.cancel();
+      cancelAttempt();
     } else if (action instanceof RequestAction.BeginStream) {
       firstEventAt = MonotonicClock.milliseconds();
       lastEventAt = firstEventAt;
@@ -272,6 +275,12 @@
     }
   }
 
+  private void cancelAttempt() {
+    if (attempt != null) { // The attempt may be what could not be created.
+      attempt.cancel();
+    }
+  }
+
   /** Runs a step of the request; if it fails, ends the request, which nothing else would do. */
   private void endOnError(Runnable step) {
     try {
@@ -410,7 +419,7 @@
         context
             .presence()
             .expectedAt(terms.prompt().get().model(), now)
-            .orElse(arrivedAt + PLANNING_MILLISECONDS);
+            .orElse(seeksRunnerSince + PLANNING_MILLISECONDS);
     return readyAt > now ? readyAt : Long.MAX_VALUE;
   }
 
@@ -426,7 +435,7 @@
   private void waitForModel(long now) {
     String model = terms.prompt().orElseThrow().model();
     OptionalLong expectedAt = context.presence().expectedAt(model, now);
-    long readyAt = expectedAt.orElse(arrivedAt + PLANNING_MILLISECONDS);
+    long readyAt = expectedAt.orElse(seeksRunnerSince + PLANNING_MILLISECONDS);
     boolean inTime = readyAt + FIRST_EVENT_MILLISECONDS <= nextEventBy() && readyAt > now;
     boolean overdue = expectedAt.isPresent() && readyAt <= now;
     if (inTime || overdue) {
