Steps beside the path of a request fail alone

Found by review, by reading: a periodic task that failed kept the later ones of the same firing from running (quarantines and quotas are among the last), a failed decision of the own quota holder left its request until the deadline, and an error in the handling of an error was nobody's. Each has an owner now.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/PeriodicTasks.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PeriodicTasks.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.LongConsumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Runs periodic tasks on a single timer, since every timer firing wakes the process.
@@ -12,6 +14,8 @@
  * not made up for. Confined to one event loop.
  */
 final class PeriodicTasks {
+  private static final Logger LOGGER = LogManager.getLogger(PeriodicTasks.class);
+
   private final Vertx vertx;
   private final long timerMilliseconds;
   private final EventLoopDelay delay;
@@ -56,8 +60,17 @@
     firings++;
     for (Task task : tasks) {
       if (firings % task.firingsPerRun() == 0) {
-        task.action().accept(now);
+        run(task, now);
       }
     }
   }
+
+  /** Runs a task; its failure does not keep the others from running. */
+  private static void run(Task task, long now) {
+    try {
+      task.action().accept(now);
+    } catch (RuntimeException exception) {
+      LOGGER.error("periodic task failed", exception);
+    }
+  }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RegionalQuotaPolicy.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RegionalQuotaPolicy.java
@@ -359,7 +359,15 @@
         return;
       }
       if (holder.get().id().equals(fleet.self().id())) {
-        take(account, tokens).thenAccept(this::answered);
+        take(account, tokens)
+            .whenComplete(
+                (decided, failure) -> {
+                  if (failure == null) {
+                    answered(decided);
+                  } else {
+                    failed(failure.toString());
+                  }
+                });
         return;
       }
       fleet
--- a/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
@@ -169,11 +169,19 @@
         listener.handlingFailed(exception);
       } else {
         LOGGER.error("request={} event of an attempt failed", requestId, exception);
-        abort(exception);
+        abortAfterError(exception);
       }
     }
   }
 
+  private void abortAfterError(RuntimeException exception) {
+    try {
+      abort(exception);
+    } catch (RuntimeException again) {
+      listener.handlingFailed(again);
+    }
+  }
+
   private void send(HttpClientRequest opened, Supplier<MultiMap> headers, Buffer content) {
     if (finished) {
       opened.reset();
