Configuration: generations rise over the eras of the store

What callers saw: after the store came back older, an instance that knew the lost generation 2 did not follow a document of generation 1 accepted afterwards, and a document accepted over an older one got a generation that a lost one already had.

Cause: each accepted document got the generation of its predecessor plus one, also when the store had lost later ones. Instances adopt a higher generation only.

Change: a document accepted in era n gets at least (n - 1) * 10^9 + 1 (EraGenerations). A write that turns out to have met a later era than the one it was numbered for is found by its write identifier and numbered again; HISTORY_LOST counts as "may have taken effect". All comparisons, the messages of peers and the stored format stay as they are, so that instances of an earlier build follow too. Weighed: ordering by era beside the generation (changes the peers' messages; earlier builds would go back and forth).

Why it works: whoever accepts reads the store first and so knows its era, and all generations of earlier eras are lower.

--- a/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationManager.java
+++ b/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationManager.java
@@ -94,7 +94,8 @@
   /**
    * Submits a document as the successor of the generation that it names.
    *
-   * <p>The future returns the accepted document with the next generation, or fails with an {@link
+   * <p>The future returns the accepted document with the next generation (after the store came back
+   * older, the first of its era), or fails with an {@link
    * org.agatefield.model.AgatefieldException}: {@link ConfigurationConflictException}, {@link
    * ConfigurationRefusedException}, or store unavailable, with run state {@code UNKNOWN} if the
    * document may still be accepted.
--- a/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationUpdate.java
+++ b/daemon/src/main/java/org/agatefield/daemon/configuration/ConfigurationUpdate.java
@@ -17,6 +17,7 @@
 import org.agatefield.store.ObjectStore;
 import org.agatefield.store.StoreException;
 import org.agatefield.store.StoreFailure;
+import org.agatefield.store.StoreVersion;
 import org.agatefield.store.StoredObject;
 
 /**
@@ -24,7 +25,8 @@
  *
  * <p>Invariant: the document is accepted at most once, and only as the successor of the generation
  * that it names. All tries use the same write identifier, so that reading the object back shows
- * whether a try whose response was lost took effect. Not reusable.
+ * whether a try whose response was lost took effect. The generation given is above all that the
+ * store lost before its present era. Not reusable.
  */
 final class ConfigurationUpdate {
   static final ObjectKey CURRENT = new ObjectKey(ObjectKind.CONFIGURATION, "current");
@@ -36,6 +38,7 @@
   private final Executor retries;
   private final String writeIdentifier = UUID.randomUUID().toString();
   private volatile boolean mayHaveTakenEffect;
+  private volatile long lastWritten;
 
   /**
    * Creates an update.
@@ -77,7 +80,7 @@
 
   private CompletableFuture<ConfigurationDocument> decide(Optional<StoredObject> found) {
     if (found.filter(each -> each.writeIdentifiers().contains(writeIdentifier)).isPresent()) {
-      return CompletableFuture.completedFuture(accepted());
+      return afterOwnWrite(found.get());
     }
     ConfigurationDocument base =
         found.map(ConfigurationCodec::decode).orElse(ConfigurationDocument.empty());
@@ -93,28 +96,56 @@
     if (!faults.isEmpty()) {
       return CompletableFuture.failedFuture(new ConfigurationRefusedException(faults));
     }
-    return history.add(base).thenCompose(added -> write(found));
+    return history.add(base).thenCompose(added -> write(found, base.generation()));
   }
 
-  private CompletableFuture<ConfigurationDocument> write(Optional<StoredObject> found) {
-    var content = ConfigurationCodec.encode(accepted());
+  /** Raises the generation of a write that met a later era than the one that it was meant for. */
+  private CompletableFuture<ConfigurationDocument> afterOwnWrite(StoredObject found) {
+    ConfigurationDocument stored = ConfigurationCodec.decode(found);
+    if (!stored.equals(document.withGeneration(stored.generation()))) {
+      return CompletableFuture.completedFuture(document.withGeneration(lastWritten));
+    }
+    return EraGenerations.precedes(stored.generation(), eraOf(found))
+        ? write(Optional.of(found), stored.generation())
+        : CompletableFuture.completedFuture(stored);
+  }
+
+  private CompletableFuture<ConfigurationDocument> write(
+      Optional<StoredObject> found, long replacedGeneration) {
+    long era = store.era();
+    ConfigurationDocument accepted =
+        document.withGeneration(EraGenerations.successor(replacedGeneration, era));
+    lastWritten = accepted.generation();
+    var content = ConfigurationCodec.encode(accepted);
     CompletableFuture<StoredObject> written =
         found
             .map(previous -> store.update(previous, writeIdentifier, content))
             .orElseGet(() -> store.create(CURRENT, writeIdentifier, content));
     return written
-        .whenComplete((object, failure) -> recordUnknownResult(failure))
-        .thenApply(object -> accepted());
+        .thenAccept(object -> requireEra(era, object))
+        .whenComplete((done, failure) -> recordUnknownResult(failure))
+        .thenApply(done -> accepted);
   }
 
-  private void recordUnknownResult(Throwable failure) {
-    if (failure != null && isFailure(failure, StoreFailure.UNKNOWN_RESULT)) {
-      mayHaveTakenEffect = true;
+  private static void requireEra(long era, StoredObject written) {
+    if (eraOf(written) > era) {
+      throw new StoreException(
+          StoreFailure.HISTORY_LOST, written.key() + ": the store came back older meanwhile");
     }
   }
 
-  private ConfigurationDocument accepted() {
-    return document.withGeneration(document.generation() + 1);
+  private static long eraOf(StoredObject object) {
+    return StoreVersion.parse(object.resourceVersion()).era();
+  }
+
+  private void recordUnknownResult(Throwable failure) {
+    if (failure == null) {
+      return;
+    }
+    if (isFailure(failure, StoreFailure.UNKNOWN_RESULT)
+        || isFailure(failure, StoreFailure.HISTORY_LOST)) {
+      mayHaveTakenEffect = true;
+    }
   }
 
   private CompletableFuture<ConfigurationDocument> afterFailure(int number, Throwable failure) {
