LocalFleet: a process that does not answer is reported with its log's tail

What was seen: "not within 60 s: entry-1 answers" with no trace, as the log went with the test's folder (entry of PlacementFailureTest in KNOWN-RED.txt). Change: awaitAnswering adds the tail of the process's log to the message, for one that exited as for one that lives and does not answer. Evidence: a trial (not committed) that pauses the store's process: "not within 60 s: store answers; its log ends: listening on 127.0.0.1:29613"; before, the message ended after "answers" by the code. The entry stays: its cause is not found.

--- a/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
+++ b/fleet/src/main/java/org/agatefield/fleet/LocalFleet.java
@@ -371,15 +371,24 @@
         ModelRequests.chat(model, prompt, 4, false));
   }
 
-  /** Waits until a process responds to HTTP requests at its address. */
+  /**
+   * Waits until a process responds to HTTP requests at its address.
+   *
+   * @throws FleetException with the tail of the process's log if it does not
+   */
   public void awaitAnswering(String name) {
-    await(name + " answers", START_TIMEOUT, () -> isAnswering(name));
+    try {
+      await(name + " answers", START_TIMEOUT, () -> isAnswering(name));
+    } catch (FleetException exception) {
+      throw new FleetException(
+          exception.getMessage() + "; its log ends:\n" + processes.get(name).logTail(), exception);
+    }
   }
 
   private boolean isAnswering(String name) {
     ManagedProcess process = processes.get(name);
     if (!process.isAlive()) {
-      throw new FleetException(name + " exited during startup:\n" + process.logTail());
+      throw new FleetException(name + " exited during startup");
     }
     try {
       call(HttpMethod.GET, address(name), "/healthz", Map.of(), "");
