--- a/fleet/src/test/java/org/agatefield/fleet/answers/ShutdownProcessTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/answers/ShutdownProcessTest.java
@@ -173,7 +173,7 @@
         if (read.equals(AnswerFleet.expected(read.requestId(), prompt, tokens))) {
           completeAnswers.incrementAndGet();
         } else {
-          failures.add(address + " " + read);
+          failures.add(address + " " + read + " received: " + stream.received());
         }
       } catch (FleetException exception) {
         failures.add(address + " " + exception.getMessage() + " " + exception.getCause());
