--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -39,11 +39,15 @@
   /** How long others may report a crash after it occurred. */
   public static final long REPORT_MILLISECONDS = 30_000;
 
+  /**
+   * Crashes that are closer than this are one occurrence, as runners may be lost together, for
+   * example with their failure domain.
+   */
+  public static final long SEPARATE_MILLISECONDS = 200;
+
   // Covers the latest report of the last crash before which the trait is sound, and its way.
   private static final long SURVIVAL_MILLISECONDS =
       SOUND_MILLISECONDS + REPORT_MILLISECONDS + 10_000;
-  // Runners that are lost together, for example with their failure domain, are one occurrence.
-  private static final long SEPARATE_MILLISECONDS = 200;
   // A request is at one runner at a time, and its next send follows the loss of the one before. The
   // rest covers the difference between the times at which instances notice the same loss.
   private static final long SEPARATE_MILLISECONDS_OF_REQUEST = 50;
