--- a/daemon/src/main/java/org/agatefield/daemon/quarantine/RequestQuarantine.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/RequestQuarantine.java
@@ -3,12 +3,10 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
@@ -62,8 +60,6 @@
   private final Consumer<String> onQuarantined;
   private final SharedCrashEvidence evidence = new SharedCrashEvidence();
   private final QuarantinedTraits quarantined = new QuarantinedTraits();
-  // Concluded by this instance, which so knows all the crashes that count against them.
-  private final Set<String> convicted = new HashSet<>();
   private boolean evaluationScheduled;
   private boolean loaded;
   private long lastLoadAt;
@@ -332,23 +328,8 @@
           new Quarantined(trait, number, DURATION_MILLISECONDS),
           false,
           "crashes " + evidence.crashesOf(trait));
-      convicted.add(trait);
       announce(trait);
     }
-    convicted.retainAll(quarantined.traits());
-    evidence.exonerated(quarantined.traits()).stream()
-        .filter(convicted::contains)
-        .forEach(this::endExonerated);
-  }
-
-  /** Ends a quarantine that began before the causes of its crashes were known. */
-  private void endExonerated(String trait) {
-    int number = quarantined.entry(trait).orElseThrow().number();
-    quarantined.end(trait, number, "others explain its crashes", clock.getAsLong());
-    records.delete(trait, number);
-    fleet.broadcast(
-        new PeerMessage.CrashEvidence(
-            List.of(), List.of(), List.of(), quarantined.endedMessages(List.of(trait))));
   }
 
   private void adopt(Quarantined culprit, boolean stored, String cause) {
--- a/daemon/src/main/java/org/agatefield/daemon/quarantine/SharedCrashEvidence.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/SharedCrashEvidence.java
@@ -77,11 +77,6 @@
     return attribution.culprits(quarantined);
   }
 
-  /** Returns those of the quarantined traits whose crashes others explain. */
-  Set<String> exonerated(Set<String> quarantined) {
-    return attribution.exonerated(quarantined);
-  }
-
   Set<CrashAttribution.Crash> crashesOf(String trait) {
     return attribution.crashesOf(trait);
   }
--- a/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CrashAttribution.java
@@ -198,36 +198,6 @@
     return found;
   }
 
-  /**
-   * Returns those of the known culprits whose crashes others explain: at each of them another known
-   * culprit was in hand that caused crashes at several times without the first.
-   */
-  public Set<String> exonerated(Set<String> known) {
-    Set<String> exonerated = new TreeSet<>();
-    for (String culprit : known) {
-      Set<Crash> own = crashesWith(culprit);
-      boolean explained = own.stream().allMatch(crash -> hasCulpritWithout(crash, own, known));
-      if (!own.isEmpty() && explained) {
-        exonerated.add(culprit);
-      }
-    }
-    return exonerated;
-  }
-
-  /**
-   * Returns whether a culprit of a crash caused crashes at several times besides the given ones.
-   */
-  private boolean hasCulpritWithout(Crash crash, Set<Crash> without, Set<String> known) {
-    return crashes.get(crash).positions().keySet().stream()
-        .filter(known::contains)
-        .anyMatch(
-            trait -> {
-              Set<Crash> others = crashesWith(trait);
-              others.removeAll(without);
-              return occurrences(trait, others) >= OCCURRENCES_OF_ONLY_SUSPECT;
-            });
-  }
-
   /** Returns the culprits with the most occurrences among unexplained crashes. */
   private Set<String> strongest(Set<String> explaining) {
     Map<String, Set<Crash>> suspected = withInherited(crashesBySuspect(explaining), explaining);
--- a/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/CrashAttributionTest.java
@@ -74,20 +74,6 @@
     assertEquals(Set.of("child"), attribution.culprits(Set.of()));
   }
 
-  @Test
-  void culpritWhoseCrashesOthersExplainIsExonerated() {
-    attribution.crashed(FIRST, parts("request-sound", "request-a"), 1_000);
-    attribution.crashed(SECOND, parts("request-sound", "request-b"), 2_000);
-    assertEquals(Set.of("request-sound"), attribution.culprits(Set.of()));
-    attribution.crashed(THIRD, parts("request-a"), 3_000);
-    attribution.crashed(FOURTH, parts("request-a"), 4_000);
-    attribution.crashed(FIFTH, parts("request-b"), 5_000);
-    Set<String> known = Set.of("request-sound", "request-a", "request-b");
-    assertEquals(Set.of(), attribution.exonerated(known));
-    attribution.crashed(new CrashAttribution.Crash("i-6", 1), parts("request-b"), 6_000);
-    assertEquals(Set.of("request-sound"), attribution.exonerated(known));
-  }
-
   @Test
   void attemptsOfOneRequestThatCrashRunnersAtShortIntervalsAreSeparate() {
     attribution.crashed(FIRST, parts("request-a"), 1_000);
