--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -81,6 +81,7 @@
    * The inputs of a request that has been admitted. Immutable.
    *
    * @param account the client account that the request belongs to; empty if the route needs none
+   * @param bodyDigest the digest of its whole body
    */
   record AdmittedRequest(
       ForwardingTable table,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
@@ -160,7 +160,10 @@
         });
   }
 
-  /** Handles an event; an exception ends the call, so that the request does not wait for it. */
+  /**
+   * Handles an event; an exception ends the call, so that the request does not wait for it. The
+   * attempt counts as failed, as what the runner sent may be the cause.
+   */
   private void guard(Runnable event) {
     try {
       event.run();
--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardedRequest.java
@@ -226,6 +226,18 @@
 
   /** Handles the expiry of the deadline or of the route's timeout. */
   public List<RequestAction> expired() {
+    return end(AbortReason.DEADLINE, FailureReason.DEADLINE, RefusalReason.DEADLINE);
+  }
+
+  /** Handles an error in the code that executes the actions. */
+  public List<RequestAction> internalError() {
+    return end(
+        AbortReason.INTERNAL_ERROR, FailureReason.INTERNAL_ERROR, RefusalReason.INTERNAL_ERROR);
+  }
+
+  /** Ends the request by whether it is streaming or may have run; cancels an open attempt. */
+  private List<RequestAction> end(
+      AbortReason abortReason, FailureReason failureReason, RefusalReason refusalReason) {
     if (phase == Phase.OVER) {
       return List.of();
     }
@@ -235,11 +247,11 @@
       actions.add(new RequestAction.Cancel(attempt));
     }
     if (streaming) {
-      actions.addAll(finish(new RequestAction.AbortStream(AbortReason.DEADLINE)));
+      actions.addAll(finish(new RequestAction.AbortStream(abortReason)));
     } else if (possibleRuns > 0) {
-      actions.addAll(finish(new RequestAction.Fail(FailureReason.DEADLINE)));
+      actions.addAll(finish(new RequestAction.Fail(failureReason)));
     } else {
-      actions.addAll(finish(new RequestAction.Refuse(RefusalReason.DEADLINE)));
+      actions.addAll(finish(new RequestAction.Refuse(refusalReason)));
     }
     return actions;
   }
@@ -261,26 +273,6 @@
     return actions;
   }
 
-  /** Handles an error in the code that executes the actions; cancels an open attempt. */
-  public List<RequestAction> internalError() {
-    if (phase == Phase.OVER) {
-      return List.of();
-    }
-    List<RequestAction> actions = new ArrayList<>();
-    if (phase == Phase.OPEN) {
-      possibleRuns++;
-      actions.add(new RequestAction.Cancel(attempt));
-    }
-    if (streaming) {
-      actions.addAll(finish(new RequestAction.AbortStream(AbortReason.INTERNAL_ERROR)));
-    } else if (possibleRuns > 0) {
-      actions.addAll(finish(new RequestAction.Fail(FailureReason.INTERNAL_ERROR)));
-    } else {
-      actions.addAll(finish(new RequestAction.Refuse(RefusalReason.INTERNAL_ERROR)));
-    }
-    return actions;
-  }
-
   /** Handles a caller that closed its connection or cancelled the request. */
   public List<RequestAction> callerGone() {
     if (phase == Phase.OVER) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/RequestTraits.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RequestTraits.java
@@ -6,8 +6,8 @@
 
 /**
  * What runners may crash on in a request: the parts that its prompt shares with others, and the
- * request itself. The last part of a prompt is none of them, as other requests of its session have
- * it too. Immutable.
+ * request itself. The last part of a prompt is none of them: other requests of its session have it
+ * too, and if it is deadly, then so is the request that comes again with it. Immutable.
  *
  * @param ids the identifiers of the traits, from the most common one to the request's fingerprint
  */
--- a/peer/src/main/java/org/agatefield/peer/CrashEvidenceCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/CrashEvidenceCodec.java
@@ -16,7 +16,9 @@
               .setRunner(crash.runner())
               .setBornMilliseconds(crash.startTimeMilliseconds())
               .setAgeMilliseconds((int) crash.ageMilliseconds());
-      crash.positions().forEach((part, position) -> encoded.addParts(part).addPositions(position));
+      crash
+          .positions()
+          .forEach((trait, position) -> encoded.addParts(trait).addPositions(position));
       builder.addCrashes(encoded);
     }
     for (PeerMessage.TraitSurvival survival : evidence.survivals()) {
@@ -25,13 +27,13 @@
               .setPart(survival.trait())
               .setAgeMilliseconds((int) survival.ageMilliseconds()));
     }
-    for (PeerMessage.QuarantinedTrait part : evidence.quarantined()) {
+    for (PeerMessage.QuarantinedTrait each : evidence.quarantined()) {
       builder.addQuarantined(
           PeerProtocol.QuarantinedPart.newBuilder()
-              .setPart(part.trait())
-              .setNumber(part.number())
-              .setRemainingMilliseconds((int) part.remainingMilliseconds())
-              .setStored(part.stored()));
+              .setPart(each.trait())
+              .setNumber(each.number())
+              .setRemainingMilliseconds((int) each.remainingMilliseconds())
+              .setStored(each.stored()));
     }
     for (PeerMessage.EndedQuarantine ended : evidence.ended()) {
       builder.addEnded(
@@ -61,12 +63,12 @@
             .toList(),
         evidence.getQuarantinedList().stream()
             .map(
-                part ->
+                each ->
                     new PeerMessage.QuarantinedTrait(
-                        part.getPart(),
-                        part.getNumber(),
-                        Integer.toUnsignedLong(part.getRemainingMilliseconds()),
-                        part.getStored()))
+                        each.getPart(),
+                        each.getNumber(),
+                        Integer.toUnsignedLong(each.getRemainingMilliseconds()),
+                        each.getStored()))
             .toList(),
         evidence.getEndedList().stream()
             .map(each -> new PeerMessage.EndedQuarantine(each.getPart(), each.getNumber()))
