ObjectRelayTest uses the relay on its event loop

Traced by the threads' stacks: the test waits in join, the event loop is idle. The checks are as before; in the program all calls are on one event loop.

--- a/daemon/src/test/java/org/agatefield/daemon/forward/ObjectRelayTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/ObjectRelayTest.java
@@ -4,8 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.agatefield.peer.PeerMessage;
 import org.agatefield.store.ObjectKey;
 import org.agatefield.store.ObjectKind;
@@ -17,6 +20,7 @@
   private static final ObjectKey KEY = new ObjectKey(ObjectKind.RUNNER, "i-1");
 
   private final Vertx vertx = Vertx.vertx();
+  private final Context context = vertx.getOrCreateContext();
   private final ObjectRelay relay = new ObjectRelay(vertx, "process", () -> 0);
 
   @AfterEach
@@ -24,22 +28,41 @@
     vertx.close().toCompletionStage().toCompletableFuture().join();
   }
 
+  /** Uses the relay on its event loop, to which it is confined. */
+  private <T> T onEventLoop(Supplier<T> use) {
+    CompletableFuture<T> used = new CompletableFuture<>();
+    context.runOnContext(run -> used.complete(use.get()));
+    return used.join();
+  }
+
   private PeerMessage.ObjectsAnswer request(String fromVersion) {
     PeerMessage.ObjectsRequest request =
         new PeerMessage.ObjectsRequest(ObjectKind.RUNNER.plural(), fromVersion, 1);
-    return (PeerMessage.ObjectsAnswer) relay.answer(request).join();
+    return (PeerMessage.ObjectsAnswer) onEventLoop(() -> relay.answer(request)).join();
+  }
+
+  /** Passes on a list that holds one object, or that lacks the one before. */
+  private void list(String version, boolean holdsObject) {
+    onEventLoop(
+        () -> {
+          relay.listed(version);
+          if (holdsObject) {
+            relay.changed(
+                new StoredObject(KEY, version, List.of(), JsonNodeFactory.instance.objectNode()));
+          } else {
+            relay.lost(KEY);
+          }
+          relay.confirmed();
+          return relay;
+        });
   }
 
   @Test
   void objectsThatTheStoreHasLostAreNotRelayedAsDeleted() {
-    relay.listed("1/5");
-    relay.changed(new StoredObject(KEY, "1/5", List.of(), JsonNodeFactory.instance.objectNode()));
-    relay.confirmed();
+    list("1/5", true);
     String version = request("").version();
     assertFalse(request(version).whole());
-    relay.listed("2/3");
-    relay.lost(KEY);
-    relay.confirmed();
+    list("2/3", false);
     PeerMessage.ObjectsAnswer answer = request(version);
     assertTrue(answer.whole());
     assertTrue(answer.objects().isEmpty());
