--- a/daemon/src/main/java/org/agatefield/daemon/dispatch/QuarantiningDispatcher.java
+++ b/daemon/src/main/java/org/agatefield/daemon/dispatch/QuarantiningDispatcher.java
@@ -54,7 +54,7 @@
       observed.dispatch.finished(outcome);
       return CompletableFuture.failedFuture(refusal.get());
     }
-    return admit(observed.request, () -> dispatcher.reacquire(observed.dispatch, outcome));
+    return observe(observed.request, dispatcher.reacquire(observed.dispatch, outcome));
   }
 
   private CompletableFuture<Dispatch> admit(
@@ -63,7 +63,12 @@
     if (refusal.isPresent()) {
       return CompletableFuture.failedFuture(refusal.get());
     }
-    CompletableFuture<Dispatch> acquired = acquisition.get();
+    return observe(request, acquisition.get());
+  }
+
+  /** Passes on an acquired dispatch whose outcome is reported; cancelling the result cancels it. */
+  private CompletableFuture<Dispatch> observe(
+      RequestFingerprint request, CompletableFuture<Dispatch> acquired) {
     CompletableFuture<Dispatch> result = new CompletableFuture<>();
     result.whenComplete(
         (dispatch, failure) -> {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -30,15 +30,11 @@
  * Executes the actions that a {@link ForwardedRequest} decides on for one request of a caller:
  * selects a runner, sends, cancels and responds.
  *
- * <p>Confined to one event loop.
+ * <p>Invariants: the request gets one final action, also if a step fails; its place among the open
+ * and the waiting requests is given up with it. Confined to one event loop.
  */
 final class RequestExchange implements WaitingRequests.WaitingRequest {
   private static final Logger LOGGER = LogManager.getLogger(RequestExchange.class);
-  // Transfer time of the response to the caller.
-  private static final long RESPONSE_MARGIN_MILLISECONDS = 15;
-  // Covers a demand report, a planning run and a load from disk.
-  private static final long PLANNING_MILLISECONDS = 1_500;
-  private static final long FIRST_EVENT_MILLISECONDS = 250;
   private static final long RUNNER_RESTART_MILLISECONDS = 3_000;
   private static final long ADAPTER_RETRY_MILLISECONDS = 80; // Covers several adapter loads.
   // Most holder failures are resolved within this time.
@@ -57,10 +53,9 @@
   private final String service;
   private final RequestMetadata terms;
   private final RequestFingerprint fingerprint;
-  private final RequestTraits traits;
+  private final CrashRisk risk;
   private final Buffer content;
-  private final long arrivedAt;
-  private final long deadline;
+  private final RequestTiming timing;
   private final ForwardingTable table;
   private final Optional<ClientAccount> account;
   private final ForwardedRequest state;
@@ -73,9 +68,6 @@
   private long retryAfter;
   private boolean quotaTaken;
   private int sends;
-  private long firstEventAt = -1;
-  private long lastEventAt = -1;
-  private long seeksRunnerSince;
 
   /**
    * The inputs of a request that has been admitted. Immutable.
@@ -112,14 +104,8 @@
             request.uri(),
             account.map(ClientAccount::name),
             admitted.bodyDigest());
-    this.traits = RequestTraits.of(terms.prompt(), fingerprint);
-    this.arrivedAt = arrivedAt;
-    this.seeksRunnerSince = arrivedAt;
-    long allowed =
-        Math.min(
-            route.timeoutMilliseconds(),
-            terms.deadlineMilliseconds().orElse(route.timeoutMilliseconds()));
-    this.deadline = arrivedAt + Math.max(1, allowed - RESPONSE_MARGIN_MILLISECONDS);
+    this.risk = new CrashRisk(context, service, RequestTraits.of(terms.prompt(), fingerprint));
+    this.timing = new RequestTiming(route, terms.deadlineMilliseconds(), arrivedAt);
     this.state =
         new ForwardedRequest(
             route.retryMode(),
@@ -143,7 +129,7 @@
     boolean tooLate =
         !state.mayHaveRun()
             && !state.isOver()
-            && !context.stop().outlasts(route, deadline, MonotonicClock.milliseconds());
+            && !context.stop().outlasts(route, timing.deadline(), MonotonicClock.milliseconds());
     if (tooLate) {
       refuseUnsent();
     }
@@ -167,7 +153,7 @@
         context
             .vertx()
             .setTimer(
-                Math.max(1, deadline - MonotonicClock.milliseconds()),
+                Math.max(1, timing.remainingMilliseconds(MonotonicClock.milliseconds())),
                 fired -> perform(state.expired()));
     context.budgets().requested(service);
     if (refuseQuarantined()) {
@@ -180,8 +166,7 @@
     }
     long quotaTimeout =
         Math.min(
-            MAXIMUM_QUOTA_WAIT_MILLISECONDS,
-            (long) (QUOTA_TIME_SHARE * (nextEventBy() - arrivedAt)));
+            MAXIMUM_QUOTA_WAIT_MILLISECONDS, (long) (QUOTA_TIME_SHARE * timing.waitMilliseconds()));
     context
         .quotas()
         .decide(account.get(), quota.get().cost(terms), quotaTimeout, this::quotaDecided);
@@ -215,12 +200,6 @@
         .ifPresent(quota -> context.quotas().refund(account.get(), quota.cost(terms)));
   }
 
-  /** Returns when the caller stops waiting for the response, or for the next event of a stream. */
-  private long nextEventBy() {
-    long waitsSince = Math.max(arrivedAt, lastEventAt);
-    return Math.min(deadline, waitsSince + ResponseStartTimeout.milliseconds(route));
-  }
-
   private void startForwarding() {
     terms.prompt().ifPresent(prompt -> context.demand().arrived(service, prompt, priority()));
     perform(state.start());
@@ -237,7 +216,7 @@
 
   @Override
   public long deadline() {
-    return deadline;
+    return timing.deadline();
   }
 
   @Override
@@ -258,18 +237,17 @@
   private void perform(RequestAction action) {
     if (action instanceof RequestAction.Choose choice) {
       excluded = choice.excluded();
-      seeksRunnerSince = MonotonicClock.milliseconds();
+      timing.seeksRunner(MonotonicClock.milliseconds());
       selectRunner();
     } else if (action instanceof RequestAction.Send send) {
       send(send);
     } else if (action instanceof RequestAction.Cancel) {
       cancelAttempt();
     } else if (action instanceof RequestAction.BeginStream) {
-      firstEventAt = MonotonicClock.milliseconds();
-      lastEventAt = firstEventAt;
+      timing.eventSent(MonotonicClock.milliseconds());
       response.beginStream(attempt.streamHead(), attempt.lastEvent());
     } else if (action instanceof RequestAction.ContinueStream) {
-      lastEventAt = MonotonicClock.milliseconds();
+      timing.eventSent(MonotonicClock.milliseconds());
       response.continueStream(attempt.lastEvent());
     } else if (action instanceof RequestAction.Final finalAction) {
       finish(finalAction);
@@ -326,14 +304,7 @@
 
   /** Refuses the request if it may crash the only runner that is left of its service. */
   private boolean spareLastRunner() {
-    boolean spare =
-        context.quarantine().isSuspected(traits.ids())
-            && context
-                .selector()
-                .isLastRunnerLeft(
-                    service,
-                    entry ->
-                        context.quarantine().hasCrashed(entry.id(), entry.startTimeMilliseconds()));
+    boolean spare = risk.threatensLastRunner();
     if (spare) {
       retryAfter = RUNNER_RESTART_MILLISECONDS;
       perform(state.notChosen(RefusalReason.MAY_CRASH_LAST_RUNNER));
@@ -350,7 +321,7 @@
 
   /** Returns whether a trait is quarantined; callers may retry when the quarantine ends. */
   private boolean isQuarantined() {
-    OptionalLong until = context.quarantine().quarantinedUntil(traits.ids());
+    OptionalLong until = risk.quarantinedUntil();
     until.ifPresent(end -> retryAfter = Math.max(0, end - MonotonicClock.milliseconds()));
     return until.isPresent();
   }
@@ -382,7 +353,7 @@
 
   /** Queues the request if a runner accepts requests again early enough; otherwise refuses it. */
   private void waitForBackoff(long until, long now) {
-    if (until + FIRST_EVENT_MILLISECONDS <= nextEventBy()) {
+    if (timing.isInTime(until)) {
       startWaiting();
       return;
     }
@@ -402,7 +373,7 @@
       expectedAt += (long) (MILLISECONDS_PER_SECOND * ahead / limited.permitsPerSecond());
     }
     expectedAt = Math.min(expectedAt, expectedReplicaAt(now));
-    if (expectedAt + FIRST_EVENT_MILLISECONDS <= nextEventBy()) {
+    if (timing.isInTime(expectedAt)) {
       permitKey = Optional.of(key);
       startWaiting();
       return;
@@ -417,10 +388,7 @@
       return Long.MAX_VALUE;
     }
     long readyAt =
-        context
-            .presence()
-            .expectedAt(terms.prompt().get().model(), now)
-            .orElse(seeksRunnerSince + PLANNING_MILLISECONDS);
+        context.presence().expectedAt(terms.prompt().get().model(), now).orElse(timing.plannedBy());
     return readyAt > now ? readyAt : Long.MAX_VALUE;
   }
 
@@ -436,8 +404,8 @@
   private void waitForModel(long now) {
     String model = terms.prompt().orElseThrow().model();
     OptionalLong expectedAt = context.presence().expectedAt(model, now);
-    long readyAt = expectedAt.orElse(seeksRunnerSince + PLANNING_MILLISECONDS);
-    boolean inTime = readyAt + FIRST_EVENT_MILLISECONDS <= nextEventBy() && readyAt > now;
+    long readyAt = expectedAt.orElse(timing.plannedBy());
+    boolean inTime = timing.isInTime(readyAt) && readyAt > now;
     boolean overdue = expectedAt.isPresent() && readyAt <= now;
     if (inTime || overdue) {
       startWaiting();
@@ -470,14 +438,7 @@
     if (terms.prompt().isEmpty()) {
       return SendPolicy.Decision.SEND;
     }
-    return context
-        .sending()
-        .decide(
-            found.candidate(),
-            new SendPolicy.Timing(
-                route.objectiveMilliseconds(),
-                Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
-                nextEventBy() - now));
+    return context.sending().decide(found.candidate(), timing.urgency(now));
   }
 
   private void sendWithPermit(RunnerSelector.Selection.Found found) {
@@ -577,7 +538,8 @@
       startWaiting(); // The runner may have started to leave while its adapter was being loaded.
       return;
     }
-    if (deadline - MonotonicClock.milliseconds() < RequestAttempt.MINIMUM_SEND_MILLISECONDS) {
+    if (timing.remainingMilliseconds(MonotonicClock.milliseconds())
+        < RequestAttempt.MINIMUM_SEND_MILLISECONDS) {
       perform(state.notChosen(RefusalReason.DEADLINE));
       return;
     }
@@ -604,7 +566,8 @@
     attempt =
         new RequestAttempt(
             context,
-            new RequestAttempt.ServedRequest(route, service, terms, traits, deadline),
+            new RequestAttempt.ServedRequest(
+                route, service, terms, risk.traits(), timing.deadline()),
             state,
             this::perform,
             this::stepFailed,
@@ -618,7 +581,7 @@
     SendTerms sendTerms =
         new SendTerms(
             runner.id(),
-            Math.max(1, deadline - MonotonicClock.milliseconds()),
+            Math.max(1, timing.remainingMilliseconds(MonotonicClock.milliseconds())),
             terms.prompt().map(prompt -> enginePriority()),
             account.map(ClientAccount::name),
             send.resumeAfter());
@@ -639,7 +602,7 @@
     context.exchanges().remove(this);
     stopWaiting();
     String outcome = respond(finalAction);
-    long elapsed = MonotonicClock.milliseconds() - arrivedAt;
+    long elapsed = timing.elapsedMilliseconds(MonotonicClock.milliseconds());
     context.metrics().finished(route.kind(), outcome, elapsed);
     LOGGER.info(
         "request={} route={} service={} outcome={} runner={} sends={} first_ms={} total_ms={}"
@@ -650,9 +613,9 @@
         outcome,
         runnerId(),
         sends,
-        firstEventAt < 0 ? -1 : firstEventAt - arrivedAt,
+        timing.firstEventMilliseconds(),
         elapsed,
-        deadline - arrivedAt,
+        timing.allowedMilliseconds(),
         terms.prompt().map(GenerationParameters::model).orElse(""),
         terms.prompt().flatMap(GenerationParameters::adapter).orElse(""),
         terms.prompt().map(GenerationParameters::promptTokens).orElse(0),
@@ -665,7 +628,7 @@
     if (finalAction instanceof RequestAction.Deliver
         || finalAction instanceof RequestAction.EndStream) {
       long now = MonotonicClock.milliseconds();
-      context.stop().answered(route, now - arrivedAt, now);
+      context.stop().answered(route, timing.elapsedMilliseconds(now), now);
     }
     if (finalAction instanceof RequestAction.Deliver) {
       response.respond(attempt.response());
--- a/daemon/src/main/java/org/agatefield/daemon/quarantine/CrashProtection.java
+++ b/daemon/src/main/java/org/agatefield/daemon/quarantine/CrashProtection.java
@@ -29,9 +29,9 @@
  * <p>Invariants: the quarantine and the crash detector run on one context only; other threads read
  * an immutable snapshot that is replaced after each step on that context. Upstreams of a
  * configuration have no start time, so the time at which a loss is noticed identifies the process
- * that was lost, rounded to the separation of occurrences: instances that notice the same crash
- * mostly agree on it, and if they do not, the crashes are too close to count as two. Requests that
- * were sent before that loss belong to the same process. Thread-safe.
+ * that was lost, rounded so that instances that notice the same crash mostly agree on it; those
+ * that do not record two crashes, which count as two occurrences if they are 50 ms apart. Requests
+ * that were sent before that loss belong to the same process. Thread-safe.
  */
 public final class CrashProtection implements AutoCloseable {
   private static final int PROBE_CONNECT_MILLISECONDS = 1_000;
