Review: a late order fills a restarted runner past its memory

A script shows that an order to load a model that gets no answer and is carried out 9 s later loads a third model beside two on a runner that has restarted under its id, if the planner has changed meanwhile (LIMIT).

--- a/review/standin/Runner.java
+++ b/review/standin/Runner.java
@@ -14,7 +14,7 @@
   final Store store;
   final boolean engine;
   final List<String> models = new ArrayList<>();
-  final long born = System.currentTimeMillis();
+  volatile long born = System.currentTimeMillis();
   volatile int workMs = 60;
   volatile String state = "ready";
   private int beats;
