Review: a runner that leaves while the watch of the store is silent

A script shows that a machine whose connections to the store go silent sends requests to a runner that has left for longer than drain_ms, also once the machine is in touch again (DRAIN).

--- a/review/standin/Ghost.java
+++ b/review/standin/Ghost.java
@@ -83,7 +83,7 @@
     Record.note(failed.get() + " bookings of clients got no success as " + leaver.id + " ended");
     int late = 0;
     for (String id : ids) {
-      late += Record.RUNS.getOrDefault(id, List.of()).contains(leaver.id) ? 1 : 0;
+      late += Record.runs(id).contains(leaver.id) ? 1 : 0;
     }
     Record.note(
         late + " of " + ids.size() + " requests ran on " + leaver.id + ", whose entry was removed "
--- a/review/standin/Proxy.java
+++ b/review/standin/Proxy.java
@@ -7,6 +7,7 @@
   private final String host;
   private final int port;
   private volatile boolean cut;
+  private int silenced;
 
   Proxy(String ip, String target) throws IOException {
     host = target.split(":")[0];
@@ -24,8 +25,17 @@
     notifyAll();
   }
 
-  private synchronized void pass() {
-    while (cut) {
+  /** Makes all open connections silent for good, without a reset; new ones work. */
+  synchronized void silence() {
+    silenced++;
+  }
+
+  private synchronized int era() {
+    return silenced;
+  }
+
+  private synchronized void pass(int era) {
+    while (cut || era < silenced) {
       try {
         wait();
       } catch (InterruptedException e) {
@@ -40,11 +50,12 @@
         Socket near = socket.accept();
         Http.thread(
             () -> {
-              pass();
+              int era = era();
+              pass(era);
               try {
                 Socket far = new Socket(host, port);
-                Http.thread(() -> copy(near, far));
-                copy(far, near);
+                Http.thread(() -> copy(near, far, era));
+                copy(far, near, era);
               } catch (IOException e) {
                 close(near);
               }
@@ -55,18 +66,18 @@
     }
   }
 
-  private void copy(Socket from, Socket to) {
+  private void copy(Socket from, Socket to, int era) {
     byte[] buffer = new byte[65536];
     try {
       int n;
       while ((n = from.getInputStream().read(buffer)) >= 0) {
-        pass();
+        pass(era);
         to.getOutputStream().write(buffer, 0, n);
       }
     } catch (IOException e) {
       // The connection is over.
     }
-    pass();
+    pass(era);
     close(from);
     close(to);
   }
--- a/review/standin/Record.java
+++ b/review/standin/Record.java
@@ -26,6 +26,10 @@
     out.flush();
   }
 
+  static synchronized List<String> runs(String id) {
+    return List.copyOf(RUNS.getOrDefault(id, List.of()));
+  }
+
   static void note(String text) {
     add("note", "case", null, text);
     System.out.println(text);
