Streams of empty lines or comments without end no longer stop an entry process

Cause: each empty line was an event, each event a write to the caller of its own. A read of 32 KB brings 16,384 such writes, and nothing ended the stream before its deadline.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
@@ -12,7 +12,9 @@
 /**
  * Writes the response to one request.
  *
- * <p>Invariant: an incomplete response never appears complete. Confined to one event loop.
+ * <p>Invariants: an incomplete response never appears complete; events are written together at
+ * {@link #flush()}, as each write costs far more than a short event, and at the latest before the
+ * response ends. Confined to one event loop.
  */
 final class CallerResponse {
   private static final int UNAUTHORIZED = 401;
@@ -24,6 +26,7 @@
 
   private final HttpServerRequest request;
   private final ForwardingContext context;
+  private Buffer unsentEvents = Buffer.buffer();
 
   CallerResponse(HttpServerRequest request, ForwardingContext context) {
     this.request = request;
@@ -38,19 +41,32 @@
   void beginStream(UpstreamResponse head, byte[] event) {
     HttpServerResponse response = startResponse(head);
     response.setChunked(true);
-    response.write(Buffer.buffer(event));
+    continueStream(event);
   }
 
+  /** Adds an event, which is written at the next flush. */
   void continueStream(byte[] event) {
-    request.response().write(Buffer.buffer(event));
+    unsentEvents.appendBytes(event);
+  }
+
+  /** Writes the events that were added since the last flush. */
+  void flush() {
+    if (unsentEvents.length() == 0) {
+      return;
+    }
+    Buffer events = unsentEvents;
+    unsentEvents = Buffer.buffer();
+    request.response().write(events);
   }
 
   void endStream() {
+    flush();
     context.unwritten().add(request.response().end());
   }
 
   /** Closes the connection, so that the caller detects that the response is incomplete. */
   void abort() {
+    flush();
     request.connection().close();
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -5,7 +5,6 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.ResponseKind;
 import org.agatefield.daemon.forward.wire.RunnerDialect;
@@ -44,8 +43,7 @@
   private final RequestTraits traits;
   private final long deadline;
   private final ForwardedRequest state;
-  private final Consumer<List<RequestAction>> followUp;
-  private final Consumer<RuntimeException> onError;
+  private final Owner owner;
   private final int attemptNumber;
   private final RunnerEntry runner;
   private final UpstreamCall call;
@@ -63,6 +61,18 @@
   private boolean stalled;
   private long stallTimer = -1;
 
+  /** Continues the request after an event of the attempt. */
+  interface Owner {
+    /** Executes the actions that the state has decided on. */
+    void perform(List<RequestAction> actions);
+
+    /** Passes on the events of a stream that were read together. */
+    void eventsRead();
+
+    /** Ends the request because an event of the attempt could not be handled. */
+    void stepFailed(RuntimeException exception);
+  }
+
   /** The request that an attempt serves. Immutable. */
   record ServedRequest(
       Route route, String service, RequestMetadata terms, RequestTraits traits, long deadline) {}
@@ -71,15 +81,12 @@
    * Creates an attempt without sending anything.
    *
    * @param state receives the outcome of the attempt
-   * @param followUp executes the actions that the state decides on
-   * @param onError ends the request because an event of the attempt could not be handled
    */
   RequestAttempt(
       ForwardingContext context,
       ServedRequest served,
       ForwardedRequest state,
-      Consumer<List<RequestAction>> followUp,
-      Consumer<RuntimeException> onError,
+      Owner owner,
       int attemptNumber,
       RunnerEntry runner) {
     this.context = context;
@@ -89,8 +96,7 @@
     this.traits = served.traits();
     this.deadline = served.deadline();
     this.state = state;
-    this.followUp = followUp;
-    this.onError = onError;
+    this.owner = owner;
     this.attemptNumber = attemptNumber;
     this.runner = runner;
     this.call =
@@ -163,7 +169,7 @@
         attemptNumber,
         runner.id(),
         deadline - MonotonicClock.milliseconds());
-    followUp.accept(state.connectFailed(attemptNumber));
+    owner.perform(state.connectFailed(attemptNumber));
   }
 
   @Override
@@ -176,7 +182,7 @@
         attemptNumber,
         runner.id(),
         cause);
-    followUp.accept(state.connectFailed(attemptNumber));
+    owner.perform(state.connectFailed(attemptNumber));
   }
 
   @Override
@@ -202,7 +208,7 @@
         runner.id(),
         kind,
         rejection.status());
-    followUp.accept(state.rejected(attemptNumber));
+    owner.perform(state.rejected(attemptNumber));
   }
 
   @Override
@@ -259,7 +265,7 @@
         began,
         traits.ids());
     failure.ifPresent(response -> completeResponse = response);
-    followUp.accept(state.failed(attemptNumber, failure.isPresent()));
+    owner.perform(state.failed(attemptNumber, failure.isPresent()));
   }
 
   @Override
@@ -269,7 +275,7 @@
     release();
     context.selector().succeeded(runner.id());
     completeResponse = response;
-    followUp.accept(state.answered(attemptNumber));
+    owner.perform(state.answered(attemptNumber));
   }
 
   @Override
@@ -285,10 +291,15 @@
     }
     head = streamHead;
     event = next.bytes();
-    followUp.accept(
+    owner.perform(
         next.empty() ? state.comment(attemptNumber) : state.event(attemptNumber, next.id()));
   }
 
+  @Override
+  public void eventsRead() {
+    owner.eventsRead();
+  }
+
   @Override
   public void streamEnded(UpstreamResponse streamHead) {
     if (began) {
@@ -297,13 +308,13 @@
     release();
     context.selector().succeeded(runner.id());
     completeResponse = streamHead;
-    followUp.accept(state.ended(attemptNumber));
+    owner.perform(state.ended(attemptNumber));
   }
 
   @Override
   public void handlingFailed(RuntimeException exception) {
     release();
-    onError.accept(exception);
+    owner.stepFailed(exception);
   }
 
   private void markStarted() {
@@ -412,6 +423,6 @@
           began);
     }
     scheduleStallCheck();
-    followUp.accept(actions);
+    owner.perform(actions);
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -569,8 +569,7 @@
             new RequestAttempt.ServedRequest(
                 route, service, terms, risk.traits(), timing.deadline()),
             state,
-            this::perform,
-            this::stepFailed,
+            new AttemptOwner(),
             send.attempt(),
             chosenRunner);
     RunnerEntry runner = chosenRunner;
@@ -658,4 +657,22 @@
     }
     return "caller_gone";
   }
+
+  /** Continues this request after the events of its attempts. */
+  private final class AttemptOwner implements RequestAttempt.Owner {
+    @Override
+    public void perform(List<RequestAction> actions) {
+      RequestExchange.this.perform(actions);
+    }
+
+    @Override
+    public void eventsRead() {
+      endOnError(response::flush);
+    }
+
+    @Override
+    public void stepFailed(RuntimeException exception) {
+      RequestExchange.this.stepFailed(exception);
+    }
+  }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
@@ -29,12 +29,14 @@
  * cancelled first; nothing is called after that or after {@link #cancel()}, but for {@link
  * Listener#handlingFailed} if that call itself throws an exception. After the connection opens,
  * sockets are read once more before the request is sent, so that a disconnect of the caller is
- * noticed. Confined to one event loop.
+ * noticed. A response is read in pieces with other work of the event loop between them, and one
+ * whose comments no event follows is broken off. Confined to one event loop.
  */
 final class UpstreamCall {
   private static final Logger LOGGER = LogManager.getLogger(UpstreamCall.class);
   private static final String EVENT_STREAM = "text/event-stream";
   private static final int MAXIMUM_INTERIM_RESPONSES = 8; // Usually there is one.
+  private static final int MAXIMUM_COMMENT_BYTES = 65_536; // A keep-alive takes some ten bytes.
 
   private static final long NEXT_TURN_MILLISECONDS = 1; // Timers fire after sockets have been read.
 
@@ -51,6 +53,8 @@
   private int interimResponses;
   private UpstreamResponse head;
   private boolean stream;
+  private ReadPauses pauses;
+  private int commentBytes;
   private ResponseKind kind = ResponseKind.UNUSABLE;
 
   /** Receives the outcome of the call on the event loop. */
@@ -88,6 +92,9 @@
     /** Called with a complete event of a stream. */
     void eventReceived(UpstreamResponse head, EventStreamSplitter.Event event);
 
+    /** Called after the last event of the bytes that were read together. */
+    void eventsRead();
+
     /** Called when an event after the last outcome could not be handled. */
     void handlingFailed(RuntimeException exception);
 
@@ -228,6 +235,7 @@
         kind == ResponseKind.SUCCESS
             && contentType != null
             && contentType.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
+    pauses = new ReadPauses(vertx, response);
     response.handler(bytes -> guard(() -> read(bytes)));
     response.endHandler(ended -> guard(this::complete));
   }
@@ -250,11 +258,12 @@
     if (finished) {
       return;
     }
+    pauses.bytesRead(bytes.length());
     if (stream) {
-      for (EventStreamSplitter.Event event : splitter.feed(bytes.getBytes())) {
-        if (!finished) {
-          listener.eventReceived(head, event);
-        }
+      try {
+        splitter.feed(bytes.getBytes()).forEach(this::receive);
+      } finally {
+        listener.eventsRead();
       }
       checkMemory(splitter.remainingBytes());
       return;
@@ -263,6 +272,17 @@
     checkMemory(body.length());
   }
 
+  private void receive(EventStreamSplitter.Event event) {
+    if (finished) {
+      return;
+    }
+    listener.eventReceived(head, event);
+    commentBytes = event.empty() ? commentBytes + event.bytes().length : 0;
+    if (!finished && commentBytes > MAXIMUM_COMMENT_BYTES) {
+      abort(new IllegalStateException("comments without an event"));
+    }
+  }
+
   private void countInterimResponse() {
     interimResponses++;
     if (interimResponses > MAXIMUM_INTERIM_RESPONSES) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/EventStreamSplitter.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/EventStreamSplitter.java
@@ -9,9 +9,10 @@
 /**
  * Splits the bytes of an event stream into complete events, so that no partial event is passed on.
  *
- * <p>Invariant: the returned events followed by {@link #remainder()} are the bytes that were fed,
- * in order. Feeding takes time linear in the number of bytes, however long an event is. Not thread
- * safe.
+ * <p>Invariants: the returned events followed by {@link #remainder()} are the bytes that were fed,
+ * in order; comments and empty lines that are fed together are one event, as each event costs far
+ * more than its bytes. Feeding takes time linear in the number of bytes, however long an event is.
+ * Not thread safe.
  */
 public final class EventStreamSplitter {
   private static final byte[] ID_FIELD = {'i', 'd', ':'};
@@ -39,10 +40,16 @@
     int start = 0;
     int end = endOfEvent(searchFrom);
     while (end > 0) {
+      boolean empty = isEmpty(start, end);
+      int next = endOfEvent(end);
+      while (empty && next > 0 && isEmpty(end, next)) {
+        end = next;
+        next = endOfEvent(end);
+      }
       byte[] event = Arrays.copyOfRange(buffer, start, end);
-      events.add(new Event(event, idOf(event), isEmpty(event)));
+      events.add(new Event(event, empty ? Optional.empty() : idOf(event), empty));
       start = end;
-      end = endOfEvent(start);
+      end = next;
     }
     length -= start;
     System.arraycopy(buffer, start, buffer, 0, length);
@@ -107,9 +114,10 @@
     return Optional.empty();
   }
 
-  private static boolean isEmpty(byte[] event) {
+  private boolean isEmpty(int start, int end) {
     boolean lineStarts = true;
-    for (byte each : event) {
+    for (int index = start; index < end; index++) {
+      byte each = buffer[index];
       if (lineStarts && each != COMMENT && each != '\n' && each != '\r') {
         return false;
       }
--- a/forwarding/src/test/java/org/agatefield/forwarding/EventStreamSplitterTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/EventStreamSplitterTest.java
@@ -68,4 +68,14 @@
     assertEquals(1, splitter.feed("id: 1\n\nid: 2\nda".getBytes()).size());
     assertEquals("id: 2\nda", new String(splitter.remainder(), StandardCharsets.UTF_8));
   }
+
+  /** Guards against an event for each empty line of a runner that sends them without end. */
+  @Test
+  void commentsAndEmptyLinesThatAreFedTogetherAreOneEvent() {
+    EventStreamSplitter splitter = new EventStreamSplitter();
+    List<EventStreamSplitter.Event> events =
+        splitter.feed("\n\n: a\n\n\n\nid: 1\ndata: b\n\n\n\n:c\n\n".getBytes());
+    assertEquals(List.of(true, false, true), events.stream().map(each -> each.empty()).toList());
+    assertEquals(0, splitter.remainingBytes());
+  }
 }
