A runner known from a peer alone is dropped once the store is reached and does not name it

Cause: an instance that starts while it cannot reach the store takes the runners from another instance. The store's first list reports as deleted only what the informer had itself read, so an entry that came from a peer and is in no list was kept for the life of the process, and handed on to the next instance that started behind a cut.

Change: the directory remembers which entries it has from peers alone. While the store is in reach, peers add nothing, as the store decides; else a peer that has not dropped the entry yet would bring it back.

Ruled out: the relays between instances, which hold the store's objects only (ObjectRelay listens to the informer), and a stale first list, as the watch that begins at its revision reports the removal.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
@@ -24,8 +24,9 @@
  * no further request; entries that expired while the store was unavailable remain usable until
  * {@link #RETURN_MILLISECONDS} after its return, since live runners rewrite their entries within
  * that time, and so do entries that are younger than the copy that the store came back from; an
- * entry that is older than what is known of its runner changes nothing, wherever it comes from.
- * Confined to one event loop.
+ * entry that is older than what is known of its runner changes nothing, wherever it comes from; an
+ * entry of another instance is used only until the store is reached, and then like an expired one
+ * unless the store has it. Confined to one event loop.
  */
 final class RunnerDirectory implements InformerListener {
   /**
@@ -42,9 +43,11 @@
   private final NewestEntries newest = new NewestEntries();
   private final Set<String> unreadable = new HashSet<>(); // Logged once, however often rewritten.
   private final Map<String, Long> expiredAt = new HashMap<>();
+  private final Set<String> knownFromPeersOnly = new HashSet<>();
   private final Map<String, List<RunnerEntry>> usableByService = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
   private boolean storeAvailable = true;
+  private boolean listed;
   private long storeReturnedAt = Long.MIN_VALUE / 2;
   private long confirmedAt = Long.MIN_VALUE / 2;
 
@@ -76,10 +79,28 @@
   @Override
   public void updated(Map<String, StoredObject> objects) {
     confirmedAt = MonotonicClock.milliseconds();
+    if (!listed) {
+      listed = true;
+      storeReturnedAt = confirmedAt; // The store may have been away before this process started.
+    }
+    knownFromPeersOnly.stream()
+        .filter(id -> !objects.containsKey(id))
+        .forEach(id -> expireUnlisted(id, confirmedAt));
+    knownFromPeersOnly.clear();
+  }
+
+  private void expireUnlisted(String id, long now) {
+    if (entries.containsKey(id) && expiredAt.putIfAbsent(id, now) == null) {
+      LOGGER.info(
+          "runner={} entry=unlisted source=peer store_returned_ms_ago={}",
+          id,
+          millisecondsSinceStoreReturn(now));
+    }
   }
 
   @Override
   public void changed(StoredObject object) {
+    knownFromPeersOnly.remove(object.key().name());
     apply(object.key().name(), object.content(), object.resourceVersion());
   }
 
@@ -128,11 +149,16 @@
     gone.forEach(id -> remove(id, "lapsed"));
   }
 
-  /** Adds the entry of another instance if the runner is unknown. */
+  /** Adds the entry of another instance if the runner is unknown and the store is not in reach. */
   void addFromPeer(String id, JsonNode content, long ageMilliseconds) {
-    if (!entries.containsKey(id)) {
-      LOGGER.info("runner={} source=peer age_ms={}", id, ageMilliseconds);
+    boolean storeDecides = listed && storeAvailable;
+    if (entries.containsKey(id)) {
+      return;
+    }
+    LOGGER.info("runner={} source=peer age_ms={} used={}", id, ageMilliseconds, !storeDecides);
+    if (!storeDecides) {
       apply(id, content, "peer");
+      knownFromPeersOnly.add(id);
     }
   }
 
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -223,4 +223,45 @@
     directory.addFromPeer("a", JsonNodeFactory.instance.textNode("ready"), 10);
     assertEquals(0, usable());
   }
+
+  /** Guards against a runner that left behind a cut and stays known from a peer (review/2). */
+  @Test
+  void runnerKnownFromPeerThatTheStoreDoesNotListIsRemoved() {
+    directory.availabilityChanged(false);
+    directory.addFromPeer("a", JsonNodeFactory.instance.textNode("ready"), 10);
+    directory.addFromPeer("b", JsonNodeFactory.instance.textNode("ready"), 10);
+    assertEquals(2, usable());
+    directory.availabilityChanged(true);
+    directory.changed(entry("b", "ready"));
+    directory.updated(Map.of("b", entry("b", "ready")));
+    long now = MonotonicClock.milliseconds();
+    directory.removeExpired(now);
+    assertEquals(2, usable(), "a live runner may still write its entry again");
+    directory.removeExpired(now + RunnerDirectory.RETURN_MILLISECONDS + 1);
+    assertEquals(1, usable());
+    assertTrue(directory.entry("b").isPresent());
+  }
+
+  /** Guards against the same runner coming back from a peer that has not dropped it yet. */
+  @Test
+  void entriesOfPeersAreNotUsedWhileTheStoreIsInReach() {
+    directory.updated(Map.of());
+    directory.addFromPeer("a", JsonNodeFactory.instance.textNode("ready"), 10);
+    assertEquals(0, usable());
+    directory.availabilityChanged(false);
+    directory.addFromPeer("a", JsonNodeFactory.instance.textNode("ready"), 10);
+    assertEquals(1, usable());
+  }
+
+  @Test
+  void runnerKnownFromPeerThatWritesItsEntryAgainStaysUsable() {
+    directory.availabilityChanged(false);
+    directory.addFromPeer("a", JsonNodeFactory.instance.textNode("ready"), 10);
+    directory.availabilityChanged(true);
+    directory.updated(Map.of());
+    directory.changed(entry("a", "ready"));
+    directory.removeExpired(
+        MonotonicClock.milliseconds() + RunnerDirectory.RETURN_MILLISECONDS + 1);
+    assertEquals(1, usable());
+  }
 }
