A caller that does not read no longer fills the memory: its runner waits, and what it has not read is bounded

Cause: events were written to the caller as they came; nothing asked whether the earlier ones were taken, and what was written counted nowhere. Whole answers of slow callers were the same class: their share of ResponseMemory ended with their last byte from the runner.

Change: UnwrittenResponses counts each write from its call to its completion. A stream with more than 64 KiB unread pauses the connection to its runner until all is taken; such a pause is no silence of the runner (RequestAttempt), and the deadline ends it. From 24 MiB on for all callers, large answers are read no further and responses past their caller's deadline are closed; over 40 MiB the one that has waited the longest is closed. A write that fails closes its connection. Closing a connection whose caller does not read no longer waits for it. Many calls of usual size are bounded too, by 48 MiB (ResponseMemory).

--- a/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/CallerResponse.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import io.vertx.core.http.impl.HttpServerConnection;
 import java.util.Locale;
 import java.util.concurrent.ThreadLocalRandom;
 import org.agatefield.forwarding.FailureReason;
@@ -24,18 +25,70 @@
   private static final int BAD_GATEWAY = 502;
   private static final int GATEWAY_TIMEOUT = 504;
 
+  private static final int MAXIMUM_UNREAD_STREAM_BYTES = 65_536;
+
   private final HttpServerRequest request;
   private final ForwardingContext context;
+  private final UnwrittenResponses.Share unwritten;
   private Buffer unsentEvents = Buffer.buffer();
 
+  /** Creates the response to a request that is answered by this daemon itself. */
   CallerResponse(HttpServerRequest request, ForwardingContext context) {
+    this(request, context, "", Long.MAX_VALUE, () -> {});
+  }
+
+  /**
+   * Creates the response to a request.
+   *
+   * @param deadline when the caller stops waiting, in monotonic milliseconds
+   * @param onDrained called whenever the caller has read all that was written
+   */
+  CallerResponse(
+      HttpServerRequest request,
+      ForwardingContext context,
+      String requestId,
+      long deadline,
+      Runnable onDrained) {
     this.request = request;
     this.context = context;
+    this.unwritten =
+        context.unwritten().share(new CallerConnection(request, onDrained), requestId, deadline);
+  }
+
+  private record CallerConnection(HttpServerRequest request, Runnable onDrained)
+      implements UnwrittenResponses.Connection {
+    @Override
+    public void close() {
+      // The usual close waits until the caller has read all that was written.
+      if (request.connection() instanceof HttpServerConnection connection) {
+        connection.channelHandlerContext().close();
+      } else {
+        request.connection().close();
+      }
+    }
+
+    @Override
+    public void drained() {
+      onDrained.run();
+    }
   }
 
   void respond(UpstreamResponse answer) {
     HttpServerResponse response = startResponse(answer);
-    context.unwritten().add(response.end(answer.body()));
+    end(response, answer.body());
+  }
+
+  /** Returns whether the caller has to read before more is written. */
+  boolean isFull() {
+    return unwritten.isFull(MAXIMUM_UNREAD_STREAM_BYTES);
+  }
+
+  private void end(HttpServerResponse response, Buffer body) {
+    unwritten.addLast(body.length(), response.end(body));
+  }
+
+  private void end(HttpServerResponse response, String message) {
+    end(response, Buffer.buffer(message));
   }
 
   void beginStream(UpstreamResponse head, byte[] event) {
@@ -56,18 +109,22 @@
     }
     Buffer events = unsentEvents;
     unsentEvents = Buffer.buffer();
-    request.response().write(events);
+    unwritten.add(events.length(), request.response().write(events));
   }
 
   void endStream() {
     flush();
-    context.unwritten().add(request.response().end());
+    end(request.response(), Buffer.buffer());
   }
 
   /** Closes the connection, so that the caller detects that the response is incomplete. */
   void abort() {
     flush();
-    request.connection().close();
+    if (unwritten.isFull(0)) {
+      unwritten.close();
+    } else {
+      request.connection().close();
+    }
   }
 
   /**
@@ -87,7 +144,7 @@
     if (reason != RefusalReason.UNKNOWN_KEY) {
       response.putHeader(HttpHeaders.RETRY_AFTER, seconds);
     }
-    context.unwritten().add(response.end(reason.name().toLowerCase(Locale.ROOT)));
+    end(response, reason.name().toLowerCase(Locale.ROOT));
   }
 
   void fail(FailureReason reason) {
@@ -97,12 +154,12 @@
           case RUNNER_FAILED -> BAD_GATEWAY;
           case INTERNAL_ERROR -> INTERNAL_SERVER_ERROR;
         };
-    context.unwritten().add(startErrorResponse(status).end(reason.name().toLowerCase(Locale.ROOT)));
+    end(startErrorResponse(status), reason.name().toLowerCase(Locale.ROOT));
   }
 
   /** Responds with an error status of this daemon about the request itself. */
   void reject(int status, String message) {
-    context.unwritten().add(startErrorResponse(status).end(message));
+    end(startErrorResponse(status), message);
   }
 
   /**
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -353,6 +353,8 @@
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
     metrics.registerGauge(
         "agatefield.forwarding.answer-bytes", (Gauge<Long>) responseMemory::totalBytes);
+    metrics.registerGauge(
+        "agatefield.forwarding.unwritten-bytes", (Gauge<Long>) unwritten::totalBytes);
     metrics.registerGauge(
         "agatefield.requests.quarantined-traits", (Gauge<Integer>) quarantine::size);
     metrics.registerGauge("agatefield.runners.limited", (Gauge<Integer>) limits::count);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -104,6 +104,7 @@
             context.vertx(),
             context.delay(),
             context.responseMemory().share(),
+            context.unwritten(),
             context.dialect().runners(),
             terms.id(),
             this);
@@ -151,6 +152,15 @@
     release();
   }
 
+  /** Lets the runner wait until the caller has read what was written. */
+  void pauseForCaller() {
+    call.pause(ReadPauses.Reason.CALLER);
+  }
+
+  void resumeForCaller() {
+    call.resume(ReadPauses.Reason.CALLER);
+  }
+
   @Override
   public boolean shouldSend() {
     long now = MonotonicClock.milliseconds();
@@ -391,6 +401,9 @@
     if (released) {
       return;
     }
+    if (call.isPaused()) {
+      lastActivity = MonotonicClock.milliseconds(); // The wait is not the runner's.
+    }
     long silent = MonotonicClock.milliseconds() - lastActivity;
     if (silent < stallTimeout()) {
       scheduleStallCheck();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -91,7 +91,6 @@
       double randomValue) {
     this.context = context;
     this.request = request;
-    this.response = new CallerResponse(request, context);
     this.table = admitted.table();
     this.route = admitted.route();
     this.account = admitted.account();
@@ -106,6 +105,8 @@
             admitted.bodyDigest());
     this.risk = new CrashRisk(context, service, RequestTraits.of(terms.prompt(), fingerprint));
     this.timing = new RequestTiming(route, terms.deadlineMilliseconds(), arrivedAt);
+    this.response =
+        new CallerResponse(request, context, terms.id(), timing.deadline(), this::callerHasRead);
     this.state =
         new ForwardedRequest(
             route.retryMode(),
@@ -254,6 +255,19 @@
     }
   }
 
+  private void flush() {
+    response.flush();
+    if (response.isFull() && !state.isOver()) {
+      attempt.pauseForCaller();
+    }
+  }
+
+  private void callerHasRead() {
+    if (attempt != null) { // Refusals are written without one.
+      endOnError(attempt::resumeForCaller);
+    }
+  }
+
   private void cancelAttempt() {
     if (attempt != null) { // The attempt may be what could not be created.
       attempt.cancel();
@@ -667,7 +681,7 @@
 
     @Override
     public void eventsRead() {
-      endOnError(response::flush);
+      endOnError(RequestExchange.this::flush);
     }
 
     @Override
--- a/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
@@ -46,6 +46,7 @@
   private final String requestId;
   private final Listener listener;
   private final ResponseMemory.Share memory;
+  private final UnwrittenResponses unwritten;
   private final EventStreamSplitter splitter = new EventStreamSplitter();
   private final Buffer body = Buffer.buffer();
   private HttpClientRequest request;
@@ -53,7 +54,7 @@
   private int interimResponses;
   private UpstreamResponse head;
   private boolean stream;
-  private ReadPauses pauses;
+  private Optional<ReadPauses> pauses = Optional.empty();
   private int commentBytes;
   private ResponseKind kind = ResponseKind.UNUSABLE;
 
@@ -106,12 +107,14 @@
       Vertx vertx,
       EventLoopDelay delay,
       ResponseMemory.Share memory,
+      UnwrittenResponses unwritten,
       RunnerDialect dialect,
       String requestId,
       Listener listener) {
     this.vertx = vertx;
     this.delay = delay;
     this.memory = memory;
+    this.unwritten = unwritten;
     this.dialect = dialect;
     this.requestId = requestId;
     this.listener = listener;
@@ -154,6 +157,21 @@
     }
   }
 
+  /** Stops reading the response, so that the runner has to wait. */
+  void pause(ReadPauses.Reason reason) {
+    pauses.ifPresent(each -> each.pause(reason));
+  }
+
+  /** Goes on reading the response unless it is paused for another reason. */
+  void resume(ReadPauses.Reason reason) {
+    pauses.ifPresent(each -> each.resume(reason));
+  }
+
+  /** Returns whether the response is not read at present, whatever the runner sends. */
+  boolean isPaused() {
+    return pauses.map(ReadPauses::isPaused).orElse(false);
+  }
+
   private void opened(HttpClientRequest opened, Supplier<MultiMap> headers, Buffer content) {
     request = opened;
     vertx.runOnContext(
@@ -235,7 +253,7 @@
         kind == ResponseKind.SUCCESS
             && contentType != null
             && contentType.toLowerCase(Locale.ROOT).startsWith(EVENT_STREAM);
-    pauses = new ReadPauses(vertx, response);
+    pauses = Optional.of(new ReadPauses(vertx, response));
     response.handler(bytes -> guard(() -> read(bytes)));
     response.endHandler(ended -> guard(this::complete));
   }
@@ -258,7 +276,7 @@
     if (finished) {
       return;
     }
-    pauses.bytesRead(bytes.length());
+    pauses.ifPresent(each -> each.bytesRead(bytes.length()));
     if (stream) {
       try {
         splitter.feed(bytes.getBytes()).forEach(this::receive);
@@ -270,6 +288,10 @@
     }
     body.appendBuffer(bytes);
     checkMemory(body.length());
+    if (body.length() > ResponseMemory.USUAL_RESPONSE_BYTES && unwritten.isFull()) {
+      pause(ReadPauses.Reason.MEMORY);
+      unwritten.whenRoom(() -> resume(ReadPauses.Reason.MEMORY));
+    }
   }
 
   private void receive(EventStreamSplitter.Event event) {
@@ -333,6 +355,7 @@
   private boolean end() {
     boolean first = !finished;
     finished = true;
+    pauses.ifPresent(ReadPauses::close);
     memory.release();
     return first;
   }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/ResponseMemoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/ResponseMemoryTest.java
@@ -59,4 +59,16 @@
     assertFalse(second.reserve(15 * MEBIBYTE));
     assertTrue(memory.share().reserve(USUAL_BYTES));
   }
+
+  /**
+   * Guards against many calls at once of one faulty runner, each below the size that always fits.
+   */
+  @Test
+  void manyResponsesOfUsualSizeStayWithinTheirTotalLimit() {
+    int fitting = 0;
+    while (fitting < 10_000 && memory.share().reserve(USUAL_BYTES)) {
+      fitting++;
+    }
+    assertTrue(fitting * (long) USUAL_BYTES <= 48L * MEBIBYTE, "fitting: " + fitting);
+  }
 }
