Each copy of an order counts until it is answered or can no longer take effect

Cause: OutstandingOrders kept orders by the name of the model, so that the answer to the second copy removed the first as well, and a later answer for the same model removed what earlier processes may still get.

Change: each copy has a number; an answer ends that copy alone, the others end after 13 s.

The test of answered orders is kept with numbers in place of names.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -7,6 +7,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
@@ -281,9 +282,10 @@
             acceptedOrders);
     sending = true;
     lastOrderAt = MonotonicClock.milliseconds();
-    if (task.action() == Action.LOAD) {
-      outstanding.sent(task.load(), lastOrderAt);
-    }
+    final OptionalLong copy =
+        task.action() == Action.LOAD
+            ? OptionalLong.of(outstanding.sent(task.load(), lastOrderAt))
+            : OptionalLong.empty();
     planner.orderSent(runner);
     runnerClient
         .sendOrder(runner, dialect.encodeOrder(order))
@@ -297,8 +299,8 @@
               lastOrderAt = MonotonicClock.milliseconds();
               OrderOutcome outcome =
                   failure == null ? dialect.orderOutcome(response.status()) : OrderOutcome.UNKNOWN;
-              if (outcome != OrderOutcome.UNKNOWN && task.action() == Action.LOAD) {
-                outstanding.answered(task.load());
+              if (outcome != OrderOutcome.UNKNOWN) {
+                copy.ifPresent(outstanding::answered);
               }
               if (failure instanceof ConnectException) {
                 unreachable();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/OutstandingOrders.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/OutstandingOrders.java
@@ -11,8 +11,9 @@
  *
  * <p>The count of accepted orders protects against delayed orders only within one process: a runner
  * that restarts under its identifier counts from the start again, so that a delayed order may match
- * the new count. Outlives the runner's entry, which expires while the runner is down. Confined to
- * one event loop.
+ * the new count. Each copy of an order counts by itself, as the answer to one says nothing of the
+ * others. Outlives the runner's entry, which expires while the runner is down. Confined to one
+ * event loop.
  */
 final class OutstandingOrders {
   /**
@@ -21,21 +22,29 @@
    */
   static final long MAXIMUM_DELAY_MILLISECONDS = 13_000;
 
-  private final Map<String, Long> pending = new HashMap<>();
-  private final Map<String, Long> fromEarlierProcesses = new HashMap<>();
+  private final Map<Long, Copy> pending = new HashMap<>();
+  private final Map<Long, Copy> fromEarlierProcesses = new HashMap<>();
+  private long lastNumber;
+
+  private record Copy(String load, long until) {}
 
   /**
    * Records that an order to load a model, or an adapter written as {@code model/adapter}, is being
    * sent.
+   *
+   * @return the number of this copy of the order
    */
-  void sent(String load, long now) {
-    pending.put(load, now + MAXIMUM_DELAY_MILLISECONDS);
+  long sent(String load, long now) {
+    pending.values().removeIf(copy -> copy.until() < now);
+    lastNumber++;
+    pending.put(lastNumber, new Copy(load, now + MAXIMUM_DELAY_MILLISECONDS));
+    return lastNumber;
   }
 
-  /** Records that the runner reported the outcome of the order. */
-  void answered(String load) {
-    pending.remove(load);
-    fromEarlierProcesses.remove(load);
+  /** Records that the runner reported the outcome of a copy of an order. */
+  void answered(long number) {
+    pending.remove(number);
+    fromEarlierProcesses.remove(number);
   }
 
   /** Records that the runner restarted or no longer exists. */
@@ -56,7 +65,7 @@
 
   /** Returns whether no order to an earlier process can still load anything. */
   boolean isEmpty(long now) {
-    fromEarlierProcesses.values().removeIf(until -> until < now);
+    fromEarlierProcesses.values().removeIf(copy -> copy.until() < now);
     return fromEarlierProcesses.isEmpty();
   }
 
@@ -64,7 +73,8 @@
     if (isEmpty(now)) {
       return Set.of();
     }
-    Set<String> loads = new HashSet<>(fromEarlierProcesses.keySet());
+    Set<String> loads = new HashSet<>();
+    fromEarlierProcesses.values().forEach(copy -> loads.add(copy.load()));
     loads.removeIf(load -> load.contains("/") != adapters);
     return loads;
   }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/OutstandingOrdersTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/OutstandingOrdersTest.java
@@ -37,11 +37,11 @@
 
   @Test
   void answeredOrderNoLongerCountsEvenIfTheResponseArrivedAfterTheRestart() {
-    orders.sent("m1", 0);
-    orders.sent("m2", 0);
-    orders.answered("m1");
+    final long first = orders.sent("m1", 0);
+    final long second = orders.sent("m2", 0);
+    orders.answered(first);
     orders.runnerRestarted();
-    orders.answered("m2");
+    orders.answered(second);
     assertEquals(Set.of(), orders.models(1));
   }
 
@@ -56,4 +56,15 @@
     assertEquals(
         Set.of(), byRunner.of("r").models(1 + OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS));
   }
+
+  /** Guards against a late first copy of an order whose second copy was answered (review/3). */
+  @Test
+  void answerToOneCopyOfAnOrderLeavesTheOtherCopyOutstanding() {
+    orders.sent("m1", 0);
+    orders.answered(orders.sent("m1", 400));
+    orders.runnerRestarted();
+    orders.answered(orders.sent("m1", 2_000));
+    assertEquals(Set.of("m1"), orders.models(OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS));
+    assertEquals(Set.of(), orders.models(1 + OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS));
+  }
 }
