A planner loads nothing on a restarted runner that a late order of the planner before may reach

Cause: outstanding orders are known to the planner that sent them alone. The count of accepted orders, which protects a runner within one process, starts again with the next one.

Change: each instance notes when it sees another process under a runner's identifier. Not covered: a planner that started after the restart has not seen the earlier process. Handing the orders on was ruled out, as a killed planner hands on nothing.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -142,7 +142,7 @@
    */
   CompletableFuture<Boolean> ensureAdapter(String runner, String model, String adapter) {
     EngineController engine = active ? engines.get(runner) : null;
-    if (engine == null) {
+    if (engine == null || mayReceiveUnknownOrder(runner)) {
       return CompletableFuture.completedFuture(false);
     }
     return engine.ensureAdapter(model, adapter);
@@ -186,6 +186,7 @@
     }
     if (!active) {
       active = true;
+      outstandingOrders.tookOver(MonotonicClock.milliseconds());
       LOGGER.info("planner={} token={}", instance, grant.get().fencingToken());
       announcements.tookOver(grant.get().fencingToken());
       List.copyOf(runners.all()).forEach(entry -> attach(entry, true));
@@ -195,6 +196,11 @@
     configuration.table().ifPresent(this::plan);
   }
 
+  private boolean mayReceiveUnknownOrder(String runner) {
+    return outstandingOrders.mayReceiveUnknownOrder(
+        runners.restartedAt(runner), MonotonicClock.milliseconds());
+  }
+
   private void deactivate() {
     if (!active) {
       return;
@@ -345,6 +351,7 @@
         engine.onDisk(),
         engine.isReady()
             && !entry.draining()
+            && !mayReceiveUnknownOrder(entry.id())
             && limit.orElse(Double.MAX_VALUE) >= MINIMUM_LIMIT_FOR_LOADS_PER_SECOND);
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/NewestEntries.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/NewestEntries.java
@@ -36,6 +36,14 @@
     return number < known.number() || (number == known.number() && known.leftAt().isPresent());
   }
 
+  /** Returns whether an entry is of another process than the last one of its runner. */
+  boolean isOfOtherProcess(RunnerEntry entry) {
+    Newest known = newest.get(entry.id());
+    return known != null
+        && isNumbered(entry)
+        && entry.startTimeMilliseconds() != known.startTimeMilliseconds();
+  }
+
   /** Records an entry that is in use. */
   void record(RunnerEntry entry) {
     if (isNumbered(entry)) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.agatefield.daemon.forward.wire.StoredObjectDialect;
 import org.agatefield.forwarding.RunnerEntry;
@@ -43,6 +44,7 @@
   private final NewestEntries newest = new NewestEntries();
   private final Set<String> unreadable = new HashSet<>(); // Logged once, however often rewritten.
   private final Map<String, Long> expiredAt = new HashMap<>();
+  private final Map<String, Long> restartedAt = new HashMap<>();
   private final Set<String> knownFromPeersOnly = new HashSet<>();
   private final Map<String, List<RunnerEntry>> usableByService = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
@@ -141,6 +143,7 @@
   /** Removes runners whose expired entries were not rewritten in time. */
   void removeExpired(long now) {
     newest.forgetOld(now);
+    restartedAt.values().removeIf(at -> now - at > OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS);
     if (expiredAt.isEmpty() || !storeAvailable || now - storeReturnedAt < RETURN_MILLISECONDS) {
       return;
     }
@@ -166,6 +169,12 @@
     return Optional.ofNullable(entries.get(id));
   }
 
+  /** Returns when a runner was first seen as another process under its identifier, if it was. */
+  OptionalLong restartedAt(String id) {
+    Long at = restartedAt.get(id);
+    return at == null ? OptionalLong.empty() : OptionalLong.of(at);
+  }
+
   Collection<RunnerEntry> all() {
     return entries.values();
   }
@@ -207,6 +216,9 @@
       return;
     }
     expiredAt.remove(id);
+    if (newest.isOfOtherProcess(entry)) {
+      restartedAt.put(id, MonotonicClock.milliseconds());
+    }
     newest.record(entry);
     RunnerEntry before = entries.put(id, entry);
     usableByService.clear();
--- a/daemon/src/test/java/org/agatefield/daemon/forward/OutstandingOrdersTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/OutstandingOrdersTest.java
@@ -1,7 +1,10 @@
 package org.agatefield.daemon.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.OptionalLong;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -67,4 +70,17 @@
     assertEquals(Set.of("m1"), orders.models(OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS));
     assertEquals(Set.of(), orders.models(1 + OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS));
   }
+
+  /** Guards against a late order of the planner before this one (review/4). */
+  @Test
+  void restartedRunnerMayReceiveOrdersOfEarlierPlannerUntilTheyCanNoLongerTakeEffect() {
+    OutstandingOrdersByRunner byRunner = new OutstandingOrdersByRunner();
+    long delay = OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS;
+    byRunner.tookOver(1_000);
+    assertFalse(byRunner.mayReceiveUnknownOrder(OptionalLong.empty(), 1_000));
+    assertTrue(byRunner.mayReceiveUnknownOrder(OptionalLong.of(500), 500 + delay));
+    assertFalse(byRunner.mayReceiveUnknownOrder(OptionalLong.of(500), 501 + delay));
+    assertTrue(byRunner.mayReceiveUnknownOrder(OptionalLong.of(4_000), 1_000 + delay));
+    assertFalse(byRunner.mayReceiveUnknownOrder(OptionalLong.of(4_000), 1_001 + delay));
+  }
 }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -31,8 +31,8 @@
   private final RunnerDirectory directory = new RunnerDirectory(new TextDialect());
 
   /**
-   * Decodes the content {@code ready} or {@code draining}, optionally with the number of the entry;
-   * any other content is invalid.
+   * Decodes the content {@code ready} or {@code draining}, optionally with the number of the entry
+   * and the start time of the process; any other content is invalid.
    */
   private static final class TextDialect implements StoredObjectDialect {
     @Override
@@ -55,7 +55,7 @@
       return Optional.of(
           new RunnerEntry(
               id,
-              1,
+              fields.length < 3 ? 1 : Long.parseLong(fields[2]),
               fields.length < 2 ? OptionalLong.empty() : OptionalLong.of(Long.parseLong(fields[1])),
               "s",
               new Address("10.0.0.1", 80),
@@ -264,4 +264,14 @@
         MonotonicClock.milliseconds() + RunnerDirectory.RETURN_MILLISECONDS + 1);
     assertEquals(1, usable());
   }
+
+  /** Guards against a restart that is unknown as the entry had expired before it (review/4). */
+  @Test
+  void restartUnderTheSameIdentifierIsKnownAlsoAfterItsEntryExpired() {
+    directory.changed(entry("a", "ready 4 1000"));
+    assertTrue(directory.restartedAt("a").isEmpty());
+    directory.deleted(new ObjectKey(ObjectKind.RUNNER, "a"));
+    directory.changed(entry("a", "ready 0 2000"));
+    assertTrue(directory.restartedAt("a").isPresent());
+  }
 }
