One silent watch of the store no longer counts as an outage of the store

Cause: ObjectInformer called the store unavailable as soon as one watch failed. RunnerDirectory then keeps a deletion for 2.2 s, counted from the moment at which the watch answers again, since entries expire in an outage: 1.7 s to notice the silence, and 2.2 s more.

Change: the store is unavailable after two watches in a row have failed, after a failed list, or if changes come after a failure and 2 s or more without contact. A runner's entry expires after three heartbeats of a second, one of which may have passed before the outage, so that nothing expires in less.

Evidence: with the old condition put back, deletionAfterOneSilentWatchIsNoSignOfAnOutage and watchThatAnswersAgainEndsTheSuspicion fail; with the new one all four tests of ObjectInformerTest pass, and the other tests of store.

--- a/store/src/main/java/org/agatefield/store/ObjectInformer.java
+++ b/store/src/main/java/org/agatefield/store/ObjectInformer.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -20,13 +21,18 @@
  * delayed by a capped, jittered exponential backoff, so that the instances do not all call at once
  * when the store recovers; a change that a watch reports while a list is in progress is not lost,
  * since the watch then restarts from the list's version; a listener that fails on one object still
- * receives the others, and the failure is logged. Safe for use by any thread: state is guarded by
- * the object's lock; listeners are called while it is held, one at a time, and must not block.
+ * receives the others, and the failure is logged; the store counts as unavailable after a list or
+ * two watches in a row have failed, or if it was out of contact for long enough that objects may
+ * have expired meanwhile, as one broken connection says nothing of the store. Safe for use by any
+ * thread: state is guarded by the object's lock; listeners are called while it is held, one at a
+ * time, and must not block.
  */
 public final class ObjectInformer implements AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(ObjectInformer.class);
   private static final Duration INITIAL_DELAY = Duration.ofMillis(200);
   private static final Duration MAXIMUM_DELAY = Duration.ofSeconds(10);
+  // Objects expire after three heartbeats of a second, the first of which may have passed before.
+  private static final long MAXIMUM_GAP_NANOSECONDS = Duration.ofSeconds(2).toNanos();
 
   private final Vertx vertx;
   private final ObjectSource store;
@@ -35,6 +41,7 @@
   private final List<InformerListener> listeners = new CopyOnWriteArrayList<>();
   private final Backoff backoff;
   private final Map<String, StoredObject> objects = new HashMap<>();
+  private final LongSupplier clock;
   private AutoCloseable watch = () -> {};
   private long watchNumber;
   private String version = "";
@@ -42,6 +49,8 @@
   private boolean listing;
   private boolean listed;
   private boolean available = true;
+  private boolean watchFailed;
+  private long contactAt;
   private boolean closed;
 
   /**
@@ -65,6 +74,22 @@
       ObjectKind kind,
       Duration pollInterval,
       Duration maximumDelay) {
+    this(vertx, store, kind, pollInterval, maximumDelay, System::nanoTime);
+  }
+
+  /**
+   * Creates an informer with a clock of its own.
+   *
+   * @param clock returns monotonic nanoseconds
+   */
+  ObjectInformer(
+      Vertx vertx,
+      ObjectSource store,
+      ObjectKind kind,
+      Duration pollInterval,
+      Duration maximumDelay,
+      LongSupplier clock) {
+    this.clock = clock;
     this.backoff = new Backoff(INITIAL_DELAY, maximumDelay);
     this.vertx = vertx;
     this.store = store;
@@ -126,6 +151,7 @@
       return;
     }
     backoff.reset();
+    contacted();
     setAvailable(true, "listed");
     replaceAll(list);
     informAll("confirmation", InformerListener::confirmed);
@@ -182,9 +208,10 @@
     }
     LOGGER.debug("watch ended kind={} cause={}", kind, failure.getMessage());
     boolean expired = failure.failure() == StoreFailure.VERSION_GONE;
-    if (!expired) {
+    if (!expired && watchFailed) {
       setAvailable(false, failure.getMessage());
     }
+    watchFailed |= !expired;
     Runnable next = expired ? this::list : this::resumeWatch;
     schedule(backoff.nextMilliseconds(), next);
   }
@@ -215,6 +242,7 @@
       return;
     }
     backoff.reset();
+    notePossibleOutage();
     version = object.resourceVersion();
     objects.put(object.key().name(), object);
     listeners.forEach(listener -> informOfChange(listener, object));
@@ -225,6 +253,7 @@
     if (closed || number != watchNumber) {
       return;
     }
+    notePossibleOutage();
     version = resourceVersion;
     objects.remove(key.name());
     informOfDeletion(key);
@@ -235,11 +264,25 @@
     if (number == watchNumber) {
       version = resourceVersion;
       backoff.reset();
+      notePossibleOutage();
+      contacted();
       setAvailable(true, "watched");
       informAll("confirmation", InformerListener::confirmed);
     }
   }
 
+  private void contacted() {
+    watchFailed = false;
+    contactAt = clock.getAsLong();
+  }
+
+  /** Reports an outage before the changes of a watch that answers after a long silence. */
+  private void notePossibleOutage() {
+    if (watchFailed && clock.getAsLong() - contactAt >= MAXIMUM_GAP_NANOSECONDS) {
+      setAvailable(false, "no contact for " + MAXIMUM_GAP_NANOSECONDS / 1_000_000 + " ms");
+    }
+  }
+
   private void setAvailable(boolean answers, String cause) {
     if (available == answers) {
       return;
