--- a/daemon/src/main/java/org/agatefield/daemon/forward/ObjectRelay.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ObjectRelay.java
@@ -47,6 +47,7 @@
   private long confirmedAt;
   private boolean initialized;
   private boolean available = true;
+  private boolean interrupted;
   private boolean batching;
 
   private record Change(long number, RelayedObject object) {}
@@ -116,30 +117,41 @@
   @Override
   public void confirmed() {
     initialized = true;
+    interrupted = false;
     confirmedAt = clock.getAsLong();
   }
 
+  @Override
+  public void interrupted() {
+    interrupted = true;
+    failPending();
+  }
+
   @Override
   public void availabilityChanged(boolean answers) {
     available = answers;
     if (!answers) {
-      List<Pending> failed = List.copyOf(pending);
-      pending.clear();
-      failed.forEach(
-          each -> {
-            vertx.cancelTimer(each.timer());
-            each.answer().completeExceptionally(unavailable());
-          });
+      failPending();
     }
   }
 
+  private void failPending() {
+    List<Pending> failed = List.copyOf(pending);
+    pending.clear();
+    failed.forEach(
+        each -> {
+          vertx.cancelTimer(each.timer());
+          each.answer().completeExceptionally(unavailable());
+        });
+  }
+
   /**
    * Returns the changes since the requested version as soon as there are any, or after the
    * requested wait time.
    */
   CompletableFuture<PeerMessage> answer(PeerMessage.ObjectsRequest request) {
     boolean fresh = clock.getAsLong() - confirmedAt <= STALE_AFTER_MILLISECONDS;
-    if (!initialized || !available || !fresh) {
+    if (!initialized || !available || interrupted || !fresh) {
       return CompletableFuture.failedFuture(unavailable());
     }
     Optional<Long> after = changeNumber(request.fromVersion());
--- a/daemon/src/test/java/org/agatefield/daemon/forward/ObjectRelayTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/ObjectRelayTest.java
@@ -1,6 +1,7 @@
 package org.agatefield.daemon.forward;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -8,6 +9,7 @@
 import io.vertx.core.Vertx;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Supplier;
 import org.agatefield.peer.PeerMessage;
 import org.agatefield.store.ObjectKey;
@@ -67,4 +69,25 @@
     assertTrue(answer.whole());
     assertTrue(answer.objects().isEmpty());
   }
+
+  /** Guards against neighbours that learn of a removal late as their relay's watch is silent. */
+  @Test
+  void nothingIsRelayedFromAnInterruptedWatchUntilItIsConfirmed() {
+    list("1", true);
+    String version = request("").version();
+    CompletableFuture<PeerMessage> waiting =
+        onEventLoop(
+            () ->
+                relay.answer(
+                    new PeerMessage.ObjectsRequest(ObjectKind.RUNNER.plural(), version, 60_000)));
+    onEventLoop(
+        () -> {
+          relay.interrupted();
+          return relay;
+        });
+    assertTrue(waiting.isCompletedExceptionally());
+    assertThrows(CompletionException.class, () -> request(""));
+    list("1", true);
+    assertTrue(request("").whole());
+  }
 }
--- a/store/src/main/java/org/agatefield/store/InformerListener.java
+++ b/store/src/main/java/org/agatefield/store/InformerListener.java
@@ -31,6 +31,12 @@
   /** Called when the known objects are confirmed to match the source. */
   default void confirmed() {}
 
+  /**
+   * Called when a watch has failed, be it for its connection or for the store; the objects may be
+   * out of date until they are confirmed.
+   */
+  default void interrupted() {}
+
   /** Called when the store becomes unavailable or available again. */
   default void availabilityChanged(boolean available) {}
 }
--- a/store/src/main/java/org/agatefield/store/ObjectInformer.java
+++ b/store/src/main/java/org/agatefield/store/ObjectInformer.java
@@ -208,10 +208,13 @@
     }
     LOGGER.debug("watch ended kind={} cause={}", kind, failure.getMessage());
     boolean expired = failure.failure() == StoreFailure.VERSION_GONE;
-    if (!expired && watchFailed) {
-      setAvailable(false, failure.getMessage());
+    if (!expired) {
+      informAll("interruption", InformerListener::interrupted);
+      if (watchFailed) {
+        setAvailable(false, failure.getMessage());
+      }
+      watchFailed = true;
     }
-    watchFailed |= !expired;
     Runnable next = expired ? this::list : this::resumeWatch;
     schedule(backoff.nextMilliseconds(), next);
   }
