What a late order may still load takes memory that no unload frees

Cause: models that a late order may load were given to the policy as held, so that it made room by unloading them.

Change: they are reserved memory of the runner (EngineView names unconfirmed orders there), and a move that unloads a model of which a copy of an order is still under way waits.

Not shown by a test of the planner alone: it has no harness.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -126,15 +126,22 @@
     return runner;
   }
 
-  /** Returns the models that the runner holds or may still load because of an unanswered order. */
+  /** Returns the models that the runner holds or is about to load. */
   Set<String> possiblyHeld() {
     Set<String> held = new HashSet<>(models);
-    held.addAll(outstanding.models(MonotonicClock.milliseconds()));
     current.filter(task -> task.action() == Action.LOAD).ifPresent(task -> held.add(task.model()));
     tasks.stream().filter(task -> task.action() == Action.LOAD).forEach(t -> held.add(t.model()));
     return held;
   }
 
+  /**
+   * Returns the models that an order to an earlier process may still load; no order prevents that,
+   * so that they take memory beside the models that the runner holds.
+   */
+  Set<String> possiblyLoadedLate() {
+    return outstanding.models(MonotonicClock.milliseconds());
+  }
+
   Set<String> inHostMemory() {
     return inHostMemory;
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -270,6 +270,11 @@
     List<ReplicaMove> moves = policy.plan(views, sizes(pool), demands, allowed);
     logState(service, views, demands, allowed, nowMilliseconds);
     for (ReplicaMove move : moves) {
+      EngineController engine = engines.get(move.runner());
+      if (move.unload().stream().anyMatch(engine.possiblyLoadedLate()::contains)) {
+        LOGGER.debug("placement runner={} unload={} late=true", move.runner(), move.unload());
+        continue; // A late order would load the model again beside the new one.
+      }
       if (move.fromStore()) {
         budget = budget.take();
       }
@@ -280,7 +285,7 @@
           move.unload(),
           move.fromStore(),
           demands.get(move.load()));
-      engines.get(move.runner()).begin(move);
+      engine.begin(move);
       announcements.loading(move.runner(), move.load(), (long) move.loadMilliseconds());
     }
     budgets.put(service, budget);
@@ -330,7 +335,7 @@
       EngineController engine,
       EnginePool pool,
       Map<String, DemandTracker.Demand> demands) {
-    double adapters = pool.adapterSlots() * largestAdapter(pool);
+    double reserved = pool.adapterSlots() * largestAdapter(pool) + lateMegabytes(engine, pool);
     OptionalDouble limit = limits.requestsPerSecond(entry);
     Set<String> held = engine.possiblyHeld();
     Set<String> counted = held;
@@ -343,7 +348,7 @@
         entry.id(),
         entry.failureDomain(),
         pool.weightsMegabytes(),
-        adapters,
+        reserved,
         held,
         counted,
         limit,
@@ -355,6 +360,16 @@
             && limit.orElse(Double.MAX_VALUE) >= MINIMUM_LIMIT_FOR_LOADS_PER_SECOND);
   }
 
+  /** Returns the memory that late orders to an earlier process of the runner may take. */
+  private static double lateMegabytes(EngineController engine, EnginePool pool) {
+    Set<String> held = engine.possiblyHeld();
+    Set<String> late = engine.possiblyLoadedLate();
+    return pool.models().stream()
+        .filter(model -> late.contains(model.name()) && !held.contains(model.name()))
+        .mapToDouble(ServedModel::weightsMegabytes)
+        .sum();
+  }
+
   private Set<String> modelsOfUnlimitedRunners(String service) {
     return engines.values().stream()
         .filter(engine -> engine.runner().service().equals(service))
