The gap without contact that counts as an outage is longer than the notice of one silent watch

Cause: between the last answer of a watch and the notice of its silence lie a pause of 0.5 s and the limit of 1.7 s, then the backoff.

Change: the first failed watch is resumed at once, and the gap is 2.5 s. Entries expire after three heartbeats of a second without contact; one whose last heartbeat came before the last contact may expire up to half a second within the gap. Its runner, if it lives, is used again from its next heartbeat on.

--- a/store/src/main/java/org/agatefield/store/ObjectInformer.java
+++ b/store/src/main/java/org/agatefield/store/ObjectInformer.java
@@ -31,8 +31,8 @@
   private static final Logger LOGGER = LogManager.getLogger(ObjectInformer.class);
   private static final Duration INITIAL_DELAY = Duration.ofMillis(200);
   private static final Duration MAXIMUM_DELAY = Duration.ofSeconds(10);
-  // Objects expire after three heartbeats of a second, the first of which may have passed before.
-  private static final long MAXIMUM_GAP_NANOSECONDS = Duration.ofSeconds(2).toNanos();
+  // Less than the three heartbeats of a second after which objects expire in an outage.
+  private static final long MAXIMUM_GAP_NANOSECONDS = Duration.ofMillis(2_500).toNanos();
 
   private final Vertx vertx;
   private final ObjectSource store;
@@ -208,15 +208,18 @@
     }
     LOGGER.debug("watch ended kind={} cause={}", kind, failure.getMessage());
     boolean expired = failure.failure() == StoreFailure.VERSION_GONE;
-    if (!expired) {
-      informAll("interruption", InformerListener::interrupted);
-      if (watchFailed) {
-        setAvailable(false, failure.getMessage());
-      }
-      watchFailed = true;
+    if (expired) {
+      schedule(backoff.nextMilliseconds(), this::list);
+      return;
+    }
+    informAll("interruption", InformerListener::interrupted);
+    if (watchFailed) {
+      setAvailable(false, failure.getMessage());
+      schedule(backoff.nextMilliseconds(), this::resumeWatch);
+      return;
     }
-    Runnable next = expired ? this::list : this::resumeWatch;
-    schedule(backoff.nextMilliseconds(), next);
+    watchFailed = true;
+    resumeWatch();
   }
 
   private synchronized void resumeWatch() {
