A watch that ends while it is being started no longer stops an instance's informers for a minute

Cause: front-nottingham-2 listed runners and configuration from its relay at 52.65 s and began its watches; the relay was no longer a source at that moment, so that both watches ended within the call that started them ("ended=... is no longer a relay source", the last lines of both informers for 20 s and more). The end scheduled the next list within 0.2 s, and after the call returned the informer scheduled its poll, 30 to 60 s later, which replaced it. Until then the instance heard of no runner and no configuration.

Change: the poll is scheduled before the watch is started.

Evidence: watchThatEndsBeforeItIsStartedIsFollowedByAnotherListSoon failed before (no further list within 10 s), passes after.

--- a/store/src/main/java/org/agatefield/store/ObjectInformer.java
+++ b/store/src/main/java/org/agatefield/store/ObjectInformer.java
@@ -155,8 +155,8 @@
     setAvailable(true, "listed");
     replaceAll(list);
     informAll("confirmation", InformerListener::confirmed);
+    scheduleRelist(); // Before the watch, which may end at once and schedule an earlier list.
     startWatch(list.resourceVersion());
-    scheduleRelist();
   }
 
   private void replaceAll(ObjectList list) {
@@ -226,8 +226,8 @@
     if (closed || listing) {
       return;
     }
-    startWatch(version);
     scheduleRelist();
+    startWatch(version);
   }
 
   private void scheduleRelist() {
--- a/store/src/test/java/org/agatefield/store/ObjectInformerTest.java
+++ b/store/src/test/java/org/agatefield/store/ObjectInformerTest.java
@@ -26,6 +26,7 @@
   private final List<WatchListener> watches = new CopyOnWriteArrayList<>();
   private final List<String> notifications = new CopyOnWriteArrayList<>();
   private final AtomicLong now = new AtomicLong();
+  private volatile boolean watchesEndAtOnce;
   private final ObjectInformer informer =
       new ObjectInformer(
           vertx,
@@ -45,6 +46,9 @@
     @Override
     public AutoCloseable watch(ObjectKind kind, String fromVersion, WatchListener listener) {
       watches.add(listener);
+      if (watchesEndAtOnce) {
+        listener.ended(new StoreException(StoreFailure.VERSION_GONE, "the source is gone"));
+      }
       return () -> {};
     }
   }
@@ -120,4 +124,12 @@
     watches.get(2).reached("3");
     assertEquals(List.of(), notifications);
   }
+
+  /** Guards against an instance that hears of nothing for a minute as its relay was gone. */
+  @Test
+  void watchThatEndsBeforeItIsStartedIsFollowedByAnotherListSoon() {
+    watchesEndAtOnce = true;
+    watches.get(0).ended(new StoreException(StoreFailure.VERSION_GONE, "history is gone"));
+    await().atMost(TIMEOUT).until(() -> watches.size() >= 4);
+  }
 }
