A response that is closed for room is no longer counted as unwritten

The count ends with the last write, which need not complete once its connection was closed; a planned stop would wait for it. Found by reading; closedResponseIsNoLongerCounted guards it.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/UnwrittenResponses.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UnwrittenResponses.java
@@ -47,6 +47,7 @@
     private final String requestId;
     private final long deadline;
     private long bytes;
+    private boolean awaitsLastWrite;
     private boolean closed;
 
     private Share(Connection connection, String requestId, long deadline) {
@@ -69,9 +70,20 @@
 
     /** Adds the last bytes of a response. */
     void addLast(int addedBytes, Future<Void> write) {
+      if (closed) {
+        return;
+      }
       count++;
-      write.onComplete(written -> count--);
+      awaitsLastWrite = true;
       add(addedBytes, write);
+      write.onComplete(written -> lastWriteEnded());
+    }
+
+    private void lastWriteEnded() {
+      if (awaitsLastWrite) {
+        awaitsLastWrite = false;
+        count--;
+      }
     }
 
     /** Returns whether the caller has to read before more is written. */
@@ -110,6 +122,7 @@
       waiting.remove(this);
       total -= bytes;
       bytes = 0;
+      lastWriteEnded();
       connection.close();
       continueReading();
     }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/UnwrittenResponsesTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/UnwrittenResponsesTest.java
@@ -129,11 +129,22 @@
 
   @Test
   void completeResponsesAreCountedUntilTheyAreWritten() {
-    Caller caller = new Caller(inFuture());
-    caller.share.addLast(0, caller.write.future());
-    caller.share.addLast(0, Future.succeededFuture());
+    Caller slow = new Caller(inFuture());
+    slow.share.addLast(0, slow.write.future());
+    new Caller(inFuture()).share.addLast(0, Future.succeededFuture());
     assertEquals(1, unwritten.count());
-    caller.write.complete();
+    slow.write.complete();
+    assertEquals(0, unwritten.count());
+  }
+
+  /** Guards against a planned stop that waits for a response whose connection was closed. */
+  @Test
+  void closedResponseIsNoLongerCounted() {
+    Caller slow = new Caller(inFuture());
+    slow.share.addLast(1, slow.write.future());
+    slow.share.close();
+    assertEquals(0, unwritten.count());
+    slow.write.fail("closed");
     assertEquals(0, unwritten.count());
   }
 }
