--- a/engine/src/main/java/org/agatefield/engine/EventParser.java
+++ b/engine/src/main/java/org/agatefield/engine/EventParser.java
@@ -79,7 +79,7 @@
 
   private void endEvent(Buffer emptyLine) {
     if (data != null) {
-      ServerSentEvent event = new ServerSentEvent(id, data);
+      final ServerSentEvent event = new ServerSentEvent(id, data);
       data = null;
       id = "";
       skippedBytes = 0;
