--- a/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/UpstreamCall.java
@@ -279,7 +279,7 @@
     pauses.ifPresent(each -> each.bytesRead(bytes.length()));
     if (stream) {
       try {
-        splitter.feed(bytes.getBytes()).forEach(this::receive);
+        splitter.feed(bytes.getBytes()).forEach(this::passOn);
       } finally {
         listener.eventsRead();
       }
@@ -294,7 +294,7 @@
     }
   }
 
-  private void receive(EventStreamSplitter.Event event) {
+  private void passOn(EventStreamSplitter.Event event) {
     if (finished) {
       return;
     }
@@ -353,7 +353,7 @@
   }
 
   private boolean end() {
-    boolean first = !finished;
+    final boolean first = !finished;
     finished = true;
     pauses.ifPresent(ReadPauses::close);
     memory.release();
--- a/daemon/src/test/java/org/agatefield/daemon/forward/UnwrittenResponsesTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/UnwrittenResponsesTest.java
@@ -84,7 +84,7 @@
   @Test
   void callersThatNoLongerWaitAreClosedFirst() {
     new Caller(inFuture()).add(RESPONSE_BYTES);
-    Caller late = new Caller(MonotonicClock.milliseconds() - 1).add(RESPONSE_BYTES);
+    final Caller late = new Caller(MonotonicClock.milliseconds() - 1).add(RESPONSE_BYTES);
     new Caller(inFuture()).add(RESPONSE_BYTES);
     assertEquals(0, closedCallers());
     new Caller(inFuture()).add(RESPONSE_BYTES);
