The first list delays the end of expired entries only, not that of runners that leave after it

Cause: for 2.2 s after it each removal was taken for an expiry, which does not record that the runner has left.

Change: the time of the first list is kept by itself and bounds the end of expired entries alone. deletionSoonAfterTheFirstListIsFinal and runnerKnownFromPeerStaysForAWhileAfterTheFirstListThatNeverFailed guard both sides; RestoredStoreTest passes, as before.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
@@ -50,6 +50,7 @@
   private final List<Listener> listeners = new ArrayList<>();
   private boolean storeAvailable = true;
   private boolean listed;
+  private long firstListAt = Long.MIN_VALUE / 2;
   private long storeReturnedAt = Long.MIN_VALUE / 2;
   private long confirmedAt = Long.MIN_VALUE / 2;
 
@@ -83,7 +84,7 @@
     confirmedAt = MonotonicClock.milliseconds();
     if (!listed) {
       listed = true;
-      storeReturnedAt = confirmedAt; // The store may have been away before this process started.
+      firstListAt = confirmedAt;
     }
     knownFromPeersOnly.stream()
         .filter(id -> !objects.containsKey(id))
@@ -144,7 +145,9 @@
   void removeExpired(long now) {
     newest.forgetOld(now);
     restartedAt.values().removeIf(at -> now - at > OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS);
-    if (expiredAt.isEmpty() || !storeAvailable || now - storeReturnedAt < RETURN_MILLISECONDS) {
+    // The store may have been away before this process first reached it.
+    long contactAt = Math.max(storeReturnedAt, firstListAt);
+    if (expiredAt.isEmpty() || !storeAvailable || now - contactAt < RETURN_MILLISECONDS) {
       return;
     }
     List<String> gone = List.copyOf(expiredAt.keySet());
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -274,4 +274,28 @@
     directory.changed(entry("a", "ready 0 2000"));
     assertTrue(directory.restartedAt("a").isPresent());
   }
+
+  /**
+   * Guards against a runner that left soon after this instance's first list and seems to return.
+   */
+  @Test
+  void deletionSoonAfterTheFirstListIsFinal() {
+    directory.changed(entry("a", "ready 4"));
+    directory.updated(Map.of("a", entry("a", "ready 4")));
+    directory.deleted(new ObjectKey(ObjectKind.RUNNER, "a"));
+    assertEquals(0, usable());
+    directory.changed(entry("a", "ready 4"));
+    assertEquals(0, usable());
+  }
+
+  @Test
+  void runnerKnownFromPeerStaysForAWhileAfterTheFirstListThatNeverFailed() {
+    directory.addFromPeer("a", JsonNodeFactory.instance.textNode("ready"), 10);
+    directory.updated(Map.of());
+    long now = MonotonicClock.milliseconds();
+    directory.removeExpired(now);
+    assertEquals(1, usable());
+    directory.removeExpired(now + RunnerDirectory.RETURN_MILLISECONDS + 1);
+    assertEquals(0, usable());
+  }
 }
