--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -289,7 +289,7 @@
   }
 
   @Test
-  void runnerKnownFromPeerStaysForAWhileAfterTheFirstListThatNeverFailed() {
+  void runnerKnownFromPeerStaysForSomeTimeAfterTheFirstListThatNeverFailed() {
     directory.addFromPeer("a", JsonNodeFactory.instance.textNode("ready"), 10);
     directory.updated(Map.of());
     long now = MonotonicClock.milliseconds();
