One room for shared knowledge: kinds, tables with ages, one exchange through the relays

Cause: loads, limits, permits, availability and crashes each have an exchange of their own; a new kind of knowledge costs four classes. Change: a module of decisions without input and output (a kind says how views combine, a table holds them with their ages), one message that older builds pass over, and one exchange that takes the way of the load reports. Nothing is shared yet.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -108,6 +108,7 @@
   private final List<ObjectInformer> informers = new ArrayList<>();
   private ForwardingPeers peers;
   private LoadExchange loadExchange;
+  private KnowledgeExchange knowledge;
   private PlannerClient plannerClient;
   private RunnerAvailability availability;
   private RunnerLimits limits;
@@ -205,6 +206,8 @@
   private void startComponents(UniformRandomProvider random, CompletableFuture<Void> started) {
     plannerClient = new PlannerClient(peers, presence, waiting, demand, () -> lease.refresh());
     loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
+    knowledge =
+        new KnowledgeExchange(peers, settings.failureDomain(), MonotonicClock::milliseconds);
     availability = new RunnerAvailability(peers::broadcast);
     fleetSize = new FleetSize(() -> peers.alive().size());
     limits = new RunnerLimits(MonotonicClock::milliseconds, peers::broadcast);
@@ -250,7 +253,8 @@
             quotas,
             limits,
             permits,
-            quarantine));
+            quarantine,
+            knowledge));
     new EntryListeners(
             vertx,
             settings,
@@ -428,6 +432,7 @@
   private void startTimers() {
     PeriodicTasks tasks = new PeriodicTasks(vertx, LoadExchange.PERIOD_MILLISECONDS, delay);
     tasks.every(LoadExchange.PERIOD_MILLISECONDS, loadExchange::sendReports);
+    tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, knowledge::sendReports);
     tasks.every(PlannerClient.DEMAND_MILLISECONDS, now -> plannerClient.reportDemand());
     tasks.every(PlannerClient.NOTICE_MILLISECONDS, now -> plannerClient.announce());
     tasks.every(EXPIRY_CHECK_MILLISECONDS, runners::removeExpired);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PeerInbox.java
@@ -19,6 +19,7 @@
   private final RunnerLimits limits;
   private final RunnerPermits permits;
   private final RequestQuarantine quarantine;
+  private final KnowledgeExchange knowledge;
 
   /**
    * Creates an inbox.
@@ -34,7 +35,8 @@
       RegionalQuotaPolicy quotas,
       RunnerLimits limits,
       RunnerPermits permits,
-      RequestQuarantine quarantine) {
+      RequestQuarantine quarantine,
+      KnowledgeExchange knowledge) {
     this.snapshots = snapshots;
     this.relays = relays;
     this.loads = loads;
@@ -44,6 +46,7 @@
     this.limits = limits;
     this.permits = permits;
     this.quarantine = quarantine;
+    this.knowledge = knowledge;
   }
 
   @Override
@@ -69,6 +72,8 @@
       quarantine.evidenceReceived(evidence);
     } else if (message instanceof PeerMessage.QuotaReturn returned) {
       quotas.tokensReturned(returned);
+    } else if (message instanceof PeerMessage.KnowledgeReport report) {
+      knowledge.reportReceived(report);
     }
   }
 
--- a/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
@@ -20,6 +20,7 @@
     "org.agatefield.lease..",
     "org.agatefield.membership..",
     "org.agatefield.idempotency..",
+    "org.agatefield.knowledge..",
     "org.agatefield.admission..",
     "org.agatefield.routing..",
     "org.agatefield.forwarding..",
--- /dev/null
+++ b/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeKind.java
@@ -0,0 +1,47 @@
+package org.agatefield.knowledge;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One kind of knowledge that instances share. Implementations are stateless and thread safe.
+ *
+ * <p>On the wire a value is a list of whole numbers. A later build may append numbers; an earlier
+ * one passes over those that it does not know, and over kinds with an unknown name.
+ *
+ * @param <V> the type of a value, an immutable record
+ */
+public interface KnowledgeKind<V> {
+  /** Returns the name on the wire, which never changes. */
+  String name();
+
+  /** Returns how far the kind is spread. */
+  Scope scope();
+
+  /** Returns the age from which a value no longer counts. */
+  long maximumAgeMilliseconds();
+
+  /**
+   * Combines what two sources know of one subject. The operation is commutative and associative.
+   */
+  Observed<V> combine(Observed<V> first, Observed<V> second);
+
+  /** Returns the numbers that stand for a value. */
+  List<Long> encode(V value);
+
+  /** Returns the value that numbers stand for; empty if they are too few or out of range. */
+  Optional<V> decode(List<Long> numbers);
+
+  /** Returns the observation that was made last; suits values that describe the subject whole. */
+  static <V> Observed<V> newest(Observed<V> first, Observed<V> second) {
+    return second.atMilliseconds() > first.atMilliseconds() ? second : first;
+  }
+
+  /** How far a kind of knowledge is spread. */
+  enum Scope {
+    /** To the instances of the source's failure domain. */
+    FAILURE_DOMAIN,
+    /** To all instances. */
+    FLEET
+  }
+}
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -92,6 +92,8 @@
               .setNotResponsible(!answer.responsible()));
     } else if (message instanceof PeerMessage.CrashEvidence evidence) {
       envelope.setCrashEvidence(CrashEvidenceCodec.encode(evidence));
+    } else if (message instanceof PeerMessage.KnowledgeReport report) {
+      envelope.setKnowledgeReport(KnowledgeCodec.encode(report));
     } else {
       return false;
     }
@@ -148,6 +150,7 @@
       case RUNNER_LIMIT_NOTICE -> decodeLimit(envelope.getRunnerLimitNotice()).map(each -> each);
       case PERMIT_REQUEST -> decodePermitRequest(envelope.getPermitRequest());
       case CRASH_EVIDENCE -> Optional.of(CrashEvidenceCodec.decode(envelope.getCrashEvidence()));
+      case KNOWLEDGE_REPORT -> Optional.of(KnowledgeCodec.decode(envelope.getKnowledgeReport()));
       case PERMIT_ANSWER -> Optional.of(decodePermitAnswer(envelope.getPermitAnswer()));
       default -> Optional.empty();
     };
--- a/peer/src/main/java/org/agatefield/peer/PeerMessage.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerMessage.java
@@ -326,6 +326,42 @@
    */
   record QuarantinedTrait(String trait, int number, long remainingMilliseconds, boolean stored) {}
 
+  /**
+   * Shares what an instance, or all instances that it speaks for, know of some subjects. Immutable.
+   *
+   * @param source the reporting instance, or the failure domain for which its relay reports
+   * @param whole whether the facts include those of all other sources
+   * @param kinds the facts by kind
+   */
+  record KnowledgeReport(String source, boolean whole, List<KnownKind> kinds)
+      implements PeerMessage {
+    /** Copies the list. */
+    public KnowledgeReport {
+      kinds = List.copyOf(kinds);
+    }
+  }
+
+  /** Facts of one kind. Immutable. */
+  record KnownKind(String name, List<KnownFact> facts) {
+    /** Copies the list. */
+    public KnownKind {
+      facts = List.copyOf(facts);
+    }
+  }
+
+  /**
+   * What is known of one subject. Immutable.
+   *
+   * @param ageMilliseconds the time since it was observed
+   * @param numbers the value, as its kind encodes it
+   */
+  record KnownFact(String subject, long ageMilliseconds, List<Long> numbers) {
+    /** Copies the list. */
+    public KnownFact {
+      numbers = List.copyOf(numbers);
+    }
+  }
+
   /**
    * Requests the configuration and the runner entries that an instance knows. Immutable.
    *
