--- a/command/src/main/java/org/agatefield/command/AgatefieldctlMain.java
+++ b/command/src/main/java/org/agatefield/command/AgatefieldctlMain.java
@@ -28,6 +28,7 @@
             ConfigurationHistoryCommand.class,
             ConfigurationApplyCommand.class,
             ConfigurationValidateCommand.class,
+            ConfigurationCheckCommand.class,
             ConfigurationDiffCommand.class
           })
     })
--- a/command/src/main/java/org/agatefield/command/CommandExitCode.java
+++ b/command/src/main/java/org/agatefield/command/CommandExitCode.java
@@ -1,12 +1,14 @@
 package org.agatefield.command;
 
+import org.agatefield.configuration.check.CheckRun;
+
 /** The documented exit codes of the operators' command. */
 public enum CommandExitCode {
   /** The command succeeded. */
   SUCCESS(0),
-  /** The daemon answered with an error, or an unexpected error occurred. */
+  /** The daemon answered with an error, a check found errors, or an unexpected error occurred. */
   FAILURE(1),
-  /** The command line is invalid. */
+  /** The command line is invalid, or a file cannot be read or checked. */
   USAGE(2),
   /** The configuration is invalid. */
   REFUSED(3),
@@ -26,6 +28,15 @@
     return number;
   }
 
+  /** Returns the exit code for the result of a check. */
+  static CommandExitCode ofCheck(int result) {
+    return switch (result) {
+      case CheckRun.VALID -> SUCCESS;
+      case CheckRun.ERRORS -> FAILURE;
+      default -> USAGE;
+    };
+  }
+
   /** Returns the exit code for the HTTP status of a daemon's answer. */
   static CommandExitCode ofStatus(int status) {
     if (status < 300) {
--- a/configuration/src/main/java/org/agatefield/configuration/ConfigurationReader.java
+++ b/configuration/src/main/java/org/agatefield/configuration/ConfigurationReader.java
@@ -5,6 +5,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
+import org.agatefield.model.Address;
 import org.agatefield.model.ConfigurationDocument;
 
 /**
@@ -15,6 +16,9 @@
  * fault. Stateless; safe for use by any thread.
  */
 public final class ConfigurationReader {
+  /** The maximum size of a document that daemons accept. */
+  public static final int MAXIMUM_BYTES = 2_000_000;
+
   private ConfigurationReader() {}
 
   /**
@@ -57,6 +61,7 @@
       throw notJson("not a JSON object");
     }
     throwIfAny(DocumentSchema.check(root));
+    throwIfAny(addressFaults(root.path("upstreams")));
     ObjectNode filled = root.deepCopy();
     DocumentDefaults.fill(filled);
     try {
@@ -67,6 +72,21 @@
     }
   }
 
+  private static List<ConfigurationFault> addressFaults(JsonNode upstreams) {
+    List<ConfigurationFault> faults = new ArrayList<>();
+    for (int i = 0; i < upstreams.size(); i++) {
+      String address = upstreams.path(i).path("address").asText();
+      try {
+        Address.parse(address);
+      } catch (IllegalArgumentException exception) {
+        faults.add(
+            new ConfigurationFault(
+                "$.upstreams[" + i + "].address", "'" + address + "'", "must be IP:port"));
+      }
+    }
+    return faults;
+  }
+
   private static ConfigurationFaultsException notJson(String reason) {
     return new ConfigurationFaultsException(
         List.of(new ConfigurationFault("$", reason, "the document must be one JSON object")));
--- a/configuration/src/main/java/org/agatefield/configuration/DocumentSchema.java
+++ b/configuration/src/main/java/org/agatefield/configuration/DocumentSchema.java
@@ -17,6 +17,7 @@
 /** Validates a JSON tree against the JSON schema of documents. Safe for use by any thread. */
 final class DocumentSchema {
   private static final String RESOURCE = "configuration-schema.json";
+  private static final String CALLERS = "$.callers";
   private static final int MAXIMUM_FOUND_CHARACTERS = 80;
   private static final JsonSchema SCHEMA = load();
 
@@ -42,7 +43,13 @@
     String prefix = path + ": ";
     String text = message.getMessage();
     String rule = text.startsWith(prefix) ? text.substring(prefix.length()) : text;
-    return new ConfigurationFault(path, shorten(message.getInstanceNode()), rule);
+    return new ConfigurationFault(path, describe(path, message.getInstanceNode()), rule);
+  }
+
+  /** Quotes what was found, unless it may be the token of a caller in place of its hash. */
+  private static String describe(String path, JsonNode found) {
+    boolean secret = path.startsWith(CALLERS) && found != null && !found.isNumber();
+    return secret ? "a value that is not quoted here" : shorten(found);
   }
 
   private static String shorten(JsonNode found) {
--- a/daemon/src/main/java/org/agatefield/daemon/operate/OperatorApi.java
+++ b/daemon/src/main/java/org/agatefield/daemon/operate/OperatorApi.java
@@ -2,6 +2,7 @@
 
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.handler.BodyHandler;
+import org.agatefield.configuration.ConfigurationReader;
 
 /**
  * The operators' API under {@code /operator}, which requires the operators' token, and the console
@@ -10,8 +11,6 @@
  * <p>Immutable; safe for use by any thread.
  */
 public final class OperatorApi {
-  private static final long MAXIMUM_BODY_BYTES = 2_000_000;
-
   private final OperatorApiDependencies dependencies;
   private final String operatorTokenSha256;
 
@@ -28,7 +27,9 @@
   /** Adds the routes to {@code router}. */
   public void mount(Router router) {
     router.route("/operator/*").handler(new OperatorAuthentication(operatorTokenSha256));
-    router.route("/operator/*").handler(BodyHandler.create(false).setBodyLimit(MAXIMUM_BODY_BYTES));
+    router
+        .route("/operator/*")
+        .handler(BodyHandler.create(false).setBodyLimit(ConfigurationReader.MAXIMUM_BYTES));
     new ConfigurationRoutes(dependencies.configuration()).mount(router);
     new StatusRoutes(dependencies).mount(router);
     new ConsoleRoutes().mount(router);
