--- a/daemon/src/main/java/org/agatefield/daemon/forward/EntryListeners.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EntryListeners.java
@@ -12,6 +12,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.CallerDialect;
+import org.agatefield.forwarding.IngressLimits;
 import org.agatefield.model.Address;
 import org.agatefield.model.Instance;
 import org.agatefield.settings.ForwardingSettings;
@@ -24,7 +25,7 @@
 final class EntryListeners {
   private static final int CALLER_IDLE_SECONDS = 120; // Longer than any idle time of callers.
   // The configured limit is not known when the listener opens; the usual one is a quarter of this.
-  private static final int HEADER_BYTES = 65_536;
+  private static final int HEADER_BYTES = IngressLimits.INSTANCE_HEADER_BYTES;
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
   private static final int UNAVAILABLE = 503;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
@@ -23,8 +23,7 @@
  */
 final class IngressServer {
   private static final Logger LOGGER = LogManager.getLogger(IngressServer.class);
-  // A quarter of the usual heap.
-  private static final long MAXIMUM_BUFFERED_BYTES = 48L * 1_048_576;
+  private static final long MAXIMUM_BUFFERED_BYTES = IngressLimits.INSTANCE_BODY_BYTES;
   private static final long NO_CONFIGURATION_RETRY_MILLISECONDS = 300;
   // Any other instance accepts the request immediately.
   private static final long LEAVING_RETRY_MILLISECONDS = 20;
--- a/forwarding/src/main/java/org/agatefield/forwarding/IngressLimits.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/IngressLimits.java
@@ -10,6 +10,12 @@
  */
 public record IngressLimits(
     int headerBytes, long bodyBytes, long headerTimeoutMilliseconds, long idleTimeoutMilliseconds) {
+  /** The headers that an instance takes, whatever is configured. */
+  public static final int INSTANCE_HEADER_BYTES = 65_536;
+
+  /** The bodies of all requests together that an instance holds; a quarter of the usual heap. */
+  public static final long INSTANCE_BODY_BYTES = 48L * 1_048_576;
+
   /** The limits that apply until a configuration is loaded. */
   public static final IngressLimits DEFAULTS = new IngressLimits(16_384, 4_194_304, 3_000, 15_000);
 }
