Entry by capacity: callers are named instances in proportion to what these have left

Cause: the directory names every live instance of the caller's failure domain whatever its size (0.27 to 1.5 processors) and load. Change: settings name the capacity, instances tell each other how late their timers fire, and EntrySelection names them in proportion; callers of a domain at its peak are moved in part to one of its region. EntrySelectionTest 9, KnowledgeTableTest 8, KnowledgeExchangeTest 6 pass.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EntryListeners.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EntryListeners.java
@@ -6,14 +6,11 @@
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
-import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.CallerDialect;
 import org.agatefield.model.Address;
-import org.agatefield.model.Instance;
 import org.agatefield.settings.ForwardingSettings;
 
 /**
@@ -33,25 +30,25 @@
   private final ForwardingSettings settings;
   private final CallerDialect callers;
   private final BooleanSupplier ready;
-  private final Supplier<? extends Collection<Instance>> answering;
+  private final EntryDirectory directory;
 
   /**
    * Creates listeners.
    *
    * @param ready whether this instance accepts new connections
-   * @param answering the instances that callers may be directed to
+   * @param directory answers which instances a caller should use
    */
   EntryListeners(
       Vertx vertx,
       ForwardingSettings settings,
       CallerDialect callers,
       BooleanSupplier ready,
-      Supplier<? extends Collection<Instance>> answering) {
+      EntryDirectory directory) {
     this.vertx = vertx;
     this.settings = settings;
     this.callers = callers;
     this.ready = ready;
-    this.answering = answering;
+    this.directory = directory;
   }
 
   /** Listens on all addresses; completes when all listeners are open, or with the first failure. */
@@ -98,7 +95,10 @@
       return;
     }
     List<Address> addresses =
-        EntryDirectory.addressesFor(callers.callerLocation(request.params()), answering.get());
+        directory.addressesFor(
+            callers.callerLocation(request.params()),
+            String.valueOf(request.remoteAddress()),
+            MonotonicClock.milliseconds());
     request
         .response()
         .putHeader("Content-Type", "application/json")
--- a/daemon/src/main/java/org/agatefield/daemon/forward/EventLoopDelay.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EventLoopDelay.java
@@ -13,10 +13,12 @@
   static final long TOLERATED_MILLISECONDS = 150; // A machine may pause for a tenth of a second.
 
   private static final long ON_TIME = Long.MAX_VALUE;
+  private static final double SMOOTHING = 0.2; // About half a second of timers.
 
   private long dueAt = Long.MAX_VALUE;
   private long lastLateDue = ON_TIME;
   private long previousLateDue = ON_TIME;
+  private double smoothed;
 
   /** Records when the timer is due, in monotonic milliseconds. */
   void timerScheduled(long dueMilliseconds) {
@@ -25,10 +27,18 @@
 
   /** Records that the timer fired. */
   void timerFired(long nowMilliseconds) {
+    if (dueAt != Long.MAX_VALUE) {
+      smoothed += SMOOTHING * (Math.max(0, nowMilliseconds - dueAt) - smoothed);
+    }
     previousLateDue = lastLateDue;
     lastLateDue = isBehind(nowMilliseconds) ? dueAt : ON_TIME;
   }
 
+  /** Returns how late timers have fired lately, on average. */
+  double smoothedMilliseconds() {
+    return smoothed;
+  }
+
   /** Returns whether the timer is overdue by more than the tolerance. */
   boolean isBehind(long nowMilliseconds) {
     return nowMilliseconds - TOLERATED_MILLISECONDS > dueAt;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -109,6 +109,7 @@
   private ForwardingPeers peers;
   private LoadExchange loadExchange;
   private KnowledgeExchange knowledge;
+  private EntryDirectory directory;
   private PlannerClient plannerClient;
   private RunnerAvailability availability;
   private RunnerLimits limits;
@@ -208,6 +209,9 @@
     loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     knowledge =
         new KnowledgeExchange(peers, settings.failureDomain(), MonotonicClock::milliseconds);
+    directory =
+        new EntryDirectory(
+            peers.self(), settings.capacity().processors(), delay, peers::answering, knowledge);
     availability = new RunnerAvailability(peers::broadcast);
     fleetSize = new FleetSize(() -> peers.alive().size());
     limits = new RunnerLimits(MonotonicClock::milliseconds, peers::broadcast);
@@ -260,7 +264,7 @@
             settings,
             dialect.callers(),
             () -> configuration.table().isPresent() && !stop.isLeaving(),
-            peers::answering)
+            directory)
         .listen(ingress, metrics)
         .whenComplete(
             (done, failure) -> {
@@ -432,6 +436,7 @@
   private void startTimers() {
     PeriodicTasks tasks = new PeriodicTasks(vertx, LoadExchange.PERIOD_MILLISECONDS, delay);
     tasks.every(LoadExchange.PERIOD_MILLISECONDS, loadExchange::sendReports);
+    tasks.every(EntryDirectory.PUBLISH_MILLISECONDS, directory::publishLoad);
     tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, knowledge::sendReports);
     tasks.every(PlannerClient.DEMAND_MILLISECONDS, now -> plannerClient.reportDemand());
     tasks.every(PlannerClient.NOTICE_MILLISECONDS, now -> plannerClient.announce());
--- a/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
@@ -26,6 +26,7 @@
   public static final int MAXIMUM_SUBJECTS = 8_192;
 
   private static final String SELF = "";
+  private static final long OBSERVATIONS_PER_MAXIMUM_AGE = 3;
 
   private final KnowledgeKind<V> kind;
   private final Map<String, Map<String, Entry<V>>> sources = new HashMap<>();
@@ -60,6 +61,22 @@
     put(SELF, subject, new Observed<>(value, nowMilliseconds));
   }
 
+  /**
+   * Records what this instance has observed of a subject, unless it would only repeat what others
+   * have been told lately.
+   */
+  public void observeChange(String subject, V value, long nowMilliseconds) {
+    Entry<V> known = sources.getOrDefault(SELF, Map.of()).get(subject);
+    boolean repeated =
+        known != null
+            && known.observed().value().equals(value)
+            && known.observed().ageMilliseconds(nowMilliseconds)
+                < kind.maximumAgeMilliseconds() / OBSERVATIONS_PER_MAXIMUM_AGE;
+    if (!repeated) {
+      observe(subject, value, nowMilliseconds);
+    }
+  }
+
   /** Records what another source knows of a subject. */
   public void receive(String source, String subject, Observed<V> observed, long nowMilliseconds) {
     if (!isExpired(observed, nowMilliseconds)) {
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
@@ -19,6 +19,7 @@
  * @param regions the region of each failure domain, by the failure domain's name
  * @param terms guarantees of the operators to callers and upstreams
  * @param quotas how quotas of client accounts are enforced
+ * @param capacity what the machine of the instance can do
  * @param log the format and level of the log
  */
 public record ForwardingSettings(
@@ -30,6 +31,7 @@
     Map<String, String> regions,
     Terms terms,
     Quotas quotas,
+    Capacity capacity,
     DaemonSettings.Log log) {
   /** Copies the collections. */
   public ForwardingSettings {
@@ -83,6 +85,22 @@
    */
   public record Quotas(Duration window, double overage, double slack, QuotaSharing sharing) {}
 
+  /**
+   * What the machine of an instance can do, compared with other instances. Immutable.
+   *
+   * @param processorShare the part of a processor that the process may use
+   * @param processorSpeed the speed of that processor; 1 is an ordinary one
+   */
+  public record Capacity(double processorShare, double processorSpeed) {
+    /** An ordinary processor without a limit. */
+    public static final Capacity ORDINARY = new Capacity(1, 1);
+
+    /** Returns the capacity in ordinary processors. */
+    public double processors() {
+      return processorShare * processorSpeed;
+    }
+  }
+
   /** The ways in which instances share a quota. */
   public enum QuotaSharing {
     /**
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
@@ -9,6 +9,7 @@
 import java.util.regex.Pattern;
 import org.agatefield.model.Address;
 import org.agatefield.model.FailureDomain;
+import org.agatefield.settings.ForwardingSettings.Capacity;
 import org.agatefield.settings.ForwardingSettings.Listeners;
 import org.agatefield.settings.ForwardingSettings.QuotaSharing;
 import org.agatefield.settings.ForwardingSettings.Quotas;
@@ -22,7 +23,15 @@
 public final class ForwardingSettingsReader {
   private static final Set<String> TABLES =
       Set.of(
-          "instance", "listen", "store", "membership", "failure_domains", "terms", "quotas", "log");
+          "instance",
+          "listen",
+          "store",
+          "membership",
+          "failure_domains",
+          "terms",
+          "quotas",
+          "capacity",
+          "log");
   private static final Pattern NAME = Pattern.compile("[A-Za-z0-9]([A-Za-z0-9._-]{0,126})");
   private static final String HOLDERS = "holders";
   private static final String EQUAL_PARTS = "equal_parts";
@@ -59,6 +68,8 @@
         new SettingsTable(file, "failure_domains", root, lines, faults).texts(NAME, NAME_RULE);
     final Terms terms = readTerms(new SettingsTable(file, "terms", root, lines, faults));
     final Quotas quotas = readQuotas(new SettingsTable(file, "quotas", root, lines, faults));
+    final Capacity capacity =
+        readCapacity(new SettingsTable(file, "capacity", root, lines, faults));
     final DaemonSettings.Log log =
         SettingsReader.readLog(new SettingsTable(file, "log", root, lines, faults));
     SettingsReader.rejectUnknownTables(file, root, lines, faults, TABLES);
@@ -66,7 +77,7 @@
       throw new SettingsException(faults);
     }
     return new ForwardingSettings(
-        name, failureDomain, listeners, storeAddress, seeds, regions, terms, quotas, log);
+        name, failureDomain, listeners, storeAddress, seeds, regions, terms, quotas, capacity, log);
   }
 
   private static Listeners readListeners(SettingsTable table) {
@@ -108,6 +119,15 @@
     return quotas;
   }
 
+  private static Capacity readCapacity(SettingsTable table) {
+    Capacity capacity =
+        new Capacity(
+            table.fraction("processor_share", 0.01, 1_024, Capacity.ORDINARY.processorShare()),
+            table.fraction("processor_speed", 0.01, 1_024, Capacity.ORDINARY.processorSpeed()));
+    table.rejectUnknownKeys();
+    return capacity;
+  }
+
   private static Duration seconds(double value) {
     return milliseconds(value * MILLISECONDS_PER_SECOND);
   }
