--- a/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/PackageDependencyTest.java
@@ -21,6 +21,7 @@
     "org.agatefield.membership..",
     "org.agatefield.idempotency..",
     "org.agatefield.knowledge..",
+    "org.agatefield.cost..",
     "org.agatefield.admission..",
     "org.agatefield.routing..",
     "org.agatefield.forwarding..",
