Requests go by what they are likely to cost and what each runner still has to do

Cause: a request counted as its uncached prompt tokens at a speed learned by one instance for one runner; running requests counted 4 ms each; neighbours' pending work did not age; instances with the same view chose the same runner; nothing bounded the tokens at a runner. Change: RunnerEstimates joins learned rates, work left, output lengths and token memory into one candidate; neighbours' reports age and arrivals are expected; LikelyBestChooser draws by cost on a scale that grows with the age of the view; Length-Hint is read; the finish line names send_ms, estimates and what came of them.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -9,7 +9,7 @@
 import org.agatefield.daemon.quarantine.CrashDetector;
 import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.forwarding.ForwardingTable;
-import org.agatefield.forwarding.RunnerLoads;
+import org.agatefield.forwarding.RunnerEstimates;
 import org.agatefield.forwarding.SendPolicy;
 
 /**
@@ -29,7 +29,7 @@
  * @param limits the request rates to which runners limit all instances together
  * @param permits distributes the rates of limited runners among the instances
  * @param sending decides whether a request is sent, waits or is refused
- * @param loads the estimated load of each runner
+ * @param estimates what requests cost and what each runner still has to do
  * @param presence the models and adapters assumed to be loaded on each runner
  * @param adapters requests adapter loads
  * @param quotas decides whether a client account's quota allows a request
@@ -56,7 +56,7 @@
     RunnerLimits limits,
     RunnerPermits permits,
     SendPolicy sending,
-    RunnerLoads loads,
+    RunnerEstimates estimates,
     ModelPresence presence,
     AdapterProvider adapters,
     QuotaPolicy quotas,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -25,8 +25,11 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.DoubleStream;
 import org.agatefield.admission.FleetSize;
 import org.agatefield.admission.QuotaTolerance;
+import org.agatefield.cost.LearnedRates;
+import org.agatefield.cost.RateKind;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
 import org.agatefield.daemon.leases.LeaseManager;
 import org.agatefield.daemon.quarantine.ConnectionProbe;
@@ -35,11 +38,16 @@
 import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.daemon.quarantine.Timers;
 import org.agatefield.forwarding.AccountTable;
-import org.agatefield.forwarding.EarliestStartChooser;
+import org.agatefield.forwarding.EnginePool;
 import org.agatefield.forwarding.ForwardingTable;
+import org.agatefield.forwarding.LikelyBestChooser;
 import org.agatefield.forwarding.RunnerEntry;
+import org.agatefield.forwarding.RunnerEstimates;
 import org.agatefield.forwarding.RunnerLoads;
+import org.agatefield.forwarding.ServiceDefinition;
 import org.agatefield.forwarding.StartInTimePolicy;
+import org.agatefield.knowledge.KnowledgeTable;
+import org.agatefield.knowledge.RunnerState;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.Closer;
 import org.agatefield.model.ErrorKind;
@@ -94,7 +102,6 @@
   private final PlatformDialect dialect;
   private final Vertx vertx;
   private final Context context;
-  private final RunnerLoads loads = new RunnerLoads();
   private final ModelPresence presence = new ModelPresence();
   private final DemandMeter demand = new DemandMeter();
   private final EventLoopDelay delay = new EventLoopDelay();
@@ -106,6 +113,10 @@
   private final SnapshotExchange snapshots;
   private final Map<String, ObjectRelay> objectRelays = new HashMap<>();
   private final List<ObjectInformer> informers = new ArrayList<>();
+  private KnowledgeTable<RunnerState> runnerStates;
+  private LearnedRates rates;
+  private RunnerLoads loads;
+  private RunnerEstimates estimates;
   private ForwardingPeers peers;
   private LoadExchange loadExchange;
   private KnowledgeExchange knowledge;
@@ -205,9 +216,15 @@
 
   private void startComponents(UniformRandomProvider random, CompletableFuture<Void> started) {
     plannerClient = new PlannerClient(peers, presence, waiting, demand, () -> lease.refresh());
-    loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     knowledge =
         new KnowledgeExchange(peers, settings.failureDomain(), MonotonicClock::milliseconds);
+    runnerStates = knowledge.share(RunnerState.KIND);
+    rates =
+        new LearnedRates(
+            knowledge.share(RateKind.RUNNER_SPEED), knowledge.share(RateKind.MODEL_PACE));
+    loads = new RunnerLoads(rates);
+    estimates = new RunnerEstimates(rates, loads, runnerStates);
+    loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     availability = new RunnerAvailability(peers::broadcast);
     fleetSize = new FleetSize(() -> peers.alive().size());
     limits = new RunnerLimits(MonotonicClock::milliseconds, peers::broadcast);
@@ -307,11 +324,12 @@
             settings.failureDomain(),
             settings.regions(),
             runners,
-            loads,
+            estimates,
+            this::cacheTokens,
             presence,
             availability,
             permits,
-            new EarliestStartChooser(random));
+            new LikelyBestChooser(random));
     NetClient prober =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_MILLISECONDS));
     closer.register(prober::close);
@@ -342,7 +360,7 @@
                 limits,
                 permits,
                 new StartInTimePolicy(),
-                loads,
+                estimates,
                 presence,
                 plannerClient::ensureAdapter,
                 quotaPolicy(),
@@ -361,12 +379,33 @@
         "agatefield.forwarding.unwritten-bytes", (Gauge<Long>) unwritten::totalBytes);
     metrics.registerGauge(
         "agatefield.requests.quarantined-traits", (Gauge<Integer>) quarantine::size);
+    metrics.registerGauge(
+        "agatefield.runners.work-left-milliseconds.greatest",
+        (Gauge<Double>) () -> workLeft().max().orElse(0));
+    metrics.registerGauge(
+        "agatefield.runners.work-left-milliseconds.mean",
+        (Gauge<Double>) () -> workLeft().average().orElse(0));
     metrics.registerGauge("agatefield.runners.limited", (Gauge<Integer>) limits::count);
     metrics.registerGauge("agatefield.configuration.version", (Gauge<Long>) configuration::version);
     metrics.registerGauge(
         "agatefield.runners.age-milliseconds", (Gauge<Long>) runners::ageMilliseconds);
   }
 
+  private DoubleStream workLeft() {
+    return estimates.workLeftMilliseconds(MonotonicClock.milliseconds()).values().stream()
+        .mapToDouble(Double::doubleValue);
+  }
+
+  /** Returns the token memory of each runner of a service; 0 if it has none. */
+  private long cacheTokens(String service) {
+    return configuration
+        .table()
+        .flatMap(table -> table.service(service))
+        .flatMap(ServiceDefinition::engines)
+        .map(EnginePool::cacheTokens)
+        .orElse(0L);
+  }
+
   private AccountTable accounts() {
     return configuration.table().map(ForwardingTable::accounts).orElse(AccountTable.NONE);
   }
@@ -433,6 +472,8 @@
     PeriodicTasks tasks = new PeriodicTasks(vertx, LoadExchange.PERIOD_MILLISECONDS, delay);
     tasks.every(LoadExchange.PERIOD_MILLISECONDS, loadExchange::sendReports);
     tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, knowledge::sendReports);
+    tasks.every(LoadExchange.PERIOD_MILLISECONDS, estimates::refresh);
+    tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, rates::refresh);
     tasks.every(PlannerClient.DEMAND_MILLISECONDS, now -> plannerClient.reportDemand());
     tasks.every(PlannerClient.NOTICE_MILLISECONDS, now -> plannerClient.announce());
     tasks.every(EXPIRY_CHECK_MILLISECONDS, runners::removeExpired);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingMetrics.java
@@ -33,6 +33,13 @@
     registry.counter(PREFIX + "internal-errors").inc();
   }
 
+  /** Records the difference between an expected time to the first event and the real one. */
+  void estimated(double expectedMilliseconds, long milliseconds) {
+    long error = Math.round(milliseconds - expectedMilliseconds);
+    registry.histogram(PREFIX + "estimate-late-milliseconds").update(Math.max(0, error));
+    registry.histogram(PREFIX + "estimate-early-milliseconds").update(Math.max(0, -error));
+  }
+
   void permitDenied() {
     registry.counter(PREFIX + "permits-denied").inc();
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.agatefield.cost.AttemptWork;
 import org.agatefield.daemon.forward.wire.ResponseKind;
 import org.agatefield.daemon.forward.wire.RunnerDialect;
 import org.agatefield.daemon.quarantine.RequestQuarantine;
@@ -15,6 +16,7 @@
 import org.agatefield.forwarding.RequestAction;
 import org.agatefield.forwarding.RequestMetadata;
 import org.agatefield.forwarding.RequestTraits;
+import org.agatefield.forwarding.RequestWork;
 import org.agatefield.forwarding.RetryMode;
 import org.agatefield.forwarding.Route;
 import org.agatefield.forwarding.RunnerEntry;
@@ -48,8 +50,9 @@
   private final RunnerEntry runner;
   private final UpstreamCall call;
   private final long sentAt = MonotonicClock.milliseconds();
-  private final int uncachedTokens;
-  private final double tokensAhead;
+  private final RequestWork work;
+  private AttemptWork attemptWork;
+  private int events;
   private UpstreamResponse head;
   private UpstreamResponse completeResponse;
   private byte[] event;
@@ -75,7 +78,12 @@
 
   /** The request that an attempt serves. Immutable. */
   record ServedRequest(
-      Route route, String service, RequestMetadata terms, RequestTraits traits, long deadline) {}
+      Route route,
+      String service,
+      RequestMetadata terms,
+      RequestTraits traits,
+      RequestWork work,
+      long deadline) {}
 
   /**
    * Creates an attempt without sending anything.
@@ -94,6 +102,7 @@
     this.service = served.service();
     this.terms = served.terms();
     this.traits = served.traits();
+    this.work = served.work();
     this.deadline = served.deadline();
     this.state = state;
     this.owner = owner;
@@ -108,10 +117,6 @@
             context.dialect().runners(),
             terms.id(),
             this);
-    this.uncachedTokens =
-        terms.prompt().map(prompt -> context.loads().uncachedTokens(runner.id(), prompt)).orElse(0);
-    this.tokensAhead =
-        context.loads().total(runner.id(), sentAt).pendingPrefillTokens() + uncachedTokens;
   }
 
   void start(HttpServerRequest request, Supplier<MultiMap> headers, Buffer content) {
@@ -126,7 +131,8 @@
                     attemptNumber,
                     runner.id(),
                     limit));
-    context.loads().sent(runner.id(), uncachedTokens);
+    attemptWork =
+        context.estimates().sent(context.selector().place(runner, work, sentAt), work, sentAt);
     terms.prompt().ifPresent(prompt -> context.demand().running(service, prompt, runner.id(), 1));
     scheduleStallCheck();
     call.start(context.client(), runner, request.method(), request.uri(), headers, content);
@@ -147,6 +153,16 @@
     return completeResponse;
   }
 
+  /** Returns what was expected of the attempt and what came of it; empty before it started. */
+  Optional<AttemptWork> work() {
+    return Optional.ofNullable(attemptWork);
+  }
+
+  /** Returns the number of tokens that the runner has written, as far as it is known. */
+  double writtenTokens() {
+    return context.estimates().outputTokens(events);
+  }
+
   void cancel() {
     call.cancel();
     release();
@@ -293,6 +309,7 @@
     if (!next.empty()) {
       lastActivity = MonotonicClock.milliseconds();
       stalled = false;
+      events++;
       context.selector().dataReceived(runner.id(), lastActivity);
       markStarted();
       if (outlivedStart()) {
@@ -317,6 +334,9 @@
     }
     release();
     context.selector().succeeded(runner.id());
+    if (terms.lastEventId().isEmpty() && attemptNumber == 1) { // Others begin in the middle.
+      context.estimates().outputCompleted(work, events);
+    }
     completeResponse = streamHead;
     owner.perform(state.ended(attemptNumber));
   }
@@ -334,13 +354,11 @@
     began = true;
     beganAt = MonotonicClock.milliseconds();
     long milliseconds = beganAt - sentAt;
-    context.loads().prefillEnded(runner.id(), uncachedTokens);
     context.selector().responseStarted(runner.id(), milliseconds);
-    if (terms.prompt().isPresent()) {
-      context.loads().recordPrefillTime(runner.id(), tokensAhead, milliseconds);
-      context.loads().recordCachedParts(runner.id(), terms.prompt().get());
-    } else {
-      context.loads().recordRequestTime(runner.id(), milliseconds);
+    if (attemptWork != null) {
+      boolean near = context.selector().isNear(runner);
+      context.estimates().firstEvent(attemptWork, work, near, beganAt);
+      context.metrics().estimated(attemptWork.expectation().firstEventMilliseconds(), milliseconds);
     }
   }
 
@@ -350,10 +368,10 @@
     }
     released = true;
     context.vertx().cancelTimer(stallTimer);
-    if (!began) {
-      context.loads().prefillEnded(runner.id(), uncachedTokens);
+    if (attemptWork == null) {
+      return; // Nothing was counted for an attempt that has not started.
     }
-    context.loads().ended(runner.id());
+    context.estimates().ended(attemptWork);
     terms.prompt().ifPresent(prompt -> context.demand().running(service, prompt, runner.id(), -1));
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -8,6 +8,7 @@
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.agatefield.cost.AttemptWork;
 import org.agatefield.daemon.forward.wire.SendTerms;
 import org.agatefield.forwarding.ClientAccount;
 import org.agatefield.forwarding.ForwardedRequest;
@@ -18,6 +19,7 @@
 import org.agatefield.forwarding.RequestFingerprint;
 import org.agatefield.forwarding.RequestMetadata;
 import org.agatefield.forwarding.RequestTraits;
+import org.agatefield.forwarding.RequestWork;
 import org.agatefield.forwarding.RetryDelay;
 import org.agatefield.forwarding.Route;
 import org.agatefield.forwarding.RunnerEntry;
@@ -60,6 +62,7 @@
   private final Optional<ClientAccount> account;
   private final ForwardedRequest state;
   private Set<String> excluded = Set.of();
+  private RequestWork work;
   private RequestAttempt attempt;
   private RunnerEntry chosenRunner;
   private boolean waiting;
@@ -345,8 +348,7 @@
       return;
     }
     long now = MonotonicClock.milliseconds();
-    RunnerSelector.Selection selection =
-        context.selector().select(service, terms.prompt(), excluded, now);
+    RunnerSelector.Selection selection = context.selector().select(service, work(), excluded, now);
     if (selection instanceof RunnerSelector.Selection.Found found) {
       sendOrWait(found, now);
     } else if (selection instanceof RunnerSelector.Selection.NoRunner) {
@@ -365,6 +367,21 @@
     }
   }
 
+  /** Returns what the request is likely to cost, as estimated when a runner was first sought. */
+  private RequestWork work() {
+    if (work == null) {
+      work =
+          context
+              .estimates()
+              .work(
+                  route.name(),
+                  account.map(ClientAccount::name).orElse(""),
+                  terms.prompt(),
+                  content.length());
+    }
+    return work;
+  }
+
   /** Queues the request if a runner accepts requests again early enough; otherwise refuses it. */
   private void waitForBackoff(long until, long now) {
     if (timing.isInTime(until)) {
@@ -576,12 +593,13 @@
 
   private void send(RequestAction.Send send) {
     sends++;
+    timing.sent(MonotonicClock.milliseconds());
     context.metrics().sent(sends > 1);
     attempt =
         new RequestAttempt(
             context,
             new RequestAttempt.ServedRequest(
-                route, service, terms, risk.traits(), timing.deadline()),
+                route, service, terms, risk.traits(), work(), timing.deadline()),
             state,
             new AttemptOwner(),
             send.attempt(),
@@ -617,9 +635,11 @@
     String outcome = respond(finalAction);
     long elapsed = timing.elapsedMilliseconds(MonotonicClock.milliseconds());
     context.metrics().finished(route.kind(), outcome, elapsed);
+    Optional<AttemptWork> estimate = Optional.ofNullable(attempt).flatMap(RequestAttempt::work);
     LOGGER.info(
         "request={} route={} service={} outcome={} runner={} sends={} first_ms={} total_ms={}"
-            + " limit_ms={} model={} adapter={} tokens={} config={} account={} fingerprint={}",
+            + " limit_ms={} model={} adapter={} tokens={} config={} account={} fingerprint={}"
+            + " send_ms={} estimated_first_ms={} runner_first_ms={} estimated_output={} output={}",
         terms.id(),
         route.name(),
         service,
@@ -634,7 +654,12 @@
         terms.prompt().map(GenerationParameters::promptTokens).orElse(0),
         table.version(),
         account.map(ClientAccount::name).orElse(""),
-        fingerprint.value());
+        fingerprint.value(),
+        timing.sendMilliseconds(),
+        estimate.map(each -> Math.round(each.expectation().firstEventMilliseconds())).orElse(-1L),
+        estimate.map(AttemptWork::firstEventMilliseconds).orElse(-1L),
+        estimate.map(each -> Math.round(each.expectation().outputTokens())).orElse(-1L),
+        attempt == null ? -1 : Math.round(attempt.writtenTokens()));
   }
 
   private String respond(RequestAction.Final finalAction) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestTiming.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestTiming.java
@@ -21,6 +21,7 @@
   private final long arrivedAt;
   private final long deadline;
   private OptionalLong firstEventAt = OptionalLong.empty();
+  private OptionalLong firstSentAt = OptionalLong.empty();
   private long waitsSince;
   private long seeksRunnerSince;
 
@@ -62,6 +63,18 @@
     return firstEventAt.isPresent() ? firstEventAt.getAsLong() - arrivedAt : -1;
   }
 
+  /** Records that the request is sent to a runner, for the first time or again. */
+  void sent(long now) {
+    if (firstSentAt.isEmpty()) {
+      firstSentAt = OptionalLong.of(now);
+    }
+  }
+
+  /** Returns how long it took until the request was first sent to a runner; -1 if it was not. */
+  long sendMilliseconds() {
+    return firstSentAt.isPresent() ? firstSentAt.getAsLong() - arrivedAt : -1;
+  }
+
   /** Records that an event of the response is passed on. */
   void eventSent(long now) {
     waitsSince = now;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerSelector.java
@@ -9,13 +9,16 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
+import org.agatefield.cost.TokenRoom.Room;
 import org.agatefield.forwarding.GenerationParameters;
+import org.agatefield.forwarding.RequestWork;
 import org.agatefield.forwarding.RunnerCandidate;
 import org.agatefield.forwarding.RunnerCandidate.Distance;
 import org.agatefield.forwarding.RunnerChooser;
 import org.agatefield.forwarding.RunnerEntry;
-import org.agatefield.forwarding.RunnerLoads;
+import org.agatefield.forwarding.RunnerEstimates;
 import org.agatefield.model.FailureDomain;
 import org.agatefield.routing.OutlierDetector;
 
@@ -31,7 +34,8 @@
   private final FailureDomain localDomain;
   private final Map<String, String> regions;
   private final RunnerDirectory directory;
-  private final RunnerLoads loads;
+  private final RunnerEstimates estimates;
+  private final ToLongFunction<String> cacheTokens;
   private final ModelPresence presence;
   private final RunnerAvailability availability;
   private final RunnerPermits permits;
@@ -78,11 +82,17 @@
     record NoRunner() implements Selection {}
   }
 
+  /**
+   * Creates a selector.
+   *
+   * @param cacheTokens returns the token memory of each runner of a service; 0 if it has none
+   */
   RunnerSelector(
       FailureDomain localDomain,
       Map<String, String> regions,
       RunnerDirectory directory,
-      RunnerLoads loads,
+      RunnerEstimates estimates,
+      ToLongFunction<String> cacheTokens,
       ModelPresence presence,
       RunnerAvailability availability,
       RunnerPermits permits,
@@ -90,7 +100,8 @@
     this.localDomain = localDomain;
     this.regions = regions;
     this.directory = directory;
-    this.loads = loads;
+    this.estimates = estimates;
+    this.cacheTokens = cacheTokens;
     this.presence = presence;
     this.availability = availability;
     this.permits = permits;
@@ -98,8 +109,8 @@
     directory.listen(this);
   }
 
-  Selection select(
-      String service, Optional<GenerationParameters> prompt, Set<String> tried, long now) {
+  Selection select(String service, RequestWork work, Set<String> tried, long now) {
+    Optional<GenerationParameters> prompt = work.prompt();
     List<RunnerEntry> usable =
         directory.usable(service).stream().filter(entry -> !availability.isLeaving(entry)).toList();
     if (usable.isEmpty()) {
@@ -130,19 +141,26 @@
             .collect(
                 Collectors.partitioningBy(
                     entry -> prompt.isPresent() && permits.shouldSpare(entry, now)));
-    Optional<Selection.Found> limited = choose(spared.get(true), Optional.empty(), prompt, now);
-    return choose(spared.get(false), limited, prompt, now).or(() -> limited).orElseThrow();
+    Optional<Selection.Found> limited = choose(spared.get(true), Optional.empty(), work, now);
+    return choose(spared.get(false), limited, work, now).or(() -> limited).orElseThrow();
   }
 
   private Optional<Selection.Found> choose(
       List<RunnerEntry> entries,
       Optional<Selection.Found> limitedAlternative,
-      Optional<GenerationParameters> prompt,
+      RequestWork work,
       long now) {
     List<RunnerCandidate> candidates = new ArrayList<>(entries.size());
-    entries.forEach(entry -> candidates.add(candidate(entry, prompt, now)));
+    List<RunnerCandidate> withRoom = new ArrayList<>(entries.size());
+    for (RunnerEntry entry : entries) {
+      RunnerCandidate candidate = estimates.candidate(place(entry, work, now), work, now);
+      candidates.add(candidate);
+      if (candidate.outlook().room() == Room.FREE) {
+        withRoom.add(candidate);
+      }
+    }
     return choice
-        .choose(candidates)
+        .choose(withRoom.isEmpty() ? candidates : withRoom)
         .map(
             chosen ->
                 new Selection.Found(
@@ -236,7 +254,7 @@
     presence.entryChanged(entry, MonotonicClock.milliseconds());
     if (newProcess) {
       presence.forget(entry.id());
-      loads.clearCachedParts(entry.id());
+      estimates.processEnded(entry.id());
       outliers.forget(entry.id());
     }
   }
@@ -247,6 +265,7 @@
     availability.forget(id);
     permits.runnerGone(id);
     lastDataAt.remove(id);
+    estimates.processEnded(id);
     outliers.forget(id);
   }
 
@@ -258,26 +277,26 @@
     return entries.stream().filter(entry -> !tried.contains(entry.id())).toList();
   }
 
-  private RunnerCandidate candidate(
-      RunnerEntry entry, Optional<GenerationParameters> prompt, long now) {
-    RunnerLoads.Load share = loads.total(entry.id(), now);
+  /** Returns what the estimates need to know of a runner. */
+  RunnerEstimates.Place place(RunnerEntry entry, RequestWork work, long now) {
     boolean adapterPresent =
-        prompt
+        work.prompt()
             .flatMap(GenerationParameters::adapter)
-            .map(name -> presence.hasAdapter(entry.id(), prompt.get().model(), name, now))
+            .map(name -> presence.hasAdapter(entry.id(), work.paceKey(), name, now))
             .orElse(true);
-    return new RunnerCandidate(
+    return new RunnerEstimates.Place(
         entry.id(),
         distance(entry.failureDomain()),
-        share.running(),
         entry.slots(),
-        share.pendingPrefillTokens(),
-        loads.millisecondsPerToken(entry.id()),
-        prompt.isPresent() ? 0 : loads.millisecondsPerRequest(entry.id()),
-        prompt.map(terms -> loads.uncachedTokens(entry.id(), terms)).orElse(0),
+        cacheTokens.applyAsLong(entry.service()),
         adapterPresent);
   }
 
+  /** Returns whether the way to a runner takes no considerable part of a response time. */
+  boolean isNear(RunnerEntry entry) {
+    return distance(entry.failureDomain()) != Distance.OTHER_REGION;
+  }
+
   private Distance distance(String failureDomain) {
     if (failureDomain.equals(localDomain.name())) {
       return Distance.SAME_DOMAIN;
--- a/daemon/src/test/java/org/agatefield/daemon/forward/LoadExchangeTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/LoadExchangeTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.agatefield.cost.LearnedRates;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.membership.DomainRelays;
 import org.agatefield.model.Address;
@@ -32,7 +33,7 @@
 
   private final class Member implements LoadExchange.Fleet {
     private final Instance self;
-    private final RunnerLoads loads = new RunnerLoads();
+    private final RunnerLoads loads = new RunnerLoads(LearnedRates.unshared());
     private final LoadExchange exchange;
 
     Member(Instance self) {
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -13,11 +13,15 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.agatefield.admission.FleetSize;
+import org.agatefield.cost.LearnedRates;
 import org.agatefield.daemon.forward.wire.StoredObjectDialect;
 import org.agatefield.forwarding.FewestRunningChooser;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.RunnerEntry;
+import org.agatefield.forwarding.RunnerEstimates;
 import org.agatefield.forwarding.RunnerLoads;
+import org.agatefield.knowledge.KnowledgeTable;
+import org.agatefield.knowledge.RunnerState;
 import org.agatefield.model.Address;
 import org.agatefield.model.FailureDomain;
 import org.agatefield.model.Instance;
@@ -162,7 +166,11 @@
             new FailureDomain("r", "d"),
             Map.of("d", "r"),
             directory,
-            new RunnerLoads(),
+            new RunnerEstimates(
+                LearnedRates.unshared(),
+                new RunnerLoads(LearnedRates.unshared()),
+                new KnowledgeTable<>(RunnerState.KIND)),
+            service -> 0,
             new ModelPresence(),
             new RunnerAvailability(notice -> {}),
             permitsWithoutLimits(),
--- a/forwarding/src/main/java/org/agatefield/forwarding/EarliestStartChooser.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/EarliestStartChooser.java
@@ -7,7 +7,7 @@
 
 /**
  * Chooses the runner whose answer is expected to start first, taking the time to reach the runner
- * into account.
+ * into account; used as a baseline.
  *
  * <p>Suited to prompts that differ tenfold in size and to runners that are busy with prefill:
  * there, the number of requests says little about the load, while the number of tokens pending
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
@@ -2,10 +2,12 @@
 
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.agatefield.forwarding.GenerationParameters.PromptPart;
+import java.util.Set;
+import org.agatefield.cost.LearnedRates;
 
 /**
  * Tracks the load of each runner: the requests of this instance and the loads that neighbouring
@@ -19,26 +21,24 @@
   /** How long the report of a neighbour counts; it is repeated several times within this time. */
   public static final long MAXIMUM_NEIGHBOUR_AGE_MILLISECONDS = 1_000;
 
-  private static final double SMOOTHING = 0.15;
-  // An H100 prefills about 19 tokens per millisecond for a model with 32 billion parameters.
-  private static final double INITIAL_PREFILL_MILLISECONDS_PER_TOKEN = 0.06;
-  // Five times the usual value.
-  private static final double MAXIMUM_PREFILL_MILLISECONDS_PER_TOKEN = 0.3;
-  // Shorter prompts say little about the rate.
-  private static final double MINIMUM_MEASURED_TOKENS = 500;
-  // The decoding step that follows the last prefill chunk.
-  private static final double FIRST_DECODE_STEP_MILLISECONDS = 90;
-  private static final double INITIAL_MILLISECONDS_PER_REQUEST = 80;
+  /** The work that one reported token stands for, on a runner of speed 1. */
+  public static final double WORK_MILLISECONDS_PER_TOKEN =
+      LearnedRates.DEFAULT_MILLISECONDS_PER_TOKEN;
+
+  // How old a report is on average when it arrives, with one relay on its way and without.
+  private static final long RELAYED_REPORT_MILLISECONDS = 200;
+  private static final long DIRECT_REPORT_MILLISECONDS = 60;
+  private static final double ARRIVAL_SMOOTHING = 0.25;
+  private static final double NEGLIGIBLE_ARRIVALS = 0.001; // One work token in a second.
   private static final int CACHED_PARTS_PER_RUNNER = 512;
 
+  private final LearnedRates rates;
   private final Map<String, OwnLoad> own = new HashMap<>();
   private final Map<String, NeighbourLoad> neighbourLoads = new HashMap<>();
 
   private static final class OwnLoad {
     private int running;
     private int pendingPrefillTokens;
-    private double millisecondsPerToken = INITIAL_PREFILL_MILLISECONDS_PER_TOKEN;
-    private double millisecondsPerRequest = INITIAL_MILLISECONDS_PER_REQUEST;
     private final Map<String, Boolean> cachedParts =
         new LinkedHashMap<>(16, 0.75f, true) {
           private static final long serialVersionUID = 1;
@@ -54,27 +54,59 @@
    * The load of one runner. Immutable.
    *
    * @param running running requests
-   * @param pendingPrefillTokens prompt tokens of requests whose answers have not started
+   * @param pendingPrefillTokens work of requests whose answers have not started, each as prompt
+   *     tokens of a model of average pace
    */
   public record Load(int running, int pendingPrefillTokens) {
+    private static final Load NONE = new Load(0, 0);
+
     Load plus(Load other) {
       return new Load(running + other.running, pendingPrefillTokens + other.pendingPrefillTokens);
     }
   }
 
-  private record NeighbourLoad(Map<String, Load> loads, long atMilliseconds) {}
+  /**
+   * The report of a neighbour. Immutable.
+   *
+   * @param arrivals work tokens that arrive per millisecond, by runner
+   * @param atMilliseconds when the report arrived
+   * @param delayMilliseconds how old it was then
+   */
+  private record NeighbourLoad(
+      Map<String, Load> loads,
+      Map<String, Double> arrivals,
+      long atMilliseconds,
+      long delayMilliseconds) {}
+
+  /**
+   * What is left now of the load that neighbours have reported for a runner. Immutable.
+   *
+   * @param running running requests
+   * @param pendingTokens pending work tokens that are left, with those that have arrived since
+   * @param arrivalsPerMillisecond work tokens that arrive from neighbours per millisecond
+   * @param ageMilliseconds the mean age of the reports; 0 without any
+   */
+  public record NeighbourView(
+      int running, double pendingTokens, double arrivalsPerMillisecond, double ageMilliseconds) {
+    private static final NeighbourView NONE = new NeighbourView(0, 0, 0, 0);
+  }
+
+  /** Creates loads of runners whose speeds are learned elsewhere. */
+  public RunnerLoads(LearnedRates rates) {
+    this.rates = rates;
+  }
 
   /** Records that a request was sent. */
-  public void sent(String runner, int uncachedPromptTokens) {
+  public void sent(String runner, int workTokens) {
     OwnLoad load = load(runner);
     load.running++;
-    load.pendingPrefillTokens += uncachedPromptTokens;
+    load.pendingPrefillTokens += workTokens;
   }
 
   /** Records that the runner started to answer, or that the attempt ended before it did. */
-  public void prefillEnded(String runner, int uncachedPromptTokens) {
+  public void prefillEnded(String runner, int workTokens) {
     OwnLoad load = load(runner);
-    load.pendingPrefillTokens = Math.max(0, load.pendingPrefillTokens - uncachedPromptTokens);
+    load.pendingPrefillTokens = Math.max(0, load.pendingPrefillTokens - workTokens);
   }
 
   /** Records that an attempt ended. */
@@ -83,64 +115,70 @@
     load.running = Math.max(0, load.running - 1);
   }
 
-  /**
-   * Updates the prefill rate of a runner.
-   *
-   * @param tokensAhead tokens that were pending prefill, including those of the request itself
-   */
-  public void recordPrefillTime(String runner, double tokensAhead, double milliseconds) {
-    OwnLoad load = load(runner);
-    double prefill = Math.max(0, milliseconds - FIRST_DECODE_STEP_MILLISECONDS);
-    double sample =
-        Math.min(
-            MAXIMUM_PREFILL_MILLISECONDS_PER_TOKEN,
-            prefill / Math.max(MINIMUM_MEASURED_TOKENS, tokensAhead));
-    load.millisecondsPerToken += SMOOTHING * (sample - load.millisecondsPerToken);
-  }
-
-  /** Updates the service time of plain requests on a runner. */
-  public void recordRequestTime(String runner, double milliseconds) {
-    OwnLoad load = load(runner);
-    load.millisecondsPerRequest += SMOOTHING * (milliseconds - load.millisecondsPerRequest);
-  }
-
   /** Records that a runner has cached the shared parts of a prompt. */
-  public void recordCachedParts(String runner, GenerationParameters prompt) {
+  public void recordCachedParts(String runner, SharedParts parts) {
     OwnLoad load = load(runner);
-    StringBuilder prefixKey = new StringBuilder(modelKey(prompt));
-    for (PromptPart part : prefixParts(prompt)) {
-      prefixKey.append('|').append(part.id());
-      load.cachedParts.put(prefixKey.toString(), Boolean.TRUE);
+    for (int index = 0; index < parts.size(); index++) {
+      load.cachedParts.put(parts.key(index), Boolean.TRUE);
     }
   }
 
   /** Returns how many tokens of a prompt a runner would have to prefill. */
-  public int uncachedTokens(String runner, GenerationParameters prompt) {
+  public int uncachedTokens(String runner, SharedParts parts) {
     OwnLoad load = own.get(runner);
-    int tokens = prompt.promptTokens();
+    int tokens = parts.promptTokens();
     if (load == null) {
       return tokens;
     }
-    StringBuilder prefixKey = new StringBuilder(modelKey(prompt));
-    for (PromptPart part : prefixParts(prompt)) {
-      prefixKey.append('|').append(part.id());
-      if (!load.cachedParts.containsKey(prefixKey.toString())) {
+    for (int index = 0; index < parts.size(); index++) {
+      if (!load.cachedParts.containsKey(parts.key(index))) {
         break;
       }
-      tokens -= part.tokens();
+      tokens -= parts.tokens(index);
     }
     return Math.max(0, tokens);
   }
 
   /** Replaces the reported load of a neighbour's requests. */
   public void updateNeighbour(String neighbour, Map<String, Load> loads, long nowMilliseconds) {
-    neighbourLoads.put(neighbour, new NeighbourLoad(Map.copyOf(loads), nowMilliseconds));
+    update(neighbour, loads, nowMilliseconds, DIRECT_REPORT_MILLISECONDS);
   }
 
   /** Replaces the reports of all neighbours with one combined report from {@code relay}. */
   public void replaceNeighbours(String relay, Map<String, Load> loads, long nowMilliseconds) {
-    neighbourLoads.clear();
-    updateNeighbour(relay, loads, nowMilliseconds);
+    neighbourLoads.keySet().retainAll(Set.of(relay));
+    update(relay, loads, nowMilliseconds, RELAYED_REPORT_MILLISECONDS);
+  }
+
+  private void update(String neighbour, Map<String, Load> loads, long now, long delay) {
+    NeighbourLoad before = neighbourLoads.get(neighbour);
+    Map<String, Double> arrivals = new HashMap<>();
+    if (before != null && now > before.atMilliseconds()) {
+      long elapsed = now - before.atMilliseconds();
+      Set<String> runners = new HashSet<>(loads.keySet());
+      runners.addAll(before.arrivals().keySet());
+      for (String runner : runners) {
+        double rate = arrivals(before, runner, loads.getOrDefault(runner, Load.NONE), elapsed);
+        if (rate > NEGLIGIBLE_ARRIVALS) {
+          arrivals.put(runner, rate);
+        }
+      }
+    }
+    neighbourLoads.put(neighbour, new NeighbourLoad(Map.copyOf(loads), arrivals, now, delay));
+  }
+
+  private double arrivals(NeighbourLoad before, String runner, Load now, long elapsed) {
+    Load last = before.loads().get(runner);
+    double pendingBefore = last == null ? 0 : last.pendingPrefillTokens();
+    double left = Math.max(0, pendingBefore - elapsed * workedOffPerMillisecond(runner));
+    double sample = Math.max(0, now.pendingPrefillTokens() - left) / elapsed;
+    double known = before.arrivals().getOrDefault(runner, 0.0);
+    return known + ARRIVAL_SMOOTHING * (sample - known);
+  }
+
+  /** Returns the work tokens that a runner works off in a millisecond. */
+  private double workedOffPerMillisecond(String runner) {
+    return rates.relativeSpeed(runner) / WORK_MILLISECONDS_PER_TOKEN;
   }
 
   /** Returns the load of this instance's requests, for runners that have any. */
@@ -162,8 +200,7 @@
     Map<String, Load> loads = ownLoads();
     for (String id : neighbourIds) {
       NeighbourLoad load = neighbourLoads.get(id);
-      if (load == null
-          || nowMilliseconds - load.atMilliseconds() > MAXIMUM_NEIGHBOUR_AGE_MILLISECONDS) {
+      if (load == null || isExpired(load, nowMilliseconds)) {
         continue;
       }
       load.loads().forEach((runner, runnerLoad) -> loads.merge(runner, runnerLoad, Load::plus));
@@ -190,10 +227,7 @@
 
   /** Returns the combined load of this instance and its neighbours on a runner. */
   public Load total(String runner, long nowMilliseconds) {
-    neighbourLoads
-        .values()
-        .removeIf(
-            load -> nowMilliseconds - load.atMilliseconds() > MAXIMUM_NEIGHBOUR_AGE_MILLISECONDS);
+    neighbourLoads.values().removeIf(load -> isExpired(load, nowMilliseconds));
     OwnLoad ownLoad = own.get(runner);
     int running = ownLoad == null ? 0 : ownLoad.running;
     int pending = ownLoad == null ? 0 : ownLoad.pendingPrefillTokens;
@@ -207,33 +241,60 @@
     return new Load(running, pending);
   }
 
-  /** Returns the recent prefill time per prompt token of a runner. */
-  public double millisecondsPerToken(String runner) {
+  /** Returns the load of this instance's requests on a runner. */
+  public Load own(String runner) {
     OwnLoad load = own.get(runner);
-    return load == null ? INITIAL_PREFILL_MILLISECONDS_PER_TOKEN : load.millisecondsPerToken;
+    return load == null ? Load.NONE : new Load(load.running, load.pendingPrefillTokens);
   }
 
-  /** Returns the recent service time of plain requests on a runner. */
-  public double millisecondsPerRequest(String runner) {
-    OwnLoad load = own.get(runner);
-    return load == null ? INITIAL_MILLISECONDS_PER_REQUEST : load.millisecondsPerRequest;
-  }
-
-  /** Clears the cached parts of a runner that restarted or left. */
-  public void clearCachedParts(String runner) {
-    OwnLoad load = own.get(runner);
-    if (load != null) {
-      load.cachedParts.clear();
+  /**
+   * Returns what is left of the neighbours' load on a runner: what was pending has been worked off
+   * at the runner's speed since it was reported, and new work has arrived as before.
+   */
+  public NeighbourView neighbours(String runner, long nowMilliseconds) {
+    int running = 0;
+    double pending = 0;
+    double arrivals = 0;
+    double ages = 0;
+    int reports = 0;
+    for (NeighbourLoad each : neighbourLoads.values()) {
+      if (isExpired(each, nowMilliseconds)) {
+        continue;
+      }
+      reports++;
+      ages += Math.max(0, nowMilliseconds - each.atMilliseconds()) + each.delayMilliseconds();
+      Load load = each.loads().get(runner);
+      if (load != null) {
+        running += load.running();
+        pending += load.pendingPrefillTokens();
+      }
+      arrivals += each.arrivals().getOrDefault(runner, 0.0);
     }
+    if (reports == 0) {
+      return NeighbourView.NONE;
+    }
+    double age = ages / reports;
+    OwnLoad ownLoad = own.get(runner);
+    double ownPending = ownLoad == null ? 0 : ownLoad.pendingPrefillTokens;
+    // The runner reads this instance's prompts in the same time.
+    double share = pending <= 0 ? 1 : pending / (pending + ownPending);
+    double workedOff = share * workedOffPerMillisecond(runner);
+    double left = Math.max(0, pending + age * (arrivals - workedOff));
+    return new NeighbourView(running, left, arrivals, age);
   }
 
-  private static String modelKey(GenerationParameters prompt) {
-    return prompt.model() + '/' + prompt.adapter().orElse("");
+  private static boolean isExpired(NeighbourLoad load, long now) {
+    return now - load.atMilliseconds() > MAXIMUM_NEIGHBOUR_AGE_MILLISECONDS;
   }
 
-  private static List<PromptPart> prefixParts(GenerationParameters prompt) {
-    List<PromptPart> parts = prompt.parts();
-    return parts.subList(0, Math.max(0, parts.size() - 1));
+  /** Forgets what the ended process of a runner kept; its attempts still end on their own. */
+  public void processEnded(String runner) {
+    OwnLoad load = own.get(runner);
+    if (load != null && load.running == 0) {
+      own.remove(runner);
+    } else if (load != null) {
+      load.cachedParts.clear();
+    }
   }
 
   private OwnLoad load(String runner) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/StartInTimePolicy.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/StartInTimePolicy.java
@@ -1,5 +1,7 @@
 package org.agatefield.forwarding;
 
+import org.agatefield.cost.TokenRoom.Room;
+
 /**
  * Sends a request only to a runner that can start it in time, and refuses requests that no runner
  * can.
@@ -9,7 +11,8 @@
  * as many as it can complete answers each of them late. A request that will miss its objective is
  * sent only while the runner's backlog leaves room for requests that can still meet theirs.
  * Otherwise it waits for a replica that is being loaded, and is refused once that would take too
- * long. Stateless and thread safe.
+ * long. A request that does not fit into the runner's token memory waits likewise. Stateless and
+ * thread safe.
  */
 public final class StartInTimePolicy implements SendPolicy {
   // With a longer backlog only short prompts could start in time and long ones would be refused.
@@ -17,23 +20,26 @@
   // A request that is already late is sent only to a runner that will soon be idle.
   private static final double MAXIMUM_BACKLOG_SHARE_FOR_LATE_REQUESTS = 0.3;
   // The rest of the remaining time is needed to generate the answer.
-  private static final double MAXIMUM_PREFILL_SHARE_OF_REMAINING = 0.5;
+  private static final double MAXIMUM_START_SHARE_OF_REMAINING = 0.5;
 
   @Override
   public Decision decide(RunnerCandidate candidate, Timing timing) {
-    double prefill = candidate.prefillMilliseconds();
+    if (candidate.outlook().room() == Room.TOO_SMALL) {
+      return Decision.REFUSE;
+    }
+    double start = candidate.firstEventMilliseconds();
     double backlogShare = candidate.backlogMilliseconds() / timing.objectiveMilliseconds();
     boolean inTime =
-        prefill <= Math.min(timing.objectiveLeftMilliseconds(), timing.remainingMilliseconds())
+        start <= Math.min(timing.objectiveLeftMilliseconds(), timing.remainingMilliseconds())
             && backlogShare <= MAXIMUM_BACKLOG_SHARE;
     boolean acceptableLate =
-        prefill <= timing.remainingMilliseconds()
+        start <= timing.remainingMilliseconds()
             && backlogShare <= MAXIMUM_BACKLOG_SHARE_FOR_LATE_REQUESTS;
-    if (inTime || acceptableLate) {
+    boolean fits = candidate.outlook().room() == Room.FREE;
+    if (fits && (inTime || acceptableLate)) {
       return Decision.SEND;
     }
-    boolean hopeless =
-        prefill > MAXIMUM_PREFILL_SHARE_OF_REMAINING * timing.remainingMilliseconds();
+    boolean hopeless = start > MAXIMUM_START_SHARE_OF_REMAINING * timing.remainingMilliseconds();
     return hopeless ? Decision.REFUSE : Decision.WAIT;
   }
 }
--- a/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.agatefield.cost.LearnedRates;
 import org.agatefield.forwarding.GenerationParameters.PromptPart;
 import org.agatefield.forwarding.RunnerCandidate.Distance;
 import org.apache.commons.rng.simple.RandomSource;
@@ -20,7 +21,9 @@
           80,
           List.of(new PromptPart("a", 300), new PromptPart("b", 200), new PromptPart("own", 500)));
 
-  private final RunnerLoads loads = new RunnerLoads();
+  private static final SharedParts PARTS = SharedParts.of(PROMPT);
+
+  private final RunnerLoads loads = new RunnerLoads(LearnedRates.unshared());
 
   @Test
   void reportsOfNeighboursCountUntilTheyExpire() {
@@ -42,11 +45,11 @@
 
   @Test
   void cachedSharedPartsNeedNoPrefill() {
-    assertEquals(1_000, loads.uncachedTokens("r", PROMPT));
-    loads.recordCachedParts("r", PROMPT);
-    assertEquals(500, loads.uncachedTokens("r", PROMPT));
-    loads.clearCachedParts("r");
-    assertEquals(1_000, loads.uncachedTokens("r", PROMPT));
+    assertEquals(1_000, loads.uncachedTokens("r", PARTS));
+    loads.recordCachedParts("r", PARTS);
+    assertEquals(500, loads.uncachedTokens("r", PARTS));
+    loads.processEnded("r");
+    assertEquals(1_000, loads.uncachedTokens("r", PARTS));
   }
 
   @Test
@@ -81,7 +84,7 @@
 
   @Test
   void loadsWithAddsOnlyRecentReportsOfTheGivenNeighbours() {
-    RunnerLoads loads = new RunnerLoads();
+    RunnerLoads loads = new RunnerLoads(LearnedRates.unshared());
     loads.sent("r", 100);
     loads.updateNeighbour("near", Map.of("r", new RunnerLoads.Load(2, 700)), 5_000);
     loads.updateNeighbour("silent", Map.of("r", new RunnerLoads.Load(9, 900)), 1_000);
