--- a/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
+++ b/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
@@ -28,8 +28,8 @@
   private final SheddingPolicy shedding;
   private final SelectionOrder order;
   private final Map<Long, QueuedRequest> waiting = new HashMap<>();
-  private final Map<Priority, CallerBacklogs> byPriority = emptyBacklogs();
-  private final Map<String, Map<Priority, CallerBacklogs>> byTarget = new HashMap<>();
+  private final Map<Priority, CallerBacklogs<QueuedRequest>> byPriority = emptyBacklogs();
+  private final Map<String, Map<Priority, CallerBacklogs<QueuedRequest>>> byTarget = new HashMap<>();
   private final Map<String, DrainMeter> drainMeters = new HashMap<>();
   private long waitingBytes;
   private int running;
@@ -133,7 +133,7 @@
   /** Returns one waiting request for each target that has any. */
   public List<QueuedRequest> oneRequestPerTarget() {
     List<QueuedRequest> found = new ArrayList<>(byTarget.size());
-    for (Map<Priority, CallerBacklogs> backlogs : byTarget.values()) {
+    for (Map<Priority, CallerBacklogs<QueuedRequest>> backlogs : byTarget.values()) {
       backlogs.values().stream()
           .flatMap(each -> each.first().stream())
           .findFirst()
@@ -147,7 +147,7 @@
    */
   public long expectedDrainNanoseconds(String target) {
     int count = 0;
-    for (CallerBacklogs backlogs : backlogsOf(target).values()) {
+    for (CallerBacklogs<QueuedRequest> backlogs : backlogsOf(target).values()) {
       count += backlogs.size();
     }
     return drainMeter(target).expectedDrainNanoseconds(count, running);
@@ -161,7 +161,7 @@
   @Override
   public int waitingFor(QueuedRequest request) {
     int count = 0;
-    for (CallerBacklogs backlogs : backlogsOf(request.target()).values()) {
+    for (CallerBacklogs<QueuedRequest> backlogs : backlogsOf(request.target()).values()) {
       count += backlogs.size();
     }
     return count;
@@ -182,14 +182,14 @@
    * the meantime, other callers are served at most in proportion to their weights.
    */
   private double requestsAhead(QueuedRequest request) {
-    Map<Priority, CallerBacklogs> backlogs = backlogsOf(request.target());
+    Map<Priority, CallerBacklogs<QueuedRequest>> backlogs = backlogsOf(request.target());
     double higher = 0;
     for (Priority priority : HIGHEST_FIRST) {
       if (priority.compareTo(request.priority()) > 0) {
         higher += backlogs.get(priority).size();
       }
     }
-    CallerBacklogs same = backlogs.get(request.priority());
+    CallerBacklogs<QueuedRequest> same = backlogs.get(request.priority());
     int own = same.sizeOf(request.caller());
     double shared = own * same.totalWeightWith(request) / request.weight();
     return higher + Math.min(same.size(), shared);
@@ -199,7 +199,7 @@
       Priority priority, Collection<String> targets, long nowNanoseconds, List<Refusal> refused) {
     List<QueuedRequest> timely = new ArrayList<>();
     for (String target : targets) {
-      Map<Priority, CallerBacklogs> backlogs = byTarget.get(target);
+      Map<Priority, CallerBacklogs<QueuedRequest>> backlogs = byTarget.get(target);
       if (backlogs != null) {
         addTimelyHeads(backlogs.get(priority), nowNanoseconds, timely, refused);
       }
@@ -208,7 +208,7 @@
   }
 
   private void addTimelyHeads(
-      CallerBacklogs backlogs,
+      CallerBacklogs<QueuedRequest> backlogs,
       long nowNanoseconds,
       List<QueuedRequest> timely,
       List<Refusal> refused) {
@@ -254,7 +254,7 @@
   }
 
   private Refusal fullRefusal(QueuedRequest request) {
-    CallerBacklogs same = byPriority.get(request.priority());
+    CallerBacklogs<QueuedRequest> same = byPriority.get(request.priority());
     int own = same.sizeOf(request.caller());
     double share = same.size() * request.weight() / same.totalWeightWith(request);
     if (own > share && same.size() > own) {
@@ -281,7 +281,7 @@
   private void remove(QueuedRequest request) {
     waiting.remove(request.id());
     byPriority.get(request.priority()).remove(request);
-    Map<Priority, CallerBacklogs> backlogs = byTarget.get(request.target());
+    Map<Priority, CallerBacklogs<QueuedRequest>> backlogs = byTarget.get(request.target());
     backlogs.get(request.priority()).remove(request);
     waitingBytes -= request.bytes();
     boolean empty = backlogs.values().stream().allMatch(CallerBacklogs::isEmpty);
@@ -291,8 +291,8 @@
     drainMeter(request.target()).observe(!empty, lastNanoseconds);
   }
 
-  private Map<Priority, CallerBacklogs> backlogsOf(String target) {
-    Map<Priority, CallerBacklogs> backlogs = byTarget.get(target);
+  private Map<Priority, CallerBacklogs<QueuedRequest>> backlogsOf(String target) {
+    Map<Priority, CallerBacklogs<QueuedRequest>> backlogs = byTarget.get(target);
     return backlogs == null ? emptyBacklogs() : backlogs;
   }
 
@@ -300,10 +300,10 @@
     return drainMeters.computeIfAbsent(target, ignored -> new DrainMeter());
   }
 
-  private static Map<Priority, CallerBacklogs> emptyBacklogs() {
-    Map<Priority, CallerBacklogs> backlogs = new EnumMap<>(Priority.class);
+  private static Map<Priority, CallerBacklogs<QueuedRequest>> emptyBacklogs() {
+    Map<Priority, CallerBacklogs<QueuedRequest>> backlogs = new EnumMap<>(Priority.class);
     for (Priority priority : Priority.values()) {
-      backlogs.put(priority, new CallerBacklogs());
+      backlogs.put(priority, new CallerBacklogs<>(CallerBacklogs.BY_DUE_TIME));
     }
     return backlogs;
   }
--- a/admission/src/main/java/org/agatefield/admission/CallerBacklogs.java
+++ b/admission/src/main/java/org/agatefield/admission/CallerBacklogs.java
@@ -9,26 +9,32 @@
 import java.util.TreeSet;
 
 /**
- * Holds the waiting requests of one priority by caller, each caller's ordered by deadline.
+ * Holds the waiting work of one urgency by caller, each caller's in order.
  *
- * <p>Invariant: has no entry for a caller without waiting requests. Not thread safe; guarded by the
+ * <p>Invariant: has no entry for a caller without waiting work. Not thread safe; guarded by the
  * lock of the queue.
  */
-final class CallerBacklogs {
-  private static final Comparator<QueuedRequest> BY_DEADLINE =
-      Comparator.comparingLong(QueuedRequest::deadlineNanoseconds)
-          .thenComparingLong(QueuedRequest::id);
+final class CallerBacklogs<W extends WaitingWork> {
+  /** What is due first comes first. */
+  static final Comparator<WaitingWork> BY_DUE_TIME =
+      Comparator.comparingLong(WaitingWork::dueAt).thenComparingLong(WaitingWork::id);
 
-  private final Map<String, TreeSet<QueuedRequest>> byCaller = new HashMap<>();
+  private final Comparator<? super W> order;
+  private final Map<String, TreeSet<W>> byCaller = new HashMap<>();
   private int size;
 
-  void add(QueuedRequest request) {
-    byCaller.computeIfAbsent(request.caller(), ignored -> new TreeSet<>(BY_DEADLINE)).add(request);
+  /** Creates empty backlogs; {@code order} is total. */
+  CallerBacklogs(Comparator<? super W> order) {
+    this.order = order;
+  }
+
+  void add(W request) {
+    byCaller.computeIfAbsent(request.caller(), ignored -> new TreeSet<>(order)).add(request);
     size++;
   }
 
-  void remove(QueuedRequest request) {
-    TreeSet<QueuedRequest> backlog = byCaller.get(request.caller());
+  void remove(W request) {
+    TreeSet<W> backlog = byCaller.get(request.caller());
     if (backlog == null || !backlog.remove(request)) {
       return;
     }
@@ -47,29 +53,29 @@
   }
 
   int sizeOf(String caller) {
-    TreeSet<QueuedRequest> backlog = byCaller.get(caller);
+    TreeSet<W> backlog = byCaller.get(caller);
     return backlog == null ? 0 : backlog.size();
   }
 
-  /** Returns an arbitrary waiting request. */
-  Optional<QueuedRequest> first() {
+  /** Returns arbitrary waiting work. */
+  Optional<W> first() {
     return byCaller.values().stream().findFirst().map(TreeSet::first);
   }
 
-  /** Returns the request with the earliest deadline of each caller. */
-  List<QueuedRequest> heads() {
-    List<QueuedRequest> heads = new ArrayList<>(byCaller.size());
+  /** Returns the first work of each caller. */
+  List<W> heads() {
+    List<W> heads = new ArrayList<>(byCaller.size());
     byCaller.values().forEach(backlog -> heads.add(backlog.first()));
     return heads;
   }
 
   /**
-   * Returns the sum of the weights of all callers with waiting requests, including the caller of
+   * Returns the sum of the weights of all callers with waiting work, including the caller of
    * {@code joining}.
    */
-  double totalWeightWith(QueuedRequest joining) {
+  double totalWeightWith(W joining) {
     double total = joining.weight();
-    for (Map.Entry<String, TreeSet<QueuedRequest>> entry : byCaller.entrySet()) {
+    for (Map.Entry<String, TreeSet<W>> entry : byCaller.entrySet()) {
       if (!entry.getKey().equals(joining.caller())) {
         total += entry.getValue().first().weight();
       }
@@ -78,13 +84,13 @@
   }
 
   /**
-   * Returns the request with the latest deadline of the caller whose backlog is largest relative to
+   * Returns the last work of the caller whose backlog is largest relative to
    * its weight.
    */
-  Optional<QueuedRequest> lastOfLargestBacklog() {
-    QueuedRequest last = null;
+  Optional<W> lastOfLargestBacklog() {
+    W last = null;
     double largest = 0;
-    for (TreeSet<QueuedRequest> backlog : byCaller.values()) {
+    for (TreeSet<W> backlog : byCaller.values()) {
       double load = (double) backlog.size() / backlog.first().weight();
       if (load > largest) {
         largest = load;
--- a/admission/src/main/java/org/agatefield/admission/QueuedRequest.java
+++ b/admission/src/main/java/org/agatefield/admission/QueuedRequest.java
@@ -24,7 +24,8 @@
     long arrivalNanoseconds,
     long deadlineNanoseconds,
     long bytes,
-    double cost) {
+    double cost)
+    implements WaitingWork {
 
   /** Checks the weight and the cost. */
   public QueuedRequest {
@@ -35,4 +36,14 @@
       throw new IllegalArgumentException("cost: " + cost + " is not above 0");
     }
   }
+
+  @Override
+  public int rank() {
+    return Priority.INTERACTIVE.ordinal() - priority.ordinal();
+  }
+
+  @Override
+  public long dueAt() {
+    return deadlineNanoseconds;
+  }
 }
