One order of waiting at the entry: urgency, account, due time, over all instances

Cause: an instance sorted its waiting requests by priority and deadline and retried all of them each 60 ms; refusals named 400 ms. Change: RoomAllocation divides room by HeldWorkOrder, RecentUsage (shared), UrgencyShares and ServicePressure (shared); a request that can't begin in time is refused at once with the time at which its turn is expected.

--- a/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
+++ b/admission/src/main/java/org/agatefield/admission/AdmissionQueue.java
@@ -29,7 +29,8 @@
   private final SelectionOrder order;
   private final Map<Long, QueuedRequest> waiting = new HashMap<>();
   private final Map<Priority, CallerBacklogs<QueuedRequest>> byPriority = emptyBacklogs();
-  private final Map<String, Map<Priority, CallerBacklogs<QueuedRequest>>> byTarget = new HashMap<>();
+  private final Map<String, Map<Priority, CallerBacklogs<QueuedRequest>>> byTarget =
+      new HashMap<>();
   private final Map<String, DrainMeter> drainMeters = new HashMap<>();
   private long waitingBytes;
   private int running;
--- a/admission/src/main/java/org/agatefield/admission/CallerBacklogs.java
+++ b/admission/src/main/java/org/agatefield/admission/CallerBacklogs.java
@@ -70,8 +70,8 @@
   }
 
   /**
-   * Returns the sum of the weights of all callers with waiting work, including the caller of
-   * {@code joining}.
+   * Returns the sum of the weights of all callers with waiting work, including the caller of {@code
+   * joining}.
    */
   double totalWeightWith(W joining) {
     double total = joining.weight();
@@ -83,10 +83,7 @@
     return total;
   }
 
-  /**
-   * Returns the last work of the caller whose backlog is largest relative to
-   * its weight.
-   */
+  /** Returns the last work of the caller whose backlog is largest relative to its weight. */
   Optional<W> lastOfLargestBacklog() {
     W last = null;
     double largest = 0;
--- a/admission/src/main/java/org/agatefield/admission/RecentUsage.java
+++ b/admission/src/main/java/org/agatefield/admission/RecentUsage.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.function.ToDoubleFunction;
 
 /**
  * The work that client accounts were given in the last seconds, by this instance and by others.
@@ -22,14 +21,17 @@
   private static final double NEGLIGIBLE_COST = 1;
 
   private final Map<String, DecayingRate> given = new HashMap<>();
-  private final ToDoubleFunction<String> elsewhere;
+  private final Elsewhere elsewhere;
 
-  /**
-   * Creates an empty record.
-   *
-   * @param elsewhere returns what other instances have given to an account, decayed until now
-   */
-  public RecentUsage(ToDoubleFunction<String> elsewhere) {
+  /** What other instances have given to accounts. */
+  @FunctionalInterface
+  public interface Elsewhere {
+    /** Returns the decayed cost of what an account was given by all other instances. */
+    double of(String account, long nowMilliseconds);
+  }
+
+  /** Creates an empty record. */
+  public RecentUsage(Elsewhere elsewhere) {
     this.elsewhere = elsewhere;
   }
 
@@ -41,15 +43,15 @@
     given
         .computeIfAbsent(
             account,
-            ignored ->
-                new DecayingRate(TimeUnit.MILLISECONDS.toNanos(TIME_CONSTANT_MILLISECONDS)))
+            ignored -> new DecayingRate(TimeUnit.MILLISECONDS.toNanos(TIME_CONSTANT_MILLISECONDS)))
         .add(cost, TimeUnit.MILLISECONDS.toNanos(nowMilliseconds));
   }
 
   /** Returns the decayed cost of what an account was given by all instances. */
   public double of(String account, long nowMilliseconds) {
     DecayingRate own = given.get(account);
-    return (own == null ? 0 : decayed(own, nowMilliseconds)) + elsewhere.applyAsDouble(account);
+    return (own == null ? 0 : decayed(own, nowMilliseconds))
+        + elsewhere.of(account, nowMilliseconds);
   }
 
   /** Returns what this instance has given to each account, and forgets idle accounts. */
--- a/admission/src/main/java/org/agatefield/admission/ReturnSchedule.java
+++ b/admission/src/main/java/org/agatefield/admission/ReturnSchedule.java
@@ -39,8 +39,7 @@
     long earliest = nowMilliseconds + Math.min(MAXIMUM_MILLISECONDS, roomInMilliseconds);
     long spacing = perSecond > 0 ? (long) (MILLISECONDS_PER_SECOND / perSecond) : 0;
     long afterLast = lastReturns.getOrDefault(target, Long.MIN_VALUE / 2) + spacing;
-    long returnAt =
-        Math.min(nowMilliseconds + MAXIMUM_MILLISECONDS, Math.max(earliest, afterLast));
+    long returnAt = Math.min(nowMilliseconds + MAXIMUM_MILLISECONDS, Math.max(earliest, afterLast));
     lastReturns.put(target, returnAt);
     return returnAt - nowMilliseconds;
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -10,7 +10,6 @@
 import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.RunnerLoads;
-import org.agatefield.forwarding.SendPolicy;
 
 /**
  * Holds the components that requests share. Immutable.
@@ -28,7 +27,7 @@
  * @param quarantine keeps prompts that crash runners away from them
  * @param limits the request rates to which runners limit all instances together
  * @param permits distributes the rates of limited runners among the instances
- * @param sending decides whether a request is sent, waits or is refused
+ * @param room divides the room at runners among requests
  * @param loads the estimated load of each runner
  * @param presence the models and adapters assumed to be loaded on each runner
  * @param adapters requests adapter loads
@@ -55,7 +54,7 @@
     RequestQuarantine quarantine,
     RunnerLimits limits,
     RunnerPermits permits,
-    SendPolicy sending,
+    RoomAllocation room,
     RunnerLoads loads,
     ModelPresence presence,
     AdapterProvider adapters,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -35,11 +35,14 @@
 import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.daemon.quarantine.Timers;
 import org.agatefield.forwarding.AccountTable;
+import org.agatefield.forwarding.AccountUsageSharing;
 import org.agatefield.forwarding.EarliestStartChooser;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.forwarding.RunnerLoads;
+import org.agatefield.forwarding.ServicePressure;
 import org.agatefield.forwarding.StartInTimePolicy;
+import org.agatefield.knowledge.TargetPressure;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.Closer;
 import org.agatefield.model.ErrorKind;
@@ -84,6 +87,7 @@
   // Leaves the rest of the margin for closing.
   private static final long LAST_WRITES_MILLISECONDS = 300;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
+  private static final int LOWEST_PRIORITY = 9;
 
   private final Closer closer = new Closer();
   private final MetricRegistry metrics = new MetricRegistry();
@@ -99,7 +103,8 @@
   private final DemandMeter demand = new DemandMeter();
   private final EventLoopDelay delay = new EventLoopDelay();
   private final ResponseMemory responseMemory = new ResponseMemory();
-  private final WaitingRequests waiting;
+  private WaitingRequests waiting;
+  private RoomAllocation room;
   private final Set<RequestExchange> exchanges = new HashSet<>();
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
@@ -138,7 +143,6 @@
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
     vertx.exceptionHandler(this::exceptionUncaught);
     this.context = vertx.getOrCreateContext();
-    this.waiting = new WaitingRequests(vertx);
     this.configuration = new ConfigurationTracker(dialect.storedObjects());
     this.runners = new RunnerDirectory(dialect.storedObjects());
     this.snapshots = new SnapshotExchange(vertx, configuration, runners);
@@ -204,10 +208,17 @@
   }
 
   private void startComponents(UniformRandomProvider random, CompletableFuture<Void> started) {
-    plannerClient = new PlannerClient(peers, presence, waiting, demand, () -> lease.refresh());
-    loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     knowledge =
         new KnowledgeExchange(peers, settings.failureDomain(), MonotonicClock::milliseconds);
+    room =
+        new RoomAllocation(
+            configuration::table,
+            new StartInTimePolicy(),
+            new AccountUsageSharing(knowledge.share(AccountUsageSharing.KIND)),
+            new ServicePressure(knowledge.share(TargetPressure.KIND)));
+    waiting = new WaitingRequests(vertx, room.order());
+    plannerClient = new PlannerClient(peers, presence, waiting, demand, () -> lease.refresh());
+    loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     availability = new RunnerAvailability(peers::broadcast);
     fleetSize = new FleetSize(() -> peers.alive().size());
     limits = new RunnerLimits(MonotonicClock::milliseconds, peers::broadcast);
@@ -341,7 +352,7 @@
                 quarantine,
                 limits,
                 permits,
-                new StartInTimePolicy(),
+                room,
                 loads,
                 presence,
                 plannerClient::ensureAdapter,
@@ -354,6 +365,12 @@
                 stop,
                 unwritten));
     metrics.registerGauge("agatefield.forwarding.waiting", (Gauge<Integer>) waiting::size);
+    for (int priority = 0; priority <= LOWEST_PRIORITY; priority++) {
+      int each = priority;
+      metrics.registerGauge(
+          "agatefield.forwarding.waiting.priority-" + each,
+          (Gauge<Long>) () -> waiting.count(each));
+    }
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
     metrics.registerGauge(
         "agatefield.forwarding.answer-bytes", (Gauge<Long>) responseMemory::totalBytes);
@@ -432,6 +449,7 @@
   private void startTimers() {
     PeriodicTasks tasks = new PeriodicTasks(vertx, LoadExchange.PERIOD_MILLISECONDS, delay);
     tasks.every(LoadExchange.PERIOD_MILLISECONDS, loadExchange::sendReports);
+    tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, room::publish);
     tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, knowledge::sendReports);
     tasks.every(PlannerClient.DEMAND_MILLISECONDS, now -> plannerClient.reportDemand());
     tasks.every(PlannerClient.NOTICE_MILLISECONDS, now -> plannerClient.announce());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingMetrics.java
@@ -33,6 +33,18 @@
     registry.counter(PREFIX + "internal-errors").inc();
   }
 
+  /** Records how long a request waited for a runner at this instance. */
+  void waited(int priority, long milliseconds) {
+    registry
+        .timer(PREFIX + "waited.priority-" + priority)
+        .update(milliseconds, TimeUnit.MILLISECONDS);
+  }
+
+  /** Records that a caller that was refused before was sent to a runner or refused again. */
+  void returned(boolean admitted) {
+    registry.counter(PREFIX + "returns." + (admitted ? "admitted" : "refused")).inc();
+  }
+
   void permitDenied() {
     registry.counter(PREFIX + "permits-denied").inc();
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -19,7 +19,9 @@
 import org.agatefield.forwarding.RequestMetadata;
 import org.agatefield.forwarding.RequestTraits;
 import org.agatefield.forwarding.RetryDelay;
+import org.agatefield.forwarding.RoomForecast;
 import org.agatefield.forwarding.Route;
+import org.agatefield.forwarding.RunnerCandidate;
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.forwarding.SendPolicy;
 import org.agatefield.forwarding.TokenQuota;
@@ -62,7 +64,13 @@
   private Set<String> excluded = Set.of();
   private RequestAttempt attempt;
   private RunnerEntry chosenRunner;
+  private RoomClaim claim;
   private boolean waiting;
+  private boolean lacksRoom;
+  private boolean inTurn;
+  private long waitingSince;
+  private long waitedMilliseconds;
+  private boolean returnScheduled;
   private Optional<String> permitKey = Optional.empty();
   private long deadlineTimer = -1;
   private long retryAfter;
@@ -203,11 +211,15 @@
 
   private void startForwarding() {
     terms.prompt().ifPresent(prompt -> context.demand().arrived(service, prompt, priority()));
+    claim =
+        context
+            .room()
+            .claim(
+                service, route, priority(), terms, account, timing, MonotonicClock.milliseconds());
     perform(state.start());
   }
 
-  @Override
-  public int priority() {
+  private int priority() {
     return account
         .map(ClientAccount::priority)
         .filter(OptionalInt::isPresent)
@@ -216,8 +228,13 @@
   }
 
   @Override
-  public long deadline() {
-    return timing.deadline();
+  public RoomClaim claim() {
+    return claim;
+  }
+
+  @Override
+  public boolean lacksRoom() {
+    return lacksRoom;
   }
 
   @Override
@@ -226,7 +243,9 @@
         () -> {
           stopWaiting();
           if (state.seeksRunner()) {
+            inTurn = true;
             selectRunner();
+            inTurn = false;
           }
         });
   }
@@ -246,6 +265,7 @@
       cancelAttempt();
     } else if (action instanceof RequestAction.BeginStream) {
       timing.eventSent(MonotonicClock.milliseconds());
+      context.waiting().roomChanged();
       response.beginStream(attempt.streamHead(), attempt.lastEvent());
     } else if (action instanceof RequestAction.ContinueStream) {
       timing.eventSent(MonotonicClock.milliseconds());
@@ -441,18 +461,73 @@
       return;
     }
     switch (decision) {
-      case SEND -> sendWithPermit(found);
-      case WAIT -> startWaiting();
-      case REFUSE -> perform(state.notChosen(RefusalReason.OVERLOADED));
+      case SEND -> sendInTurn(found);
+      case WAIT -> holdOrRefuse(found.candidate(), now);
+      case REFUSE -> refuseForLackOfRoom(forecast(found.candidate(), now), now);
       default -> throw new IllegalStateException("unknown decision " + decision);
     }
   }
 
+  /** Sends the request unless others wait for the same room, whose turn may be before its own. */
+  private void sendInTurn(RunnerSelector.Selection.Found found) {
+    if (inTurn || sends > 0 || !context.waiting().hasLine(claim)) {
+      sendWithPermit(found);
+      return;
+    }
+    startWaitingForRoom();
+    context.waiting().roomChanged();
+  }
+
+  /** Holds the request if there is expected to be room early enough; otherwise refuses it. */
+  private void holdOrRefuse(RunnerCandidate candidate, long now) {
+    if (sends > 0) {
+      startWaiting(); // An earlier attempt may still answer.
+      return;
+    }
+    RoomForecast forecast = forecast(candidate, now);
+    double untilBegun =
+        Math.max(0, candidate.prefillMilliseconds() - forecast.excessMilliseconds());
+    long beginsAt = now + forecast.milliseconds() + (long) untilBegun;
+    if (context.room().isWorthHolding(claim, timing, beginsAt, now)) {
+      startWaitingForRoom();
+    } else {
+      refuseForLackOfRoom(forecast, now);
+    }
+  }
+
+  private RoomForecast forecast(RunnerCandidate candidate, long now) {
+    RoomAllocation.Place place = context.waiting().place(claim, now);
+    return context.room().forecast(claim, place, candidate, timing.urgency(now), now);
+  }
+
+  private void refuseForLackOfRoom(RoomForecast forecast, long now) {
+    if (sends > 0) {
+      perform(state.notChosen(RefusalReason.OVERLOADED));
+      return;
+    }
+    retryAfter = context.room().returnIn(claim, forecast, now);
+    returnScheduled = true;
+    context.room().refused(claim, now);
+    LOGGER.info(
+        "request={} room=refused priority={} account={} returned={} expected_ms={} ahead={}"
+            + " per_second={} retry_ms={} waited_ms={}",
+        terms.id(),
+        claim.rank(),
+        claim.caller(),
+        claim.returned(),
+        forecast.milliseconds(),
+        (long) forecast.requestsAhead(),
+        (long) forecast.perSecond(),
+        retryAfter,
+        waitedMilliseconds);
+    perform(state.notChosen(RefusalReason.OVERLOADED));
+  }
+
   private SendPolicy.Decision decide(RunnerSelector.Selection.Found found, long now) {
     if (terms.prompt().isEmpty()) {
       return SendPolicy.Decision.SEND;
     }
-    return context.sending().decide(found.candidate(), timing.urgency(now));
+    return context.room().decide(claim, found.candidate(), timing.urgency(now), now);
   }
 
   private void sendWithPermit(RunnerSelector.Selection.Found found) {
@@ -496,13 +571,27 @@
       return; // An attempt failed whose replacement was already waiting.
     }
     waiting = true;
+    waitingSince = MonotonicClock.milliseconds();
     terms.prompt().ifPresent(prompt -> context.demand().waiting(service, prompt, 1));
     context.waiting().add(this);
   }
 
+  private void startWaitingForRoom() {
+    if (!waiting) {
+      lacksRoom = true;
+      context.room().waiting(claim, 1);
+      startWaiting();
+    }
+  }
+
   private void stopWaiting() {
     if (waiting) {
       waiting = false;
+      waitedMilliseconds += MonotonicClock.milliseconds() - waitingSince;
+      if (lacksRoom) {
+        lacksRoom = false;
+        context.room().waiting(claim, -1);
+      }
       terms.prompt().ifPresent(prompt -> context.demand().waiting(service, prompt, -1));
       context.waiting().remove(this);
     }
@@ -577,6 +666,9 @@
   private void send(RequestAction.Send send) {
     sends++;
     context.metrics().sent(sends > 1);
+    if (sends == 1) {
+      admitted();
+    }
     attempt =
         new RequestAttempt(
             context,
@@ -590,6 +682,16 @@
     attempt.start(request, () -> headersFor(runner, send), content);
   }
 
+  private void admitted() {
+    context.room().sent(claim, MonotonicClock.milliseconds());
+    if (waitedMilliseconds > 0) {
+      context.metrics().waited(claim.rank(), waitedMilliseconds);
+    }
+    if (claim.returned()) {
+      context.metrics().returned(true);
+    }
+  }
+
   private MultiMap headersFor(RunnerEntry runner, RequestAction.Send send) {
     SendTerms sendTerms =
         new SendTerms(
@@ -614,12 +716,13 @@
     context.vertx().cancelTimer(deadlineTimer);
     context.exchanges().remove(this);
     stopWaiting();
+    context.waiting().roomChanged();
     String outcome = respond(finalAction);
     long elapsed = timing.elapsedMilliseconds(MonotonicClock.milliseconds());
     context.metrics().finished(route.kind(), outcome, elapsed);
     LOGGER.info(
         "request={} route={} service={} outcome={} runner={} sends={} first_ms={} total_ms={}"
-            + " limit_ms={} model={} adapter={} tokens={} config={} account={} fingerprint={}",
+            + " waited_ms={} returned={} limit_ms={} model={} adapter={} tokens={} config={} account={} fingerprint={}",
         terms.id(),
         route.name(),
         service,
@@ -628,6 +731,8 @@
         sends,
         timing.firstEventMilliseconds(),
         elapsed,
+        waitedMilliseconds,
+        claim != null && claim.returned(),
         timing.allowedMilliseconds(),
         terms.prompt().map(GenerationParameters::model).orElse(""),
         terms.prompt().flatMap(GenerationParameters::adapter).orElse(""),
@@ -654,16 +759,17 @@
       return "stream_aborted_" + aborted.reason();
     } else if (finalAction instanceof RequestAction.Refuse refusal) {
       context.metrics().refused(refusal.reason().name());
+      if (claim != null && claim.returned()) {
+        context.metrics().returned(false);
+      }
       if (quotaTaken) {
         refundQuota();
       }
       long retryMilliseconds = RetryDelay.milliseconds(refusal.reason(), retryAfter);
-      // A quarantine lasts for minutes, so its end needs no jitter.
+      // A quarantine lasts for minutes, and scheduled returns are spread already.
+      boolean exact = returnScheduled || refusal.reason() == RefusalReason.REQUEST_CRASHES_RUNNERS;
       response.refuse(
-          refusal.reason(),
-          refusal.reason() == RefusalReason.REQUEST_CRASHES_RUNNERS
-              ? retryMilliseconds
-              : CallerResponse.jittered(retryMilliseconds));
+          refusal.reason(), exact ? retryMilliseconds : CallerResponse.jittered(retryMilliseconds));
       return "refused_" + refusal.reason();
     } else if (finalAction instanceof RequestAction.Fail failure) {
       response.fail(failure.reason());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestTiming.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestTiming.java
@@ -70,6 +70,11 @@
     }
   }
 
+  /** Returns when the answer has to begin to meet its objective. */
+  long objectiveAt() {
+    return arrivedAt + route.objectiveMilliseconds();
+  }
+
   /** Records that a runner is sought, for the first time or again. */
   void seeksRunner(long now) {
     seeksRunnerSince = now;
@@ -100,8 +105,6 @@
   /** Returns the urgency of the request for the decision whether it is sent. */
   SendPolicy.Timing urgency(long now) {
     return new SendPolicy.Timing(
-        route.objectiveMilliseconds(),
-        Math.max(0, arrivedAt + route.objectiveMilliseconds() - now),
-        nextEventBy() - now);
+        route.objectiveMilliseconds(), Math.max(0, objectiveAt() - now), nextEventBy() - now);
   }
 }
--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardingTable.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardingTable.java
@@ -7,6 +7,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
 
 /**
  * The routes, services and client accounts of one version of the operator's configuration.
@@ -17,6 +19,7 @@
   private final long version;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceDefinition> services = new HashMap<>();
+  private final Map<String, TreeMap<Integer, Long>> objectivesByPriority = new HashMap<>();
   private final AccountTable accounts;
   private final IngressLimits limits;
 
@@ -35,11 +38,34 @@
       sameHost.removeIf(earlier -> earlier.pathPrefix().equals(route.pathPrefix()));
       sameHost.add(route);
     }
+    routesByHost.values().forEach(sameHost -> sameHost.forEach(this::addObjective));
     Comparator<Route> longestFirst = Comparator.comparingInt(route -> -route.pathPrefix().length());
     routesByHost.values().forEach(sameHost -> sameHost.sort(longestFirst));
     services.forEach(service -> this.services.put(service.name(), service));
   }
 
+  private void addObjective(Route route) {
+    for (WeightedService each : route.services()) {
+      objectivesByPriority
+          .computeIfAbsent(each.service(), service -> new TreeMap<>())
+          .merge(route.priority(), route.objectiveMilliseconds(), Math::min);
+    }
+  }
+
+  /**
+   * Returns the shortest objective of the routes to a service that are more urgent than a priority;
+   * empty if none is.
+   */
+  public OptionalLong shortestObjectiveAbove(String service, int priority) {
+    return objectivesByPriority
+        .getOrDefault(service, new TreeMap<>())
+        .headMap(priority)
+        .values()
+        .stream()
+        .mapToLong(Long::longValue)
+        .min();
+  }
+
   /** Returns the version, which never decreases. */
   public long version() {
     return version;
--- a/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
@@ -91,6 +91,11 @@
     return combined(sources.keySet(), subject, nowMilliseconds);
   }
 
+  /** Returns what the sources besides this instance know of a subject. */
+  public Optional<Observed<V>> knownElsewhere(String subject, long nowMilliseconds) {
+    return combined(sources(), subject, nowMilliseconds);
+  }
+
   /** Returns what all sources together know. */
   public Map<String, Observed<V>> all(long nowMilliseconds) {
     removeExpired(nowMilliseconds);
--- a/knowledge/src/main/java/org/agatefield/knowledge/TargetPressure.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/TargetPressure.java
@@ -71,9 +71,7 @@
       }
       return Optional.of(
           new TargetPressure(
-              numbers.get(0).intValue(),
-              numbers.get(1) / RATE_UNITS,
-              numbers.get(2) / RATE_UNITS));
+              numbers.get(0).intValue(), numbers.get(1) / RATE_UNITS, numbers.get(2) / RATE_UNITS));
     }
   }
 }
