--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -38,6 +38,7 @@
 import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.daemon.quarantine.Timers;
 import org.agatefield.forwarding.AccountTable;
+import org.agatefield.forwarding.AccountUsageSharing;
 import org.agatefield.forwarding.EnginePool;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.LikelyBestChooser;
@@ -45,9 +46,11 @@
 import org.agatefield.forwarding.RunnerEstimates;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.forwarding.ServiceDefinition;
+import org.agatefield.forwarding.ServicePressure;
 import org.agatefield.forwarding.StartInTimePolicy;
 import org.agatefield.knowledge.KnowledgeTable;
 import org.agatefield.knowledge.RunnerState;
+import org.agatefield.knowledge.TargetPressure;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.Closer;
 import org.agatefield.model.ErrorKind;
@@ -92,6 +95,7 @@
   // Leaves the rest of the margin for closing.
   private static final long LAST_WRITES_MILLISECONDS = 300;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
+  private static final int LOWEST_PRIORITY = 9;
 
   private final Closer closer = new Closer();
   private final MetricRegistry metrics = new MetricRegistry();
@@ -106,7 +110,8 @@
   private final DemandMeter demand = new DemandMeter();
   private final EventLoopDelay delay = new EventLoopDelay();
   private final ResponseMemory responseMemory = new ResponseMemory();
-  private final WaitingRequests waiting;
+  private WaitingRequests waiting;
+  private RoomAllocation room;
   private final Set<RequestExchange> exchanges = new HashSet<>();
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
@@ -150,7 +155,6 @@
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
     vertx.exceptionHandler(this::exceptionUncaught);
     this.context = vertx.getOrCreateContext();
-    this.waiting = new WaitingRequests(vertx);
     this.configuration = new ConfigurationTracker(dialect.storedObjects());
     this.runners = new RunnerDirectory(dialect.storedObjects());
     this.snapshots = new SnapshotExchange(vertx, configuration, runners);
@@ -216,7 +220,6 @@
   }
 
   private void startComponents(UniformRandomProvider random, CompletableFuture<Void> started) {
-    plannerClient = new PlannerClient(peers, presence, waiting, demand, () -> lease.refresh());
     knowledge =
         new KnowledgeExchange(peers, settings.failureDomain(), MonotonicClock::milliseconds);
     directory =
@@ -228,6 +231,14 @@
             knowledge.share(RateKind.RUNNER_SPEED), knowledge.share(RateKind.MODEL_PACE));
     loads = new RunnerLoads(rates);
     estimates = new RunnerEstimates(rates, loads, runnerStates);
+    room =
+        new RoomAllocation(
+            configuration::table,
+            new StartInTimePolicy(),
+            new AccountUsageSharing(knowledge.share(AccountUsageSharing.KIND)),
+            new ServicePressure(knowledge.share(TargetPressure.KIND)));
+    waiting = new WaitingRequests(vertx, room.order());
+    plannerClient = new PlannerClient(peers, presence, waiting, demand, () -> lease.refresh());
     loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     availability = new RunnerAvailability(peers::broadcast);
     fleetSize = new FleetSize(() -> peers.alive().size());
@@ -363,7 +374,7 @@
                 quarantine,
                 limits,
                 permits,
-                new StartInTimePolicy(),
+                room,
                 estimates,
                 presence,
                 plannerClient::ensureAdapter,
@@ -376,6 +387,12 @@
                 stop,
                 unwritten));
     metrics.registerGauge("agatefield.forwarding.waiting", (Gauge<Integer>) waiting::size);
+    for (int priority = 0; priority <= LOWEST_PRIORITY; priority++) {
+      int each = priority;
+      metrics.registerGauge(
+          "agatefield.forwarding.waiting.priority-" + each,
+          (Gauge<Long>) () -> waiting.count(each));
+    }
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
     metrics.registerGauge(
         "agatefield.forwarding.answer-bytes", (Gauge<Long>) responseMemory::totalBytes);
@@ -476,6 +493,7 @@
     PeriodicTasks tasks = new PeriodicTasks(vertx, LoadExchange.PERIOD_MILLISECONDS, delay);
     tasks.every(LoadExchange.PERIOD_MILLISECONDS, loadExchange::sendReports);
     tasks.every(EntryDirectory.PUBLISH_MILLISECONDS, directory::publishLoad);
+    tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, room::publish);
     tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, knowledge::sendReports);
     tasks.every(LoadExchange.PERIOD_MILLISECONDS, estimates::refresh);
     tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, rates::refresh);
