--- a/forwarding/src/main/java/org/agatefield/forwarding/CompetingRequestsPolicy.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CompetingRequestsPolicy.java
@@ -1,6 +1,7 @@
 package org.agatefield.forwarding;
 
 import java.util.OptionalLong;
+import org.agatefield.cost.TokenRoom.Room;
 
 /**
  * Divides the room at runners among requests that compete for it: less urgent requests leave room
@@ -58,7 +59,8 @@
 
   /** Returns whether a caller that has come back finds room beyond that for new requests. */
   private static boolean fits(RunnerCandidate candidate, SendPolicy.Timing timing) {
-    return candidate.backlogMilliseconds() <= timing.objectiveMilliseconds()
+    return candidate.outlook().room() == Room.FREE
+        && candidate.backlogMilliseconds() <= timing.objectiveMilliseconds()
         && candidate.prefillMilliseconds() <= timing.remainingMilliseconds();
   }
 
