--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingContext.java
@@ -9,8 +9,7 @@
 import org.agatefield.daemon.quarantine.CrashDetector;
 import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.forwarding.ForwardingTable;
-import org.agatefield.forwarding.RunnerLoads;
-import org.agatefield.forwarding.SendPolicy;
+import org.agatefield.forwarding.RunnerEstimates;
 
 /**
  * Holds the components that requests share. Immutable.
@@ -28,8 +27,8 @@
  * @param quarantine keeps prompts that crash runners away from them
  * @param limits the request rates to which runners limit all instances together
  * @param permits distributes the rates of limited runners among the instances
- * @param sending decides whether a request is sent, waits or is refused
- * @param loads the estimated load of each runner
+ * @param room divides the room at runners among requests
+ * @param estimates what requests cost and what each runner still has to do
  * @param presence the models and adapters assumed to be loaded on each runner
  * @param adapters requests adapter loads
  * @param quotas decides whether a client account's quota allows a request
@@ -55,8 +54,8 @@
     RequestQuarantine quarantine,
     RunnerLimits limits,
     RunnerPermits permits,
-    SendPolicy sending,
-    RunnerLoads loads,
+    RoomAllocation room,
+    RunnerEstimates estimates,
     ModelPresence presence,
     AdapterProvider adapters,
     QuotaPolicy quotas,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -25,8 +25,11 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.stream.DoubleStream;
 import org.agatefield.admission.FleetSize;
 import org.agatefield.admission.QuotaTolerance;
+import org.agatefield.cost.LearnedRates;
+import org.agatefield.cost.RateKind;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
 import org.agatefield.daemon.leases.LeaseManager;
 import org.agatefield.daemon.quarantine.ConnectionProbe;
@@ -35,11 +38,19 @@
 import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.daemon.quarantine.Timers;
 import org.agatefield.forwarding.AccountTable;
-import org.agatefield.forwarding.EarliestStartChooser;
+import org.agatefield.forwarding.AccountUsageSharing;
+import org.agatefield.forwarding.EnginePool;
 import org.agatefield.forwarding.ForwardingTable;
+import org.agatefield.forwarding.LikelyBestChooser;
 import org.agatefield.forwarding.RunnerEntry;
+import org.agatefield.forwarding.RunnerEstimates;
 import org.agatefield.forwarding.RunnerLoads;
+import org.agatefield.forwarding.ServiceDefinition;
+import org.agatefield.forwarding.ServicePressure;
 import org.agatefield.forwarding.StartInTimePolicy;
+import org.agatefield.knowledge.KnowledgeTable;
+import org.agatefield.knowledge.RunnerState;
+import org.agatefield.knowledge.TargetPressure;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.Closer;
 import org.agatefield.model.ErrorKind;
@@ -84,6 +95,7 @@
   // Leaves the rest of the margin for closing.
   private static final long LAST_WRITES_MILLISECONDS = 300;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
+  private static final int LOWEST_PRIORITY = 9;
 
   private final Closer closer = new Closer();
   private final MetricRegistry metrics = new MetricRegistry();
@@ -94,21 +106,26 @@
   private final PlatformDialect dialect;
   private final Vertx vertx;
   private final Context context;
-  private final RunnerLoads loads = new RunnerLoads();
   private final ModelPresence presence = new ModelPresence();
   private final DemandMeter demand = new DemandMeter();
   private final EventLoopDelay delay = new EventLoopDelay();
   private final ResponseMemory responseMemory = new ResponseMemory();
-  private final WaitingRequests waiting;
+  private WaitingRequests waiting;
+  private RoomAllocation room;
   private final Set<RequestExchange> exchanges = new HashSet<>();
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
   private final SnapshotExchange snapshots;
   private final Map<String, ObjectRelay> objectRelays = new HashMap<>();
   private final List<ObjectInformer> informers = new ArrayList<>();
+  private KnowledgeTable<RunnerState> runnerStates;
+  private LearnedRates rates;
+  private RunnerLoads loads;
+  private RunnerEstimates estimates;
   private ForwardingPeers peers;
   private LoadExchange loadExchange;
   private KnowledgeExchange knowledge;
+  private EntryDirectory directory;
   private PlannerClient plannerClient;
   private RunnerAvailability availability;
   private RunnerLimits limits;
@@ -138,7 +155,6 @@
     closer.register(() -> vertx.close().toCompletionStage().toCompletableFuture().get());
     vertx.exceptionHandler(this::exceptionUncaught);
     this.context = vertx.getOrCreateContext();
-    this.waiting = new WaitingRequests(vertx);
     this.configuration = new ConfigurationTracker(dialect.storedObjects());
     this.runners = new RunnerDirectory(dialect.storedObjects());
     this.snapshots = new SnapshotExchange(vertx, configuration, runners);
@@ -204,10 +220,26 @@
   }
 
   private void startComponents(UniformRandomProvider random, CompletableFuture<Void> started) {
-    plannerClient = new PlannerClient(peers, presence, waiting, demand, () -> lease.refresh());
-    loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     knowledge =
         new KnowledgeExchange(peers, settings.failureDomain(), MonotonicClock::milliseconds);
+    directory =
+        new EntryDirectory(
+            peers.self(), settings.capacity().processors(), delay, peers::answering, knowledge);
+    runnerStates = knowledge.share(RunnerState.KIND);
+    rates =
+        new LearnedRates(
+            knowledge.share(RateKind.RUNNER_SPEED), knowledge.share(RateKind.MODEL_PACE));
+    loads = new RunnerLoads(rates);
+    estimates = new RunnerEstimates(rates, loads, runnerStates);
+    room =
+        new RoomAllocation(
+            configuration::table,
+            new StartInTimePolicy(),
+            new AccountUsageSharing(knowledge.share(AccountUsageSharing.KIND)),
+            new ServicePressure(knowledge.share(TargetPressure.KIND)));
+    waiting = new WaitingRequests(vertx, room.order());
+    plannerClient = new PlannerClient(peers, presence, waiting, demand, () -> lease.refresh());
+    loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     availability = new RunnerAvailability(peers::broadcast);
     fleetSize = new FleetSize(() -> peers.alive().size());
     limits = new RunnerLimits(MonotonicClock::milliseconds, peers::broadcast);
@@ -260,7 +292,7 @@
             settings,
             dialect.callers(),
             () -> configuration.table().isPresent() && !stop.isLeaving(),
-            peers::answering)
+            directory)
         .listen(ingress, metrics)
         .whenComplete(
             (done, failure) -> {
@@ -307,11 +339,12 @@
             settings.failureDomain(),
             settings.regions(),
             runners,
-            loads,
+            estimates,
+            this::cacheTokens,
             presence,
             availability,
             permits,
-            new EarliestStartChooser(random));
+            new LikelyBestChooser(random));
     NetClient prober =
         vertx.createNetClient(new NetClientOptions().setConnectTimeout(CONNECT_MILLISECONDS));
     closer.register(prober::close);
@@ -341,8 +374,8 @@
                 quarantine,
                 limits,
                 permits,
-                new StartInTimePolicy(),
-                loads,
+                room,
+                estimates,
                 presence,
                 plannerClient::ensureAdapter,
                 quotaPolicy(),
@@ -354,6 +387,12 @@
                 stop,
                 unwritten));
     metrics.registerGauge("agatefield.forwarding.waiting", (Gauge<Integer>) waiting::size);
+    for (int priority = 0; priority <= LOWEST_PRIORITY; priority++) {
+      int each = priority;
+      metrics.registerGauge(
+          "agatefield.forwarding.waiting.priority-" + each,
+          (Gauge<Long>) () -> waiting.count(each));
+    }
     metrics.registerGauge("agatefield.forwarding.open", (Gauge<Integer>) ingress::open);
     metrics.registerGauge(
         "agatefield.forwarding.answer-bytes", (Gauge<Long>) responseMemory::totalBytes);
@@ -361,12 +400,33 @@
         "agatefield.forwarding.unwritten-bytes", (Gauge<Long>) unwritten::totalBytes);
     metrics.registerGauge(
         "agatefield.requests.quarantined-traits", (Gauge<Integer>) quarantine::size);
+    metrics.registerGauge(
+        "agatefield.runners.work-left-milliseconds.greatest",
+        (Gauge<Double>) () -> workLeft().max().orElse(0));
+    metrics.registerGauge(
+        "agatefield.runners.work-left-milliseconds.mean",
+        (Gauge<Double>) () -> workLeft().average().orElse(0));
     metrics.registerGauge("agatefield.runners.limited", (Gauge<Integer>) limits::count);
     metrics.registerGauge("agatefield.configuration.version", (Gauge<Long>) configuration::version);
     metrics.registerGauge(
         "agatefield.runners.age-milliseconds", (Gauge<Long>) runners::ageMilliseconds);
   }
 
+  private DoubleStream workLeft() {
+    return estimates.workLeftMilliseconds(MonotonicClock.milliseconds()).values().stream()
+        .mapToDouble(Double::doubleValue);
+  }
+
+  /** Returns the token memory of each runner of a service; 0 if it has none. */
+  private long cacheTokens(String service) {
+    return configuration
+        .table()
+        .flatMap(table -> table.service(service))
+        .flatMap(ServiceDefinition::engines)
+        .map(EnginePool::cacheTokens)
+        .orElse(0L);
+  }
+
   private AccountTable accounts() {
     return configuration.table().map(ForwardingTable::accounts).orElse(AccountTable.NONE);
   }
@@ -432,7 +492,11 @@
   private void startTimers() {
     PeriodicTasks tasks = new PeriodicTasks(vertx, LoadExchange.PERIOD_MILLISECONDS, delay);
     tasks.every(LoadExchange.PERIOD_MILLISECONDS, loadExchange::sendReports);
+    tasks.every(EntryDirectory.PUBLISH_MILLISECONDS, directory::publishLoad);
+    tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, room::publish);
     tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, knowledge::sendReports);
+    tasks.every(LoadExchange.PERIOD_MILLISECONDS, estimates::refresh);
+    tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, rates::refresh);
     tasks.every(PlannerClient.DEMAND_MILLISECONDS, now -> plannerClient.reportDemand());
     tasks.every(PlannerClient.NOTICE_MILLISECONDS, now -> plannerClient.announce());
     tasks.every(EXPIRY_CHECK_MILLISECONDS, runners::removeExpired);
