--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -216,7 +216,11 @@
             new StartInTimePolicy(),
             new AccountUsageSharing(knowledge.share(AccountUsageSharing.KIND)),
             new ServicePressure(knowledge.share(TargetPressure.KIND)));
-    waiting = new WaitingRequests(vertx, room.order());
+    waiting =
+        new WaitingRequests(
+            (delay, work) -> vertx.setTimer(Math.max(1, delay), fired -> work.run()),
+            MonotonicClock::milliseconds,
+            room.order());
     plannerClient = new PlannerClient(peers, presence, waiting, demand, () -> lease.refresh());
     loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     availability = new RunnerAvailability(peers::broadcast);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -19,7 +19,6 @@
 import org.agatefield.forwarding.RequestMetadata;
 import org.agatefield.forwarding.RequestTraits;
 import org.agatefield.forwarding.RetryDelay;
-import org.agatefield.forwarding.RoomForecast;
 import org.agatefield.forwarding.Route;
 import org.agatefield.forwarding.RunnerCandidate;
 import org.agatefield.forwarding.RunnerEntry;
@@ -462,8 +461,7 @@
     }
     switch (decision) {
       case SEND -> sendInTurn(found);
-      case WAIT -> holdOrRefuse(found.candidate(), now);
-      case REFUSE -> refuseForLackOfRoom(forecast(found.candidate(), now), now);
+      case WAIT, REFUSE -> holdOrRefuse(found.candidate(), decision, now);
       default -> throw new IllegalStateException("unknown decision " + decision);
     }
   }
@@ -479,33 +477,27 @@
   }
 
   /** Holds the request if there is expected to be room early enough; otherwise refuses it. */
-  private void holdOrRefuse(RunnerCandidate candidate, long now) {
-    if (sends > 0) {
-      startWaiting(); // An earlier attempt may still answer.
+  private void holdOrRefuse(RunnerCandidate candidate, SendPolicy.Decision decision, long now) {
+    if (sends > 0) { // An earlier attempt may still answer.
+      if (decision == SendPolicy.Decision.WAIT) {
+        startWaiting();
+      } else {
+        perform(state.notChosen(RefusalReason.OVERLOADED));
+      }
       return;
     }
-    RoomForecast forecast = forecast(candidate, now);
-    double untilBegun =
-        Math.max(0, candidate.prefillMilliseconds() - forecast.excessMilliseconds());
-    long beginsAt = now + forecast.milliseconds() + (long) untilBegun;
-    if (context.room().isWorthHolding(claim, timing, beginsAt, now)) {
+    RoomAllocation.Place place = context.waiting().place(claim, now);
+    RoomAllocation.Verdict verdict =
+        context.room().holdOrRefuse(claim, place, candidate, timing, decision, now);
+    if (verdict.held()) {
       startWaitingForRoom();
     } else {
-      refuseForLackOfRoom(forecast, now);
+      refuseForLackOfRoom(verdict, now);
     }
   }
 
-  private RoomForecast forecast(RunnerCandidate candidate, long now) {
-    RoomAllocation.Place place = context.waiting().place(claim, now);
-    return context.room().forecast(claim, place, candidate, timing.urgency(now), now);
-  }
-
-  private void refuseForLackOfRoom(RoomForecast forecast, long now) {
-    if (sends > 0) {
-      perform(state.notChosen(RefusalReason.OVERLOADED));
-      return;
-    }
-    retryAfter = context.room().returnIn(claim, forecast, now);
+  private void refuseForLackOfRoom(RoomAllocation.Verdict verdict, long now) {
+    retryAfter = verdict.returnMilliseconds();
     returnScheduled = true;
     context.room().refused(claim, now);
     LOGGER.info(
@@ -515,9 +507,9 @@
         claim.rank(),
         claim.caller(),
         claim.returned(),
-        forecast.milliseconds(),
-        (long) forecast.requestsAhead(),
-        (long) forecast.perSecond(),
+        verdict.forecast().milliseconds(),
+        (long) verdict.forecast().requestsAhead(),
+        (long) verdict.forecast().perSecond(),
         retryAfter,
         waitedMilliseconds);
     perform(state.notChosen(RefusalReason.OVERLOADED));
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RoomAllocation.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RoomAllocation.java
@@ -51,6 +51,13 @@
     }
   }
 
+  /**
+   * What becomes of a request that is not sent now. Immutable.
+   *
+   * @param returnMilliseconds when its caller should come back if it is not held
+   */
+  record Verdict(boolean held, RoomForecast forecast, long returnMilliseconds) {}
+
   RoomAllocation(
       Supplier<Optional<ForwardingTable>> table,
       SendPolicy single,
@@ -129,8 +136,29 @@
         urgencies.isOwed(claim.service(), claim.rank(), now));
   }
 
-  /** Returns when there is room for a request that is not sent now. */
-  RoomForecast forecast(
+  /**
+   * Holds a request that is not sent now if there is expected to be room early enough; otherwise
+   * says when its caller should come back.
+   *
+   * @param decision to wait or to refuse
+   */
+  Verdict holdOrRefuse(
+      RoomClaim claim,
+      Place place,
+      RunnerCandidate candidate,
+      RequestTiming timing,
+      SendPolicy.Decision decision,
+      long now) {
+    RoomForecast forecast = forecast(claim, place, candidate, timing.urgency(now), now);
+    double untilBegun =
+        Math.max(0, candidate.prefillMilliseconds() - forecast.excessMilliseconds());
+    long beginsAt = now + forecast.milliseconds() + (long) untilBegun;
+    boolean held =
+        decision == SendPolicy.Decision.WAIT && isWorthHolding(claim, timing, beginsAt, now);
+    return new Verdict(held, forecast, held ? 0 : returnIn(claim, forecast, now));
+  }
+
+  private RoomForecast forecast(
       RoomClaim claim, Place place, RunnerCandidate candidate, SendPolicy.Timing timing, long now) {
     String model = claim.model().orElse("");
     TargetPressure before =
@@ -153,7 +181,7 @@
    * caller, and while others are refused also for its objective. A caller that has come back was
    * told to, and is held as long as it waits.
    */
-  boolean isWorthHolding(RoomClaim claim, RequestTiming timing, long beginsAt, long now) {
+  private boolean isWorthHolding(RoomClaim claim, RequestTiming timing, long beginsAt, long now) {
     if (!timing.isInTime(beginsAt)) {
       return false;
     }
@@ -163,8 +191,7 @@
         || !pressure.refuses(claim.service(), claim.model().orElse(""), claim.rank(), now);
   }
 
-  /** Returns in how many milliseconds the caller of a refused request should come back. */
-  long returnIn(RoomClaim claim, RoomForecast forecast, long now) {
+  private long returnIn(RoomClaim claim, RoomForecast forecast, long now) {
     double refused =
         pressure.returnsExpected(claim.service(), claim.model().orElse(""), claim.rank(), now);
     return returns.returnIn(
--- a/daemon/src/main/java/org/agatefield/daemon/forward/WaitingRequests.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/WaitingRequests.java
@@ -1,13 +1,14 @@
 package org.agatefield.daemon.forward;
 
-import io.vertx.core.Vertx;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.agatefield.admission.HeldWorkOrder;
+import org.agatefield.daemon.quarantine.Timers;
 
 /**
  * Holds requests that wait for a runner with capacity.
@@ -26,12 +27,12 @@
   // A batch of events from runners frees room several times.
   private static final long MINIMUM_PAUSE_MILLISECONDS = 15;
 
-  private final Vertx vertx;
+  private final Timers timers;
+  private final LongSupplier clock;
   private final HeldWorkOrder order;
   private final Map<Long, WaitingRequest> waiting = new LinkedHashMap<>();
   private final Map<Long, Long> triedAt = new HashMap<>();
-  private long timer = -1;
-  private long timerDueAt;
+  private long dueAt = Long.MAX_VALUE;
   private long lastRetryAt;
 
   /** A waiting request. */
@@ -49,14 +50,15 @@
     void retry();
   }
 
-  WaitingRequests(Vertx vertx, HeldWorkOrder order) {
-    this.vertx = vertx;
+  WaitingRequests(Timers timers, LongSupplier clock, HeldWorkOrder order) {
+    this.timers = timers;
+    this.clock = clock;
     this.order = order;
   }
 
   void add(WaitingRequest request) {
     waiting.put(request.claim().id(), request);
-    triedAt.put(request.claim().id(), MonotonicClock.milliseconds());
+    triedAt.put(request.claim().id(), clock.getAsLong());
     schedule(RETRY_MILLISECONDS);
   }
 
@@ -110,7 +112,7 @@
   /** Retries soon, because room has been freed or taken. */
   void roomChanged() {
     if (!waiting.isEmpty()) {
-      long sinceLast = MonotonicClock.milliseconds() - lastRetryAt;
+      long sinceLast = clock.getAsLong() - lastRetryAt;
       schedule(Math.max(1, MINIMUM_PAUSE_MILLISECONDS - sinceLast));
     }
   }
@@ -121,7 +123,7 @@
   }
 
   private void retryInOrder() {
-    retry(MonotonicClock.milliseconds() - COMPLETE_RETRY_MILLISECONDS);
+    retry(clock.getAsLong() - COMPLETE_RETRY_MILLISECONDS);
   }
 
   /** Retries those that are first in order, and those that were last tried before a time. */
@@ -129,7 +131,7 @@
     if (waiting.isEmpty()) {
       return;
     }
-    long now = MonotonicClock.milliseconds();
+    long now = clock.getAsLong();
     lastRetryAt = now;
     Map<String, List<RoomClaim>> byTarget = new LinkedHashMap<>();
     for (WaitingRequest each : waiting.values()) {
@@ -159,20 +161,18 @@
   }
 
   private void schedule(long milliseconds) {
-    long dueAt = MonotonicClock.milliseconds() + milliseconds;
-    if (timer >= 0 && timerDueAt <= dueAt) {
+    long retryAt = clock.getAsLong() + milliseconds;
+    if (dueAt <= retryAt) {
       return;
     }
-    if (timer >= 0) {
-      vertx.cancelTimer(timer);
+    dueAt = retryAt;
+    timers.after(milliseconds, () -> timerFired(retryAt));
+  }
+
+  private void timerFired(long scheduledFor) {
+    if (scheduledFor == dueAt) { // An earlier retry was scheduled meanwhile otherwise.
+      dueAt = Long.MAX_VALUE;
+      retryInOrder();
     }
-    timerDueAt = dueAt;
-    timer =
-        vertx.setTimer(
-            milliseconds,
-            fired -> {
-              timer = -1;
-              retryInOrder();
-            });
   }
 }
