--- a/daemon/src/main/java/org/agatefield/daemon/forward/RoomAllocation.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RoomAllocation.java
@@ -130,7 +130,6 @@
             .map(each -> each.shortestObjectiveAbove(claim.service(), claim.rank()))
             .orElse(OptionalLong.empty());
     return new CompetingRequestsPolicy.Claim(
-        claim.returned(),
         urgentObjective,
         urgentObjective.isPresent() && pressure.isPressedAbove(claim.service(), claim.rank(), now),
         urgencies.isOwed(claim.service(), claim.rank(), now));
@@ -185,7 +184,7 @@
     if (!timing.isInTime(beginsAt)) {
       return false;
     }
-    boolean meetsObjective = beginsAt <= claim.objectiveAt();
+    boolean meetsObjective = beginsAt <= timing.objectiveAt();
     return meetsObjective
         || claim.returned()
         || !pressure.refuses(claim.service(), claim.model().orElse(""), claim.rank(), now);
--- a/forwarding/src/main/java/org/agatefield/forwarding/CompetingRequestsPolicy.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CompetingRequestsPolicy.java
@@ -28,40 +28,27 @@
   /**
    * The position of a request among its competitors. Immutable.
    *
-   * @param returned whether its caller was refused before and has come back
    * @param urgentObjectiveMilliseconds the shortest objective of more urgent requests for the
    *     service; empty if there are none
    * @param urgentPressure whether more urgent requests for the service lack room
    * @param owedShare whether its urgency has got less than its guaranteed share of the room
    */
   public record Claim(
-      boolean returned,
-      OptionalLong urgentObjectiveMilliseconds,
-      boolean urgentPressure,
-      boolean owedShare) {
+      OptionalLong urgentObjectiveMilliseconds, boolean urgentPressure, boolean owedShare) {
     /** The claim of a request that nothing competes with. */
-    public static final Claim ALONE = new Claim(false, OptionalLong.empty(), false, false);
+    public static final Claim ALONE = new Claim(OptionalLong.empty(), false, false);
   }
 
   /** Decides about one request. */
   public SendPolicy.Decision decide(
       RunnerCandidate candidate, SendPolicy.Timing timing, Claim claim) {
     SendPolicy.Decision decision = single.decide(candidate, timing);
-    if (decision != SendPolicy.Decision.SEND && claim.returned() && fits(candidate, timing)) {
-      decision = SendPolicy.Decision.SEND;
-    }
     if (decision == SendPolicy.Decision.SEND && mustYield(candidate, claim)) {
       return SendPolicy.Decision.WAIT;
     }
     return decision;
   }
 
-  /** Returns whether a caller that has come back finds room beyond that for new requests. */
-  private static boolean fits(RunnerCandidate candidate, SendPolicy.Timing timing) {
-    return candidate.backlogMilliseconds() <= timing.objectiveMilliseconds()
-        && candidate.prefillMilliseconds() <= timing.remainingMilliseconds();
-  }
-
   /** Returns whether a runner's room is left to more urgent requests. */
   private static boolean mustYield(RunnerCandidate candidate, Claim claim) {
     return candidate.backlogMilliseconds() > backlogLeftToUrgent(claim);
