--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -34,7 +34,7 @@
  * <p>Invariants: the request gets one final action, also if a step fails; its place among the open
  * and the waiting requests is given up with it. Confined to one event loop.
  */
-final class RequestExchange implements WaitingRequests.WaitingRequest {
+final class RequestExchange {
   private static final Logger LOGGER = LogManager.getLogger(RequestExchange.class);
   private static final long RUNNER_RESTART_MILLISECONDS = 3_000;
   private static final long ADAPTER_RETRY_MILLISECONDS = 80; // Covers several adapter loads.
@@ -60,17 +60,11 @@
   private final ForwardingTable table;
   private final Optional<ClientAccount> account;
   private final ForwardedRequest state;
+  private final HeldRequest held;
   private Set<String> excluded = Set.of();
   private RequestAttempt attempt;
   private RunnerEntry chosenRunner;
-  private RoomClaim claim;
-  private boolean waiting;
-  private boolean lacksRoom;
-  private boolean inTurn;
-  private long waitingSince;
-  private long waitedMilliseconds;
   private boolean returnScheduled;
-  private Optional<String> permitKey = Optional.empty();
   private long deadlineTimer = -1;
   private long retryAfter;
   private boolean quotaTaken;
@@ -120,11 +114,14 @@
             route.maximumAttempts(),
             terms.lastEventId(),
             new ServiceRetryAllowance(context.budgets(), service));
+    RoomClaim claim =
+        context.room().claim(service, route, priority(), terms, account, timing, arrivedAt);
+    this.held = new HeldRequest(context, terms.id(), claim, terms.prompt(), this::seekAgain);
   }
 
   /** Refuses the request with {@code SHUTTING_DOWN} if nothing has been sent yet. */
   void refuseUnsent() {
-    stopWaiting();
+    held.release();
     perform(state.notChosen(RefusalReason.SHUTTING_DOWN));
   }
 
@@ -210,11 +207,6 @@
 
   private void startForwarding() {
     terms.prompt().ifPresent(prompt -> context.demand().arrived(service, prompt, priority()));
-    claim =
-        context
-            .room()
-            .claim(
-                service, route, priority(), terms, account, timing, MonotonicClock.milliseconds());
     perform(state.start());
   }
 
@@ -226,25 +218,11 @@
         .orElse(route.priority());
   }
 
-  @Override
-  public RoomClaim claim() {
-    return claim;
-  }
-
-  @Override
-  public boolean lacksRoom() {
-    return lacksRoom;
-  }
-
-  @Override
-  public void retry() {
+  private void seekAgain() {
     endOnError(
         () -> {
-          stopWaiting();
           if (state.seeksRunner()) {
-            inTurn = true;
             selectRunner();
-            inTurn = false;
           }
         });
   }
@@ -380,14 +358,14 @@
       perform(state.notChosen(RefusalReason.NO_RUNNER));
     } else {
       excluded = Set.of();
-      startWaiting();
+      held.hold();
     }
   }
 
   /** Queues the request if a runner accepts requests again early enough; otherwise refuses it. */
   private void waitForBackoff(long until, long now) {
     if (timing.isInTime(until)) {
-      startWaiting();
+      held.hold();
       return;
     }
     retryAfter = Math.max(0, until - now);
@@ -401,14 +379,13 @@
   private void waitForPermit(RunnerSelector.Selection.AllLimited limited, long now) {
     String key = service + '/' + terms.prompt().map(GenerationParameters::model).orElse("");
     long expectedAt = limited.untilMilliseconds();
-    if (permitKey.isEmpty()) { // A request that already waits keeps its place.
+    if (held.permitKey().isEmpty()) { // A request that already waits keeps its place.
       long ahead = context.waiting().countWaitingForPermit(key);
       expectedAt += (long) (MILLISECONDS_PER_SECOND * ahead / limited.permitsPerSecond());
     }
     expectedAt = Math.min(expectedAt, expectedReplicaAt(now));
     if (timing.isInTime(expectedAt)) {
-      permitKey = Optional.of(key);
-      startWaiting();
+      held.holdForPermit(key);
       return;
     }
     retryAfter = Math.min(MAXIMUM_RETRY_MILLISECONDS, Math.max(0, expectedAt - now));
@@ -425,11 +402,6 @@
     return readyAt > now ? readyAt : Long.MAX_VALUE;
   }
 
-  @Override
-  public Optional<String> permitKey() {
-    return permitKey;
-  }
-
   /**
    * Queues the request if its model is expected to be loaded in time, or if its load may still be
    * planned; otherwise refuses it.
@@ -441,7 +413,7 @@
     boolean inTime = timing.isInTime(readyAt) && readyAt > now;
     boolean overdue = expectedAt.isPresent() && readyAt <= now;
     if (inTime || overdue) {
-      startWaiting();
+      held.hold();
       return;
     }
     retryAfter = Math.max(0, readyAt - now);
@@ -460,58 +432,36 @@
       return;
     }
     switch (decision) {
-      case SEND -> sendInTurn(found);
+      case SEND -> {
+        if (sends > 0 || !held.holdBehindOthers()) {
+          sendWithPermit(found);
+        }
+      }
       case WAIT, REFUSE -> holdOrRefuse(found.candidate(), decision, now);
       default -> throw new IllegalStateException("unknown decision " + decision);
     }
   }
 
-  /** Sends the request unless others wait for the same room, whose turn may be before its own. */
-  private void sendInTurn(RunnerSelector.Selection.Found found) {
-    if (inTurn || sends > 0 || !context.waiting().hasLine(claim)) {
-      sendWithPermit(found);
-      return;
-    }
-    startWaitingForRoom();
-    context.waiting().roomChanged();
-  }
-
   /** Holds the request if there is expected to be room early enough; otherwise refuses it. */
   private void holdOrRefuse(RunnerCandidate candidate, SendPolicy.Decision decision, long now) {
     if (sends > 0) { // An earlier attempt may still answer.
       if (decision == SendPolicy.Decision.WAIT) {
-        startWaiting();
+        held.hold();
       } else {
         perform(state.notChosen(RefusalReason.OVERLOADED));
       }
       return;
     }
-    RoomAllocation.Place place = context.waiting().place(claim, now);
+    RoomAllocation.Place place = context.waiting().place(held.claim(), now);
     RoomAllocation.Verdict verdict =
-        context.room().holdOrRefuse(claim, place, candidate, timing, decision, now);
+        context.room().holdOrRefuse(held.claim(), place, candidate, timing, decision, now);
     if (verdict.held()) {
-      startWaitingForRoom();
-    } else {
-      refuseForLackOfRoom(verdict, now);
+      held.holdForRoom();
+      return;
     }
-  }
-
-  private void refuseForLackOfRoom(RoomAllocation.Verdict verdict, long now) {
     retryAfter = verdict.returnMilliseconds();
     returnScheduled = true;
-    context.room().refused(claim, now);
-    LOGGER.info(
-        "request={} room=refused priority={} account={} returned={} expected_ms={} ahead={}"
-            + " per_second={} retry_ms={} waited_ms={}",
-        terms.id(),
-        claim.rank(),
-        claim.caller(),
-        claim.returned(),
-        verdict.forecast().milliseconds(),
-        (long) verdict.forecast().requestsAhead(),
-        (long) verdict.forecast().perSecond(),
-        retryAfter,
-        waitedMilliseconds);
+    held.lacksRoomFor(verdict);
     perform(state.notChosen(RefusalReason.OVERLOADED));
   }
 
@@ -519,7 +469,7 @@
     if (terms.prompt().isEmpty()) {
       return SendPolicy.Decision.SEND;
     }
-    return context.room().decide(claim, found.candidate(), timing.urgency(now), now);
+    return context.room().decide(held.claim(), found.candidate(), timing.urgency(now), now);
   }
 
   private void sendWithPermit(RunnerSelector.Selection.Found found) {
@@ -535,7 +485,7 @@
       return;
     }
     if (granted) {
-      permitKey = Optional.empty();
+      held.permitGranted();
       sendWithAdapter(found.runner(), MonotonicClock.milliseconds());
       return;
     }
@@ -555,38 +505,7 @@
       perform(state.notChosen(reason));
       return;
     }
-    startWaiting();
-  }
-
-  private void startWaiting() {
-    if (waiting) {
-      return; // An attempt failed whose replacement was already waiting.
-    }
-    waiting = true;
-    waitingSince = MonotonicClock.milliseconds();
-    terms.prompt().ifPresent(prompt -> context.demand().waiting(service, prompt, 1));
-    context.waiting().add(this);
-  }
-
-  private void startWaitingForRoom() {
-    if (!waiting) {
-      lacksRoom = true;
-      context.room().waiting(claim, 1);
-      startWaiting();
-    }
-  }
-
-  private void stopWaiting() {
-    if (waiting) {
-      waiting = false;
-      waitedMilliseconds += MonotonicClock.milliseconds() - waitingSince;
-      if (lacksRoom) {
-        lacksRoom = false;
-        context.room().waiting(claim, -1);
-      }
-      terms.prompt().ifPresent(prompt -> context.demand().waiting(service, prompt, -1));
-      context.waiting().remove(this);
-    }
+    held.hold();
   }
 
   /** Sends to the runner after making sure that it has the required adapter. */
@@ -618,7 +537,7 @@
       return;
     }
     LOGGER.debug("request={} runner={} adapter={} absent", terms.id(), runner.id(), adapter);
-    context.vertx().setTimer(ADAPTER_RETRY_MILLISECONDS, fired -> retry());
+    context.vertx().setTimer(ADAPTER_RETRY_MILLISECONDS, fired -> held.retry());
   }
 
   private void sendTo(RunnerEntry runner) {
@@ -630,7 +549,7 @@
       return;
     }
     if (!context.selector().isUsable(runner)) {
-      startWaiting(); // The runner may have started to leave while its adapter was being loaded.
+      held.hold(); // The runner may have started to leave while its adapter was being loaded.
       return;
     }
     if (timing.remainingMilliseconds(MonotonicClock.milliseconds())
@@ -659,7 +578,7 @@
     sends++;
     context.metrics().sent(sends > 1);
     if (sends == 1) {
-      admitted();
+      held.admitted();
     }
     attempt =
         new RequestAttempt(
@@ -674,16 +593,6 @@
     attempt.start(request, () -> headersFor(runner, send), content);
   }
 
-  private void admitted() {
-    context.room().sent(claim, MonotonicClock.milliseconds());
-    if (waitedMilliseconds > 0) {
-      context.metrics().waited(claim.rank(), waitedMilliseconds);
-    }
-    if (claim.returned()) {
-      context.metrics().returned(true);
-    }
-  }
-
   private MultiMap headersFor(RunnerEntry runner, RequestAction.Send send) {
     SendTerms sendTerms =
         new SendTerms(
@@ -707,7 +616,7 @@
   private void finish(RequestAction.Final finalAction) {
     context.vertx().cancelTimer(deadlineTimer);
     context.exchanges().remove(this);
-    stopWaiting();
+    held.release();
     context.waiting().roomChanged();
     String outcome = respond(finalAction);
     long elapsed = timing.elapsedMilliseconds(MonotonicClock.milliseconds());
@@ -723,8 +632,8 @@
         sends,
         timing.firstEventMilliseconds(),
         elapsed,
-        waitedMilliseconds,
-        claim != null && claim.returned(),
+        held.waitedMilliseconds(),
+        held.claim().returned(),
         timing.allowedMilliseconds(),
         terms.prompt().map(GenerationParameters::model).orElse(""),
         terms.prompt().flatMap(GenerationParameters::adapter).orElse(""),
@@ -751,7 +660,7 @@
       return "stream_aborted_" + aborted.reason();
     } else if (finalAction instanceof RequestAction.Refuse refusal) {
       context.metrics().refused(refusal.reason().name());
-      if (claim != null && claim.returned()) {
+      if (held.claim().returned()) {
         context.metrics().returned(false);
       }
       if (quotaTaken) {
@@ -759,7 +668,9 @@
       }
       long retryMilliseconds = RetryDelay.milliseconds(refusal.reason(), retryAfter);
       // A quarantine lasts for minutes, and scheduled returns are spread already.
-      boolean exact = returnScheduled || refusal.reason() == RefusalReason.REQUEST_CRASHES_RUNNERS;
+      boolean exact =
+          refusal.reason() == RefusalReason.REQUEST_CRASHES_RUNNERS
+              || returnScheduled && retryMilliseconds == retryAfter;
       response.refuse(
           refusal.reason(), exact ? retryMilliseconds : CallerResponse.jittered(retryMilliseconds));
       return "refused_" + refusal.reason();
