--- a/daemon/src/main/java/org/agatefield/daemon/forward/AdapterSlots.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/AdapterSlots.java
@@ -13,8 +13,8 @@
  * unload. Confined to one event loop.
  */
 final class AdapterSlots {
-  // Instances rely on a confirmation for less time.
-  private static final long MINIMUM_RETENTION_MILLISECONDS = 4_000;
+  // Instances tell of an adapter that they use more often than that.
+  private static final long MINIMUM_RETENTION_MILLISECONDS = 1_500;
 
   private final Map<String, Slot> slotsByAdapter = new HashMap<>();
   private int slots;
--- a/daemon/src/main/java/org/agatefield/daemon/forward/DemandMeter.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/DemandMeter.java
@@ -17,6 +17,7 @@
 
   private static final class Counts {
     private long tokens;
+    private long outputTokens;
     private int requests;
     private int waiting;
     private int running;
@@ -27,6 +28,7 @@
   void arrived(String service, GenerationParameters prompt, int priority) {
     Counts each = counts(service, prompt);
     each.tokens += prompt.promptTokens();
+    each.outputTokens += prompt.outputTokens();
     each.requests++;
     each.priority = Math.min(each.priority, priority);
   }
@@ -58,13 +60,15 @@
                     each.waiting,
                     each.running,
                     each.priority,
-                    each.runningAt)));
+                    each.runningAt,
+                    each.outputTokens)));
     counts.values().removeIf(each -> each.waiting == 0 && each.running == 0);
     counts
         .values()
         .forEach(
             each -> {
               each.tokens = 0;
+              each.outputTokens = 0;
               each.requests = 0;
               each.priority = LOWEST_PRIORITY;
             });
--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -6,6 +6,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -26,7 +27,9 @@
 /**
  * Sends orders to one model runner, one at a time.
  *
- * <p>Every order states how many orders the runner has accepted before. An order whose response is
+ * <p>Orders for models and orders for adapters wait in two queues: the runner loads adapters while
+ * it executes an order for a model, so that they pass a model's order once its outcome is known.
+ * Every order states how many orders the runner has accepted before. An order whose response is
  * lost is sent again with the same count, so that at most one of the two takes effect, whenever
  * they arrive. Invariants: an order is sent only under a valid grant; models that an unanswered
  * order may still load count as held. Confined to one event loop.
@@ -40,6 +43,9 @@
   private static final long UNLOAD_RETRY_MILLISECONDS = 80; // Idle models are unloaded immediately.
   private static final long ADAPTER_LOAD_MILLISECONDS = 20; // The data sheets give 7 to 13 ms.
   private static final int MAXIMUM_TRIES = 8;
+  private static final int ADAPTERS_IN_TRANSIT = 4; // the runner's limit
+  private static final long BUSY_POLL_MILLISECONDS = 1_000;
+  private static final long STORE_RETRY_MILLISECONDS = 50;
   private static final int SUCCESS = 200;
 
   private final Vertx vertx;
@@ -54,6 +60,13 @@
   private Set<String> inHostMemory = Set.of();
   private Set<String> onDisk = Set.of();
   private Optional<EngineTask> current = Optional.empty();
+  private final Deque<EngineTask> adapterTasks = new ArrayDeque<>();
+  private Optional<EngineTask> currentAdapter = Optional.empty();
+  private int adaptersInTransit;
+  // The runner loads no adapters while it executes the current order for a model.
+  private boolean refusesAdapters;
+  private boolean tellsWork;
+  private boolean hasWork;
   private long acceptedOrders = -1;
   private long lastOrderAt = Long.MIN_VALUE / 2;
   private long reportAt = Long.MIN_VALUE / 2;
@@ -85,8 +98,22 @@
     /** Called when a runner has finished loading a model. */
     void loaded(String runner, String model);
 
-    /** Called before a runner unloads a model. */
+    /**
+     * Called before a runner unloads a model, or an adapter that is written as {@code
+     * model/adapter}.
+     */
     void dropping(String runner, String model);
+
+    /** Called with each report of a runner. */
+    default void reported(RunnerEntry runner, RunnerReport report) {}
+
+    /** Returns whether a load from the weight store may begin now, and counts it if so. */
+    default boolean beginStoreLoad(RunnerEntry runner) {
+      return true;
+    }
+
+    /** Called when a counted load did not begin. */
+    default void storeLoadRefused(RunnerEntry runner) {}
   }
 
   /**
@@ -122,6 +149,11 @@
     onDisk = entry.onDisk();
   }
 
+  /** Sets whether the runner's reports of its work are used, so that they must be recent. */
+  void setTellsWork(boolean tells) {
+    tellsWork = tells;
+  }
+
   RunnerEntry runner() {
     return runner;
   }
@@ -160,6 +192,13 @@
     return isLoading() && loadingFromStore;
   }
 
+  /** Returns whether a load from the weight store is planned that has not been counted yet. */
+  boolean awaitsStoreLoad() {
+    return loadingFromStore
+        && Stream.concat(current.stream(), tasks.stream())
+            .anyMatch(task -> loadsModel(task) && !task.isAccepted() && !task.isOutcomeUnknown());
+  }
+
   private boolean isLoading() {
     return current.filter(EngineController::loadsModel).isPresent();
   }
@@ -182,39 +221,59 @@
   CompletableFuture<Boolean> ensureAdapter(String model, String adapter) {
     String key = model + '/' + adapter;
     long now = MonotonicClock.milliseconds();
-    if (!models.contains(model) || acceptedOrders < 0) {
+    if (!models.contains(model) || isLeaving(model) || acceptedOrders < 0) {
       return CompletableFuture.completedFuture(false);
     }
     if (adapters.touch(key, now)) {
       return CompletableFuture.completedFuture(true);
     }
     Optional<EngineTask> pending =
-        Stream.concat(current.stream(), tasks.stream())
-            .filter(task -> task.isLoadOf(model, adapter))
-            .findFirst();
+        pendingAdapters().filter(task -> task.isLoadOf(model, adapter)).findFirst();
     if (pending.isPresent()) {
       return pending.get().done();
     }
-    if (isLoading()) {
-      return CompletableFuture.completedFuture(false);
-    }
-    if (!ensureSlot(now)) {
+    if (refusesAdapters || !ensureSlot(now)) {
       return CompletableFuture.completedFuture(false);
     }
     EngineTask task = new EngineTask(Action.LOAD, model, Optional.of(adapter));
-    tasks.add(task);
+    adapterTasks.add(task);
     proceed();
     return task.done();
   }
 
+  /** Loads adapters of a model that the runner holds, as far as slots are free. */
+  void preloadAdapters(String model, Iterable<String> names) {
+    long now = MonotonicClock.milliseconds();
+    for (String name : names) {
+      boolean wanted = models.contains(model) && !adapters.holds(model + '/' + name);
+      if (wanted && hasFreeSlot(now)) {
+        ensureAdapter(model, name);
+      }
+    }
+  }
+
+  private boolean isLeaving(String model) {
+    return Stream.concat(current.stream(), tasks.stream())
+        .anyMatch(task -> task.action() == Action.UNLOAD && task.model().equals(model));
+  }
+
+  private Stream<EngineTask> pendingAdapters() {
+    return Stream.concat(currentAdapter.stream(), adapterTasks.stream());
+  }
+
   /**
    * Reads the runner's state if the last report is too old, and continues with the queued tasks.
    */
   void tick() {
     long now = MonotonicClock.milliseconds();
-    boolean waitingForOrder = current.isPresent() || busy || acceptedOrders < 0;
+    boolean waitingForOrder =
+        current.isPresent() || currentAdapter.isPresent() || busy || acceptedOrders < 0;
     boolean frequent = waitingForOrder && !planner.isLimited(runner);
-    long interval = frequent ? POLL_MILLISECONDS : IDLE_POLL_MILLISECONDS;
+    long quiet =
+        tellsWork && hasWork && !planner.isLimited(runner)
+            ? BUSY_POLL_MILLISECONDS
+            : IDLE_POLL_MILLISECONDS;
+    long interval = frequent ? POLL_MILLISECONDS : quiet;
     if (!reading && now - reportAt >= interval) {
       readReport();
     }
@@ -226,14 +285,19 @@
     current = Optional.empty();
     tasks.forEach(task -> task.done().complete(false));
     tasks.clear();
+    List<EngineTask> abandoned = pendingAdapters().toList();
+    currentAdapter = Optional.empty();
+    adapterTasks.clear();
+    abandoned.forEach(task -> task.done().complete(false));
+  }
+
+  private boolean hasFreeSlot(long now) {
+    long pending = pendingAdapters().filter(task -> task.action() == Action.LOAD).count();
+    return adapters.used() + outstanding.adapters(now) + pending < adapters.slots();
   }
 
   private boolean ensureSlot(long now) {
-    long pending =
-        Stream.concat(current.stream(), tasks.stream())
-            .filter(task -> task.adapter().isPresent() && task.action() == Action.LOAD)
-            .count();
-    if (adapters.used() + outstanding.adapters(now) + pending < adapters.slots()) {
+    if (hasFreeSlot(now)) {
       return true;
     }
     Optional<String> victim = adapters.evict(now);
@@ -241,17 +305,35 @@
       return false;
     }
     String[] names = victim.get().split("/", 2);
-    tasks.add(new EngineTask(Action.UNLOAD, names[0], Optional.of(names[1])));
+    planner.dropping(runner.id(), victim.get());
+    adapterTasks.add(new EngineTask(Action.UNLOAD, names[0], Optional.of(names[1])));
     return true;
   }
 
   private void proceed() {
-    if (sending || current.isPresent() || tasks.isEmpty() || busy || acceptedOrders < 0) {
+    if (sending || currentAdapter.isPresent() || acceptedOrders < 0) {
       return;
     }
-    current = Optional.of(tasks.poll());
-    uncountedOrder = false;
-    send(current.get());
+    if (current.isEmpty() && !busy) {
+      refusesAdapters = false;
+      if (!tasks.isEmpty()) {
+        current = Optional.of(tasks.poll());
+        uncountedOrder = false;
+        send(current.get());
+        return;
+      }
+    }
+    boolean modelOrderOpen = current.filter(EngineTask::isOutcomeUnknown).isPresent();
+    if (adapterTasks.isEmpty() || modelOrderOpen || adaptersInTransit >= ADAPTERS_IN_TRANSIT) {
+      return;
+    }
+    EngineTask next = adapterTasks.poll();
+    currentAdapter = Optional.of(next);
+    if (models.contains(next.model())) {
+      send(next);
+    } else {
+      complete(next, false); // The model was unloaded with its adapters.
+    }
   }
 
   private void send(EngineTask task) {
@@ -269,6 +351,11 @@
       complete(task, false);
       return;
     }
+    boolean fromStore = loadsModel(task) && loadingFromStore;
+    if (fromStore && !planner.beginStoreLoad(runner)) {
+      vertx.setTimer(STORE_RETRY_MILLISECONDS, fired -> resend(task));
+      return;
+    }
     task.countTry();
     if (task.tries() > MAXIMUM_TRIES) {
       LOGGER.warn(
@@ -288,6 +375,7 @@
             grant.get().fencingToken(),
             acceptedOrders);
     sending = true;
+    task.setOutcomeUnknown(true);
     lastOrderAt = MonotonicClock.milliseconds();
     final OptionalLong copy =
         task.action() == Action.LOAD
@@ -308,6 +396,10 @@
                   failure == null ? dialect.orderOutcome(response.status()) : OrderOutcome.UNKNOWN;
               if (outcome != OrderOutcome.UNKNOWN) {
                 copy.ifPresent(outstanding::answered);
+                task.setOutcomeUnknown(false);
+              }
+              if (fromStore && !mayHaveBegun(outcome)) {
+                planner.storeLoadRefused(runner);
               }
               if (failure instanceof ConnectException) {
                 unreachable();
@@ -327,6 +419,10 @@
             });
   }
 
+  private static boolean mayHaveBegun(OrderOutcome outcome) {
+    return outcome == OrderOutcome.ACCEPTED || outcome == OrderOutcome.UNKNOWN;
+  }
+
   /** Abandons all tasks until the runner responds again. */
   private void unreachable() {
     LOGGER.info("runner={} unreachable", runner.id());
@@ -335,17 +431,22 @@
   }
 
   private void orderAnswered(EngineTask task, OrderOutcome outcome) {
-    if (current.isEmpty() || current.get() != task) {
+    if (!isCurrent(task)) {
+      proceed();
       return;
     }
     boolean afterUnload = task.action() == Action.LOAD && unloading;
     switch (outcome) {
       case ACCEPTED, FULFILLED -> accepted(task, outcome);
       case CONFLICT -> {
-        if (afterUnload && task.tries() < MAXIMUM_TRIES / 2) {
+        if (task.isForAdapter() && (busy || current.isPresent())) {
+          refusesAdapters = true;
+          complete(task, false);
+        } else if (afterUnload && task.tries() < MAXIMUM_TRIES / 2) {
           vertx.setTimer(UNLOAD_RETRY_MILLISECONDS, fired -> resend(task));
         } else {
           scheduleReport();
+          proceed();
         }
       }
       case UNKNOWN -> vertx.setTimer(UNLOAD_RETRY_MILLISECONDS, fired -> resend(task));
@@ -358,19 +459,29 @@
   }
 
   private void resend(EngineTask task) {
-    if (current.isPresent() && current.get() == task && !sending) {
-      send(task);
+    if (!isCurrent(task)) {
+      return;
+    }
+    if (sending) {
+      vertx.setTimer(UNLOAD_RETRY_MILLISECONDS, fired -> resend(task));
+      return;
     }
+    send(task);
+  }
+
+  private boolean isCurrent(EngineTask task) {
+    return current.filter(each -> each == task).isPresent()
+        || currentAdapter.filter(each -> each == task).isPresent();
   }
 
   private void accepted(EngineTask task, OrderOutcome outcome) {
     acceptedOrders++;
-    task.accept();
-    unloading = task.action() == Action.UNLOAD && task.adapter().isEmpty();
-    if (task.adapter().isPresent()) {
+    task.accept(acceptedOrders);
+    if (task.isForAdapter()) {
       adapterOrderAccepted(task, outcome);
       return;
     }
+    unloading = task.action() == Action.UNLOAD;
     if (task.action() == Action.UNLOAD) {
       models.remove(task.model());
       adapters.forgetModel(task.model());
@@ -383,16 +494,24 @@
     }
     busy = true;
     scheduleReport();
+    proceed();
   }
 
   /** Allows the next order immediately; requests for the adapter wait until it is loaded. */
   private void adapterOrderAccepted(EngineTask task, OrderOutcome outcome) {
     String key = task.model() + '/' + task.adapter().orElseThrow();
-    current = Optional.empty();
+    currentAdapter = Optional.empty();
     if (task.action() == Action.LOAD) {
       adapters.loaded(key, MonotonicClock.milliseconds());
       long wait = outcome == OrderOutcome.FULFILLED ? 1 : ADAPTER_LOAD_MILLISECONDS;
-      vertx.setTimer(wait, fired -> task.done().complete(true));
+      adaptersInTransit++;
+      vertx.setTimer(
+          wait,
+          fired -> {
+            adaptersInTransit--;
+            task.done().complete(true);
+            proceed();
+          });
     } else {
       if (outcome == OrderOutcome.FULFILLED) {
         adapters.removed(key);
@@ -434,6 +553,13 @@
   private void applyReport(RunnerReport report, long requestedAt) {
     inHostMemory = report.inHostMemory();
     onDisk = report.onDisk();
+    hasWork = report.work().filter(work -> work.running() + work.waiting() > 0).isPresent();
+    planner.reported(runner, report);
+    if (completesLoad(report)) {
+      busy = false;
+      complete(current.get(), true);
+      return;
+    }
     boolean settled = requestedAt - lastOrderAt >= REPORT_LAG_MILLISECONDS;
     if (!settled || sending) {
       return;
@@ -444,14 +570,15 @@
     busy = report.busy();
     setModels(report.models());
     updateAdapters(report);
-    if (current.isEmpty()) {
+    currentAdapter.ifPresent(this::continueAdapter);
+    if (current.isEmpty() || busy) {
       proceed();
       return;
     }
-    EngineTask task = current.get();
-    if (busy) {
+    if (sending) {
       return;
     }
+    EngineTask task = current.get();
     if (isFulfilled(task)) {
       complete(task, true);
     } else if ((task.isAccepted() && !countChanged) || (uncountedOrder && loadsModel(task))) {
@@ -461,6 +588,27 @@
     }
   }
 
+  /**
+   * Returns whether a report shows that the current load is complete, even if orders for adapters
+   * were sent after it was requested.
+   */
+  private boolean completesLoad(RunnerReport report) {
+    return current
+        .filter(task -> loadsModel(task) && task.isAccepted())
+        .filter(task -> report.acceptedOrders() >= task.acceptedAsNumber())
+        .filter(task -> report.acceptedOrders() <= acceptedOrders && !report.busy())
+        .filter(task -> report.models().stream().anyMatch(m -> m.name().equals(task.model())))
+        .isPresent();
+  }
+
+  private void continueAdapter(EngineTask task) {
+    if (isFulfilled(task)) {
+      complete(task, true);
+    } else {
+      send(task);
+    }
+  }
+
   private boolean isFulfilled(EngineTask task) {
     if (task.adapter().isPresent()) {
       boolean present = adapters.holds(task.model() + '/' + task.adapter().get());
@@ -470,7 +618,11 @@
   }
 
   private void complete(EngineTask task, boolean success) {
-    current = Optional.empty();
+    if (task.isForAdapter()) {
+      currentAdapter = Optional.empty();
+    } else {
+      current = Optional.empty();
+    }
     if (success && task.action() == Action.LOAD) {
       if (task.adapter().isPresent()) {
         adapters.loaded(task.model() + '/' + task.adapter().get(), MonotonicClock.milliseconds());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineTask.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineTask.java
@@ -12,6 +12,8 @@
   private final CompletableFuture<Boolean> done = new CompletableFuture<>();
   private int tries;
   private boolean accepted;
+  private long acceptedAsNumber = Long.MAX_VALUE;
+  private boolean outcomeUnknown;
 
   EngineTask(Action action, String model, Optional<String> adapter) {
     this.action = action;
@@ -55,9 +57,32 @@
     return accepted;
   }
 
-  /** Records that the runner has accepted the order. */
-  void accept() {
+  /**
+   * Records that the runner has accepted the order.
+   *
+   * @param number the number of orders that the runner has accepted with this one
+   */
+  void accept(long number) {
     accepted = true;
+    acceptedAsNumber = number;
+  }
+
+  /** Returns the number of orders that the runner had accepted with this one. */
+  long acceptedAsNumber() {
+    return acceptedAsNumber;
+  }
+
+  /** Returns whether an order was sent that may or may not have been accepted. */
+  boolean isOutcomeUnknown() {
+    return outcomeUnknown;
+  }
+
+  void setOutcomeUnknown(boolean unknown) {
+    outcomeUnknown = unknown;
+  }
+
+  boolean isForAdapter() {
+    return adapter.isPresent();
   }
 
   boolean isLoadOf(String wantedModel, String wantedAdapter) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -40,12 +40,15 @@
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.forwarding.StartInTimePolicy;
+import org.agatefield.knowledge.KnowledgeTable;
+import org.agatefield.knowledge.RunnerState;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.Closer;
 import org.agatefield.model.ErrorKind;
 import org.agatefield.model.Instance;
 import org.agatefield.model.InstanceState;
 import org.agatefield.placement.DemandReplicaPolicy;
+import org.agatefield.placement.WorkRates;
 import org.agatefield.settings.ForwardingSettings;
 import org.agatefield.store.HttpObjectStore;
 import org.agatefield.store.InformerListener;
@@ -109,6 +112,7 @@
   private ForwardingPeers peers;
   private LoadExchange loadExchange;
   private KnowledgeExchange knowledge;
+  private KnowledgeTable<RunnerState> runnerStates;
   private PlannerClient plannerClient;
   private RunnerAvailability availability;
   private RunnerLimits limits;
@@ -208,6 +212,7 @@
     loadExchange = new LoadExchange(peers, loads, settings.failureDomain());
     knowledge =
         new KnowledgeExchange(peers, settings.failureDomain(), MonotonicClock::milliseconds);
+    runnerStates = knowledge.share(RunnerState.KIND);
     availability = new RunnerAvailability(peers::broadcast);
     fleetSize = new FleetSize(() -> peers.alive().size());
     limits = new RunnerLimits(MonotonicClock::milliseconds, peers::broadcast);
@@ -344,7 +349,7 @@
                 new StartInTimePolicy(),
                 loads,
                 presence,
-                plannerClient::ensureAdapter,
+                plannerClient,
                 quotaPolicy(),
                 new RetryBudgets(settings.terms(), fleetSize),
                 demand,
@@ -417,6 +422,8 @@
             new DemandReplicaPolicy(),
             limits,
             permits,
+            WorkRates.UNKNOWN,
+            runnerStates,
             plannerClient);
     plannerClient.connectLocalPlanner(planner);
     planner.start();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -19,11 +19,15 @@
 import org.agatefield.forwarding.EnginePool;
 import org.agatefield.forwarding.ForwardingTable;
 import org.agatefield.forwarding.RunnerEntry;
+import org.agatefield.forwarding.RunnerReport;
 import org.agatefield.forwarding.ServedModel;
 import org.agatefield.forwarding.ServiceDefinition;
+import org.agatefield.knowledge.KnowledgeTable;
+import org.agatefield.knowledge.RunnerState;
 import org.agatefield.lease.LeaseGrant;
 import org.agatefield.model.ModelDemand;
 import org.agatefield.model.WeightStoreLimits;
+import org.agatefield.placement.AdapterUse;
 import org.agatefield.placement.DemandTracker;
 import org.agatefield.placement.EngineView;
 import org.agatefield.placement.LimitedReplicas;
@@ -31,6 +35,8 @@
 import org.agatefield.placement.ModelProfile;
 import org.agatefield.placement.ReplicaMove;
 import org.agatefield.placement.ReplicaPolicy;
+import org.agatefield.placement.WorkEstimates;
+import org.agatefield.placement.WorkRates;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -43,6 +49,9 @@
 final class ModelPlanner implements RunnerDirectory.Listener {
   private static final Logger LOGGER = LogManager.getLogger(ModelPlanner.class);
   private static final long TICK_MILLISECONDS = 200; // A fraction of the shortest load time.
+  // Loads that may begin at once after a pause. The store allows a few beyond its rate; the others
+  // cover orders that reach their runners later than they were counted.
+  private static final int STORE_LOAD_BURST = 3;
   // Ratio of concurrent loads to loads per second of the weight stores in the data sheets.
   private static final double CONCURRENT_LOADS_PER_RATE = 3;
   private static final long STATE_LOG_MILLISECONDS = 1_000;
@@ -66,7 +75,10 @@
   private final ReplicaPolicy policy;
   private final RunnerLimits limits;
   private final RunnerPermits permits;
+  private final WorkRates rates;
+  private final KnowledgeTable<RunnerState> runnerStates;
   private final Announcements announcements;
+  private final AdapterUse adapterUse = new AdapterUse();
   private final DemandTracker demand = new DemandTracker();
   private final Map<String, EngineController> engines = new HashMap<>();
   private final OutstandingOrdersByRunner outstandingOrders = new OutstandingOrdersByRunner();
@@ -102,6 +114,8 @@
       ReplicaPolicy policy,
       RunnerLimits limits,
       RunnerPermits permits,
+      WorkRates rates,
+      KnowledgeTable<RunnerState> runnerStates,
       Announcements announcements) {
     this.vertx = vertx;
     this.client = client;
@@ -114,6 +128,8 @@
     this.policy = policy;
     this.limits = limits;
     this.permits = permits;
+    this.rates = rates;
+    this.runnerStates = runnerStates;
     this.announcements = announcements;
     runners.listen(this);
   }
@@ -141,6 +157,7 @@
    * false.
    */
   CompletableFuture<Boolean> ensureAdapter(String runner, String model, String adapter) {
+    adapterUse.used(model, adapter, MonotonicClock.milliseconds());
     EngineController engine = active ? engines.get(runner) : null;
     if (engine == null || mayReceiveUnknownOrder(runner)) {
       return CompletableFuture.completedFuture(false);
@@ -224,6 +241,7 @@
             : new EngineController(vertx, client, dialect, new GrantedOrders(), outstanding);
     engines.put(entry.id(), engine);
     engine.update(entry, newProcess || existing == null, pool.get().adapterSlots());
+    engine.setTellsWork(pool.get().cacheTokens() > 0);
   }
 
   private Optional<EnginePool> pool(String service) {
@@ -243,7 +261,9 @@
     List<EngineView> views = new ArrayList<>();
     long nowMilliseconds = MonotonicClock.milliseconds();
     Map<String, DemandTracker.Demand> demands = demand.demands(nowMilliseconds);
+    WorkEstimates estimates = estimates(pool);
     int loading = 0;
+    int awaiting = 0;
     for (RunnerEntry entry : List.copyOf(runners.all())) {
       if (!entry.service().equals(service)) {
         continue;
@@ -254,20 +274,16 @@
       EngineController engine = engines.get(entry.id());
       if (engine != null) {
         loading += engine.isLoadingFromStore() ? 1 : 0;
-        views.add(view(entry, engine, pool, demands));
+        awaiting += engine.awaitsStoreLoad() ? 1 : 0;
+        views.add(view(entry, engine, pool, demands, estimates));
       }
     }
-    long now = System.nanoTime();
     int concurrent =
         (int) Math.max(1, Math.floor(pool.loadsPerSecond() * CONCURRENT_LOADS_PER_RATE));
-    LoadBudget budget =
-        budgets
-            .computeIfAbsent(service, ignored -> LoadBudget.startingAt(now))
-            .refill(
-                new WeightStoreLimits(pool.loadsPerSecond(), concurrent, CONCURRENT_ADAPTER_LOADS),
-                now);
-    int allowed = Math.min(budget.available(), Math.max(0, concurrent - loading));
-    List<ReplicaMove> moves = policy.plan(views, sizes(pool), demands, allowed);
+    int available = budget(service, pool).available() - awaiting;
+    int allowed = Math.max(0, Math.min(available, concurrent - loading));
+    List<ModelProfile> profiles = profiles(pool, estimates);
+    List<ReplicaMove> moves = policy.plan(views, profiles, demands, allowed);
     logState(service, views, demands, allowed, nowMilliseconds);
     for (ReplicaMove move : moves) {
       EngineController engine = engines.get(move.runner());
@@ -275,20 +291,51 @@
         LOGGER.debug("placement runner={} unload={} late=true", move.runner(), move.unload());
         continue; // A late order would load the model again beside the new one.
       }
-      if (move.fromStore()) {
-        budget = budget.take();
-      }
       LOGGER.info(
-          "placement runner={} load={} unload={} from_store={} demand={}",
+          "placement runner={} speed={} load={} engines={} unload={} from_store={} demand={}",
           move.runner(),
+          estimates.speed(move.runner()),
           move.load(),
+          offeredLoad(move.load(), profiles, demands),
           move.unload(),
           move.fromStore(),
           demands.get(move.load()));
       engine.begin(move);
       announcements.loading(move.runner(), move.load(), (long) move.loadMilliseconds());
     }
+  }
+
+  /** Returns the load of a model in engines of speed 1, for the log. */
+  private static String offeredLoad(
+      String model, List<ModelProfile> profiles, Map<String, DemandTracker.Demand> demands) {
+    return profiles.stream()
+        .filter(profile -> profile.name().equals(model))
+        .map(
+            profile ->
+                profile.work().engines(demands.getOrDefault(model, DemandTracker.Demand.NONE)))
+        .map(load -> String.format(Locale.ROOT, "%.2f", load))
+        .findFirst()
+        .orElse("");
+  }
+
+  private LoadBudget budget(String service, EnginePool pool) {
+    long now = System.nanoTime();
+    LoadBudget budget =
+        budgets
+            .computeIfAbsent(service, ignored -> LoadBudget.startingAt(now))
+            .refill(
+                new WeightStoreLimits(
+                    pool.loadsPerSecond(), STORE_LOAD_BURST, CONCURRENT_ADAPTER_LOADS),
+                now);
     budgets.put(service, budget);
+    return budget;
+  }
+
+  private WorkEstimates estimates(EnginePool pool) {
+    return new WorkEstimates(
+        rates,
+        pool.models().stream()
+            .collect(Collectors.toMap(ServedModel::name, ServedModel::weightsMegabytes)));
   }
 
   private void logState(
@@ -334,7 +381,8 @@
       RunnerEntry entry,
       EngineController engine,
       EnginePool pool,
-      Map<String, DemandTracker.Demand> demands) {
+      Map<String, DemandTracker.Demand> demands,
+      WorkEstimates estimates) {
     double reserved = pool.adapterSlots() * largestAdapter(pool) + lateMegabytes(engine, pool);
     OptionalDouble limit = limits.requestsPerSecond(entry);
     Set<String> held = engine.possiblyHeld();
@@ -357,7 +405,8 @@
         engine.isReady()
             && !entry.draining()
             && !mayReceiveUnknownOrder(entry.id())
-            && limit.orElse(Double.MAX_VALUE) >= MINIMUM_LIMIT_FOR_LOADS_PER_SECOND);
+            && limit.orElse(Double.MAX_VALUE) >= MINIMUM_LIMIT_FOR_LOADS_PER_SECOND,
+        estimates.speed(entry.id()));
   }
 
   /** Returns the memory that late orders to an earlier process of the runner may take. */
@@ -385,7 +434,7 @@
         .orElse(MAXIMUM_ADAPTER_MEGABYTES);
   }
 
-  private static List<ModelProfile> sizes(EnginePool pool) {
+  private static List<ModelProfile> profiles(EnginePool pool, WorkEstimates estimates) {
     return pool.models().stream()
         .map(
             model ->
@@ -394,7 +443,8 @@
                     model.weightsMegabytes(),
                     model.storeLoadMilliseconds(),
                     model.diskLoadMilliseconds(),
-                    model.memoryLoadMilliseconds()))
+                    model.memoryLoadMilliseconds(),
+                    estimates.of(model.name(), model.weightsMegabytes())))
         .toList();
   }
 
@@ -434,6 +484,42 @@
     @Override
     public void loaded(String runner, String model) {
       announcements.loaded(runner, model);
+      EngineController engine = engines.get(runner);
+      if (engine != null) {
+        engine.preloadAdapters(model, adapterUse.mostUsed(model, MonotonicClock.milliseconds()));
+      }
+    }
+
+    @Override
+    public void reported(RunnerEntry runner, RunnerReport report) {
+      report
+          .work()
+          .ifPresent(
+              work ->
+                  runnerStates.observe(
+                      runner.id(),
+                      new RunnerState(
+                          report.startTimeMilliseconds(),
+                          work.running(),
+                          work.waiting(),
+                          work.usedTokens(),
+                          work.totalTokens()),
+                      MonotonicClock.milliseconds()));
+    }
+
+    @Override
+    public boolean beginStoreLoad(RunnerEntry runner) {
+      Optional<EnginePool> pool = pool(runner.service());
+      if (pool.isEmpty() || budget(runner.service(), pool.get()).available() < 1) {
+        return false;
+      }
+      budgets.computeIfPresent(runner.service(), (service, budget) -> budget.take());
+      return true;
+    }
+
+    @Override
+    public void storeLoadRefused(RunnerEntry runner) {
+      budgets.computeIfPresent(runner.service(), (service, budget) -> budget.giveBack());
     }
 
     @Override
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPresence.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPresence.java
@@ -2,17 +2,20 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
+import org.agatefield.forwarding.LoadedModel;
 import org.agatefield.forwarding.RunnerEntry;
 
 /**
  * Tracks which models and adapters this instance assumes to be loaded on each runner.
  *
  * <p>Models are taken from runner entries and assumed absent for a while after a runner has
- * reported one missing. Entries list adapters too late; an adapter is assumed present for a while
- * after the planner or a response has confirmed it. Confined to one event loop.
+ * reported one missing. An adapter is assumed present for a while after the planner has confirmed
+ * it, and while the runner's entry lists it, unless the runner or the planner has said since that
+ * it is absent. Confined to one event loop.
  */
 final class ModelPresence {
   // The planner retains an adapter at least this long after its last use.
@@ -28,6 +31,8 @@
 
   private final Map<String, Map<String, Long>> modelsExpectedAt = new HashMap<>();
   private final Map<String, Map<String, Long>> adaptersConfirmedAt = new HashMap<>();
+  private final Map<String, Set<String>> adaptersListed = new HashMap<>();
+  private final Map<String, Set<String>> adaptersDistrusted = new HashMap<>();
   private final Map<String, Map<String, Long>> modelsMissingAt = new HashMap<>();
   private final Map<String, Set<String>> modelsAnnounced = new HashMap<>();
 
@@ -35,15 +40,29 @@
     adaptersConfirmedAt
         .computeIfAbsent(runner, ignored -> new HashMap<>())
         .put(model + '/' + adapter, now);
+    adaptersDistrusted.getOrDefault(runner, new HashSet<>()).remove(model + '/' + adapter);
   }
 
   void markAdapterMissing(String runner, String model, String adapter) {
-    adaptersConfirmedAt.getOrDefault(runner, new HashMap<>()).remove(model + '/' + adapter);
+    distrustAdapter(runner, model + '/' + adapter);
+  }
+
+  /** Records that an adapter, written as {@code model/adapter}, is or may soon be absent. */
+  private void distrustAdapter(String runner, String adapter) {
+    adaptersConfirmedAt.getOrDefault(runner, new HashMap<>()).remove(adapter);
+    if (adaptersListed.getOrDefault(runner, Set.of()).contains(adapter)) {
+      adaptersDistrusted.computeIfAbsent(runner, ignored -> new HashSet<>()).add(adapter);
+    }
   }
 
   boolean hasAdapter(String runner, String model, String adapter, long now) {
-    Long at = adaptersConfirmedAt.getOrDefault(runner, Map.of()).get(model + '/' + adapter);
-    return at != null && now - at < ADAPTER_CONFIRMATION_MILLISECONDS;
+    String key = model + '/' + adapter;
+    Long at = adaptersConfirmedAt.getOrDefault(runner, Map.of()).get(key);
+    boolean confirmed = at != null && now - at < ADAPTER_CONFIRMATION_MILLISECONDS;
+    boolean listed =
+        adaptersListed.getOrDefault(runner, Set.of()).contains(key)
+            && !adaptersDistrusted.getOrDefault(runner, Set.of()).contains(key);
+    return confirmed || listed;
   }
 
   void markModelMissing(String runner, String model, long now) {
@@ -73,8 +92,15 @@
     return expected.values().stream().mapToLong(Long::longValue).min();
   }
 
-  /** Records the planner's announcement that a runner is about to unload a model. */
-  void withdrawModel(String runner, String model, long now) {
+  /**
+   * Records the planner's announcement that a runner is about to unload a model, or an adapter that
+   * is written as {@code model/adapter}.
+   */
+  void withdraw(String runner, String model, long now) {
+    if (model.contains("/")) {
+      distrustAdapter(runner, model);
+      return;
+    }
     modelsMissingAt
         .computeIfAbsent(runner, ignored -> new HashMap<>())
         .put(model, now + WITHDRAWAL_MILLISECONDS - MODEL_ABSENCE_MILLISECONDS);
@@ -95,11 +121,19 @@
         .values()
         .removeIf(at -> now - at >= MODEL_ABSENCE_MILLISECONDS);
     modelsAnnounced.getOrDefault(entry.id(), new HashSet<>()).removeIf(entry::holds);
+    Set<String> listed = new HashSet<>();
+    for (LoadedModel model : entry.models().orElse(List.of())) {
+      model.adapters().forEach(adapter -> listed.add(model.name() + '/' + adapter));
+    }
+    adaptersListed.put(entry.id(), listed);
+    adaptersDistrusted.getOrDefault(entry.id(), new HashSet<>()).retainAll(listed);
   }
 
   void forget(String runner) {
     modelsExpectedAt.values().forEach(expected -> expected.remove(runner));
     adaptersConfirmedAt.remove(runner);
+    adaptersListed.remove(runner);
+    adaptersDistrusted.remove(runner);
     modelsMissingAt.remove(runner);
     modelsAnnounced.remove(runner);
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/PlannerClient.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/PlannerClient.java
@@ -1,6 +1,8 @@
 package org.agatefield.daemon.forward;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.agatefield.model.Instance;
@@ -17,7 +19,7 @@
  * <p>Invariant: of two planners the one with the higher fencing token is accepted. Confined to one
  * event loop.
  */
-final class PlannerClient implements ModelPlanner.Announcements {
+final class PlannerClient implements ModelPlanner.Announcements, AdapterProvider {
   /** Interval at which {@link #reportDemand()} must be called. */
   static final long DEMAND_MILLISECONDS = 240; // A fraction of the load time of a model.
 
@@ -25,6 +27,9 @@
   static final long NOTICE_MILLISECONDS = 480; // A fraction of the takeover time.
 
   private static final Logger LOGGER = LogManager.getLogger(PlannerClient.class);
+  // Shorter than the planner retains an adapter that nobody uses.
+  private static final long USE_REPORT_MILLISECONDS = 1_000;
+  private static final int MAXIMUM_USES = 4_096; // Adapters of a large fleet.
   private static final long ADAPTER_TIMEOUT_MILLISECONDS = 1_200;
   private static final long PLANNER_TIMEOUT_MILLISECONDS = 4_000;
 
@@ -34,6 +39,7 @@
   private final DemandMeter demand;
   private final Runnable refreshLease;
   private final String self;
+  private final Map<String, Long> useReportedAt = new HashMap<>();
   private ModelPlanner planner;
   private Optional<PeerMessage.PlannerNotice> notice = Optional.empty();
   private long noticeReceivedAt;
@@ -62,7 +68,28 @@
     planner = localPlanner;
   }
 
-  CompletableFuture<Boolean> ensureAdapter(String runner, String model, String adapter) {
+  @Override
+  public void used(String runner, String model, String adapter) {
+    long now = MonotonicClock.milliseconds();
+    String key = runner + '/' + model + '/' + adapter;
+    if (now - useReportedAt.getOrDefault(key, Long.MIN_VALUE / 2) < USE_REPORT_MILLISECONDS) {
+      return;
+    }
+    if (useReportedAt.size() >= MAXIMUM_USES) {
+      useReportedAt.values().removeIf(at -> now - at >= USE_REPORT_MILLISECONDS);
+    }
+    useReportedAt.put(key, now);
+    ensure(runner, model, adapter)
+        .thenAccept(
+            present -> {
+              if (present) {
+                presence.confirmAdapter(runner, model, adapter, MonotonicClock.milliseconds());
+              }
+            });
+  }
+
+  @Override
+  public CompletableFuture<Boolean> ensure(String runner, String model, String adapter) {
     if (planner.fencingToken().isPresent()) {
       return planner.ensureAdapter(runner, model, adapter);
     }
@@ -189,7 +216,7 @@
         presence.announceModel(change.runner(), change.model());
         waiting.retryAll();
       }
-      case DROPPING -> presence.withdrawModel(change.runner(), change.model(), now);
+      case DROPPING -> presence.withdraw(change.runner(), change.model(), now);
       case LOADING ->
           presence.expectModel(
               change.runner(), change.model(), now + change.expectedMilliseconds());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -517,6 +517,7 @@
     }
     String model = terms.prompt().orElseThrow().model();
     if (context.presence().hasAdapter(runner.id(), model, adapter.get(), now)) {
+      context.adapters().used(runner.id(), model, adapter.get());
       sendTo(runner);
       return;
     }
--- a/model/src/main/java/org/agatefield/model/ModelDemand.java
+++ b/model/src/main/java/org/agatefield/model/ModelDemand.java
@@ -14,6 +14,8 @@
  * @param priority the most urgent priority of the requests that wait or arrived; 0 is the most
  *     urgent
  * @param runningAt the running requests by runner identifier
+ * @param arrivedOutputTokens tokens that the requests that arrived may let a runner generate; 0
+ *     from instances that do not say
  */
 public record ModelDemand(
     String service,
@@ -23,7 +25,8 @@
     int waitingRequests,
     int runningRequests,
     int priority,
-    Map<String, Integer> runningAt) {
+    Map<String, Integer> runningAt,
+    long arrivedOutputTokens) {
   /** Copies the map. */
   public ModelDemand {
     runningAt = Map.copyOf(runningAt);
--- a/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
+++ b/peer/src/main/java/org/agatefield/peer/ForwardingCodec.java
@@ -283,7 +283,8 @@
               .setWaitingRequests(demand.waitingRequests())
               .setRunningRequests(demand.runningRequests())
               .setPriority(demand.priority())
-              .putAllRunningAt(demand.runningAt()));
+              .putAllRunningAt(demand.runningAt())
+              .setArrivedOutputTokens(demand.arrivedOutputTokens()));
     }
     return builder.build();
   }
@@ -301,7 +302,8 @@
                         demand.getWaitingRequests(),
                         demand.getRunningRequests(),
                         demand.getPriority(),
-                        demand.getRunningAtMap()))
+                        demand.getRunningAtMap(),
+                        demand.getArrivedOutputTokens()))
             .toList();
     return new PeerMessage.ModelDemandReport(report.getInstance(), demands);
   }
--- a/placement/src/main/java/org/agatefield/placement/DemandTracker.java
+++ b/placement/src/main/java/org/agatefield/placement/DemandTracker.java
@@ -8,13 +8,18 @@
 /**
  * Tracks the demand for each model from the reports of all instances.
  *
- * <p>Rates are averaged over about {@link #RATE_WINDOW_MILLISECONDS}, so that a shift in demand
- * shows within a second or two. The waiting and running requests of an instance stop counting when
- * its reports stop. Confined to one thread.
+ * <p>Rates are averaged over about {@link #RATE_WINDOW_MILLISECONDS}; a shift that chance does not
+ * explain shows within some hundred milliseconds. The waiting and running requests of an instance
+ * stop counting when its reports stop. Confined to one thread.
  */
 public final class DemandTracker {
-  private static final double RATE_WINDOW_MILLISECONDS =
-      2_000; // demand shifts within a second or two
+  private static final double RATE_WINDOW_MILLISECONDS = 2_000; // steady enough to balance load by
+  private static final double RECENT_WINDOW_MILLISECONDS = 400; // one or two demand reports
+  private static final double USUAL_WINDOW_MILLISECONDS = 30_000; // several rare requests
+  // Random arrivals stray as far from their rate once in some thousand times.
+  private static final double SHIFT_STANDARD_DEVIATIONS = 3.5;
+  // What reports of a single instance that come at once may make of a steady rate.
+  private static final double SHIFT_SHARE = 0.5;
   private static final long MAXIMUM_REPORT_AGE_MILLISECONDS = 1_500; // several report intervals
 
   private final Map<String, ModelRate> rates = new HashMap<>();
@@ -22,17 +27,74 @@
 
   private record InstanceReport(List<ModelDemand> demands, long atMilliseconds) {}
 
-  private static final class ModelRate {
+  /** Averages over an exponential window. */
+  private static final class Average {
+    private final double windowMilliseconds;
     private double tokensPerSecond;
+    private double outputTokensPerSecond;
     private double requestsPerSecond;
+
+    Average(double windowMilliseconds) {
+      this.windowMilliseconds = windowMilliseconds;
+    }
+
+    void decay(long milliseconds) {
+      scale(Math.exp(-milliseconds / windowMilliseconds));
+    }
+
+    void scale(double factor) {
+      tokensPerSecond *= factor;
+      outputTokensPerSecond *= factor;
+      requestsPerSecond *= factor;
+    }
+
+    void add(ModelDemand demand) {
+      double perSecond = 1_000 / windowMilliseconds;
+      tokensPerSecond += demand.arrivedTokens() * perSecond;
+      outputTokensPerSecond += demand.arrivedOutputTokens() * perSecond;
+      requestsPerSecond += demand.arrivedRequests() * perSecond;
+    }
+
+    void set(Average other) {
+      tokensPerSecond = other.tokensPerSecond;
+      outputTokensPerSecond = other.outputTokensPerSecond;
+      requestsPerSecond = other.requestsPerSecond;
+    }
+  }
+
+  private static final class ModelRate {
+    private final Average average = new Average(RATE_WINDOW_MILLISECONDS);
+    private final Average recent = new Average(RECENT_WINDOW_MILLISECONDS);
+    private final Average usual = new Average(USUAL_WINDOW_MILLISECONDS);
     private long updatedAt;
     private long lastRequestAt = Long.MIN_VALUE / 2;
 
     void decayTo(long now) {
-      double remaining = Math.exp(-Math.max(0, now - updatedAt) / RATE_WINDOW_MILLISECONDS);
-      tokensPerSecond *= remaining;
-      requestsPerSecond *= remaining;
+      long elapsed = Math.max(0, now - updatedAt);
+      average.decay(elapsed);
+      recent.decay(elapsed);
+      usual.decay(elapsed);
       updatedAt = now;
+      followShift();
+    }
+
+    void add(ModelDemand demand) {
+      average.add(demand);
+      recent.add(demand);
+      usual.add(demand);
+      followShift();
+    }
+
+    /** Takes over the recent rate where chance does not explain how far it is from the average. */
+    private void followShift() {
+      double difference = Math.abs(recent.requestsPerSecond - average.requestsPerSecond);
+      double perSecond = 1_000 / RECENT_WINDOW_MILLISECONDS;
+      double variance = Math.max(average.requestsPerSecond, perSecond) * perSecond / 2;
+      double larger = Math.max(recent.requestsPerSecond, average.requestsPerSecond);
+      if (difference > SHIFT_SHARE * larger
+          && difference > SHIFT_STANDARD_DEVIATIONS * Math.sqrt(variance)) {
+        average.set(recent);
+      }
     }
   }
 
@@ -45,6 +107,8 @@
    * @param running requests at runners
    * @param idleMilliseconds time since requests last arrived or waited
    * @param runningAt requests at runners, by the runner's identifier
+   * @param outputTokensPerSecond tokens that the requests that arrive let a runner generate
+   * @param usualRequestsPerSecond requests that arrived over the last half minute
    */
   public record Demand(
       double tokensPerSecond,
@@ -52,10 +116,31 @@
       int waiting,
       int running,
       long idleMilliseconds,
-      Map<String, Integer> runningAt) {
+      Map<String, Integer> runningAt,
+      double outputTokensPerSecond,
+      double usualRequestsPerSecond) {
     /** No demand. */
     public static final Demand NONE = new Demand(0, 0, 0, 0, Long.MAX_VALUE / 2, Map.of());
 
+    /** Creates a demand that has been the same for long and generates nothing. */
+    public Demand(
+        double tokensPerSecond,
+        double requestsPerSecond,
+        int waiting,
+        int running,
+        long idleMilliseconds,
+        Map<String, Integer> runningAt) {
+      this(
+          tokensPerSecond,
+          requestsPerSecond,
+          waiting,
+          running,
+          idleMilliseconds,
+          runningAt,
+          0,
+          requestsPerSecond);
+    }
+
     /** Copies the map. */
     public Demand {
       runningAt = Map.copyOf(runningAt);
@@ -68,9 +153,7 @@
     for (ModelDemand demand : demands) {
       ModelRate rate = rates.computeIfAbsent(demand.model(), ignored -> new ModelRate());
       rate.decayTo(nowMilliseconds);
-      double perSecond = 1_000 / RATE_WINDOW_MILLISECONDS;
-      rate.tokensPerSecond += demand.arrivedTokens() * perSecond;
-      rate.requestsPerSecond += demand.arrivedRequests() * perSecond;
+      rate.add(demand);
       if (demand.arrivedRequests() > 0 || demand.waitingRequests() > 0) {
         rate.lastRequestAt = nowMilliseconds;
       }
@@ -117,11 +200,13 @@
   private static Demand demand(ModelRate rate, RequestCounts counts, long now) {
     rate.decayTo(now);
     return new Demand(
-        rate.tokensPerSecond,
-        rate.requestsPerSecond,
+        rate.average.tokensPerSecond,
+        rate.average.requestsPerSecond,
         counts.waiting,
         counts.running,
         now - rate.lastRequestAt,
-        counts.runningAt);
+        counts.runningAt,
+        rate.average.outputTokensPerSecond,
+        rate.usual.requestsPerSecond);
   }
 }
--- a/placement/src/main/java/org/agatefield/placement/EngineView.java
+++ b/placement/src/main/java/org/agatefield/placement/EngineView.java
@@ -16,6 +16,7 @@
  * @param inHostMemory models whose weights are in its host memory
  * @param onDisk models whose weights are on its disk
  * @param acceptsOrders whether an order can be sent to it now
+ * @param speed how many times as fast as an engine of speed 1 it is
  */
 public record EngineView(
     String id,
@@ -27,7 +28,8 @@
     OptionalDouble requestsPerSecond,
     Set<String> inHostMemory,
     Set<String> onDisk,
-    boolean acceptsOrders) {
+    boolean acceptsOrders,
+    double speed) {
   /** Copies the sets. */
   public EngineView {
     held = Set.copyOf(held);
@@ -58,4 +60,30 @@
         onDisk,
         acceptsOrders);
   }
+
+  /** Creates the view of an engine of speed 1. */
+  public EngineView(
+      String id,
+      String failureDomain,
+      double capacityMegabytes,
+      double reservedMegabytes,
+      Set<String> held,
+      Set<String> counted,
+      OptionalDouble requestsPerSecond,
+      Set<String> inHostMemory,
+      Set<String> onDisk,
+      boolean acceptsOrders) {
+    this(
+        id,
+        failureDomain,
+        capacityMegabytes,
+        reservedMegabytes,
+        held,
+        counted,
+        requestsPerSecond,
+        inHostMemory,
+        onDisk,
+        acceptsOrders,
+        1);
+  }
 }
--- a/placement/src/main/java/org/agatefield/placement/LoadBudget.java
+++ b/placement/src/main/java/org/agatefield/placement/LoadBudget.java
@@ -28,6 +28,11 @@
     return new LoadBudget(tokens - 1, refilledAtNanoseconds);
   }
 
+  /** Returns the budget after one load that was counted did not start. */
+  public LoadBudget giveBack() {
+    return new LoadBudget(tokens + 1, refilledAtNanoseconds);
+  }
+
   /** Returns the number of loads that may start now. */
   public int available() {
     return (int) Math.max(0, Math.floor(tokens));
--- a/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
+++ b/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
@@ -13,20 +13,19 @@
 /**
  * Tracks what the engines will hold after the moves planned so far and finds the next best move.
  *
- * <p>Every possible move is estimated from the load of the engine and of the model's replicas; only
- * those with the highest estimates are evaluated in full, by distributing the load of all models
- * again. Engines are identified by their index. Invariants: no engine holds more than its memory;
- * each gets at most one move; the last replica of a model in use is not unloaded. Confined to one
- * thread.
+ * <p>Every possible move is estimated from the level of the engine and of the model's replicas and
+ * from what its victims are worth; only those with the highest estimates are evaluated, by
+ * distributing the load of the models of that engine again. Models and engines are identified by
+ * their index. Invariants: no engine holds more than its memory; each gets at most one move; the
+ * last replica of a model in use is not unloaded. Confined to one thread.
  */
 final class ReplicaDraft {
-  // An engine reads about 13,000 prompt tokens per second with 34 GB of weights while it decodes;
-  // the time per token is proportional to the size of the weights.
-  private static final double ENGINES_PER_TOKEN_AND_MEGABYTE = 1.0 / 13_000 / 34_300;
   private static final long RECENT_DEMAND_MILLISECONDS = 6_000; // longer than most callers wait
   // Requests for a model without a replica are all lost; on overloaded engines only some are.
   private static final double UNSERVED_COST_PER_ENGINE = 8;
   private static final double UNSERVED_COST_PER_WAITING = 0.15;
+  // The next request for a model without a replica waits for a load, which takes an engine's order.
+  private static final double RELOAD_COST = 0.3;
   private static final double MINIMUM_GAIN = 0.12; // an engine executes one order at a time
   private static final long MINIMUM_IDLE_MILLISECONDS = 1_000; // several demand reports
   private static final double DEMAND_DURATION_MILLISECONDS = 9_000; // until other models are busy
@@ -35,25 +34,31 @@
   private static final double STORE_LOAD_COST = 0.03; // the store's rate is shared and paid for
   private static final int RESERVED_STORE_LOADS = 1; // for models without a replica
   // An evaluation distributes the load over all engines, so fewer fit into a tick on large fleets.
-  private static final int ENGINE_EVALUATION_BUDGET = 6_000;
+  private static final int ENGINE_EVALUATION_BUDGET = 2_500;
   private static final int MINIMUM_EVALUATIONS = 40;
-  private static final double LOAD_TOLERANCE = 1e-9; // loads that differ by less count as equal
   // Below the minimum gain, as the estimate leaves out the load of other models that also moves.
   private static final double MINIMUM_ESTIMATE = 0.02;
 
   /** A move with the index of its engine and its gain. Immutable. */
   record ScoredMove(ReplicaMove move, int engine, double gain) {}
 
-  /** A model that an engine could load, with the estimated gain. */
-  private record CandidateMove(ModelProfile model, int engine, double estimate) {}
+  /** A model that an engine could load, with what it would unload and the estimated gain. */
+  private record CandidateMove(int model, int engine, List<Integer> victims, double estimate) {}
+
+  /** A replica that an engine may unload, with what that costs. */
+  private record Removable(int model, double cost) {}
 
   private final List<EngineView> engines;
-  private final Map<String, ModelProfile> sizes = new HashMap<>();
-  private final Map<String, DemandTracker.Demand> demands;
-  private final Map<String, Double> offeredLoad = new HashMap<>();
+  private final List<ModelProfile> models;
+  private final Map<String, DemandTracker.Demand> demandsByName;
+  private final Map<String, Integer> indices = new HashMap<>();
+  private final DemandTracker.Demand[] demands;
+  private final double[] offeredLoad;
+  private final double[] speeds;
   private final List<Set<String>> held = new ArrayList<>();
   private final Set<Integer> enginesWithMove = new HashSet<>();
-  private final Map<String, List<Integer>> holders = new HashMap<>();
+  private final List<List<Integer>> holders = new ArrayList<>();
+  private LoadDistribution distribution;
   private int evaluations;
 
   ReplicaDraft(
@@ -61,33 +66,43 @@
       List<ModelProfile> models,
       Map<String, DemandTracker.Demand> demands) {
     this.engines = engines;
-    this.demands = demands;
-    models.forEach(model -> sizes.put(model.name(), model));
-    for (int index = 0; index < engines.size(); index++) {
-      held.add(new HashSet<>(engines.get(index).held()));
-      for (String model : engines.get(index).counted()) {
-        holders.computeIfAbsent(model, ignored -> new ArrayList<>()).add(index);
-      }
+    this.models = models;
+    this.demandsByName = demands;
+    this.demands = new DemandTracker.Demand[models.size()];
+    this.offeredLoad = new double[models.size()];
+    this.speeds = engines.stream().mapToDouble(EngineView::speed).toArray();
+    for (int model = 0; model < models.size(); model++) {
+      ModelProfile profile = models.get(model);
+      indices.put(profile.name(), model);
+      this.demands[model] = demands.getOrDefault(profile.name(), DemandTracker.Demand.NONE);
+      offeredLoad[model] = profile.work().engines(this.demands[model]);
+      holders.add(new ArrayList<>());
     }
-    for (ModelProfile model : models) {
-      double tokens = demandFor(model.name()).tokensPerSecond();
-      offeredLoad.put(
-          model.name(), tokens * model.weightsMegabytes() * ENGINES_PER_TOKEN_AND_MEGABYTE);
+    for (int engine = 0; engine < engines.size(); engine++) {
+      held.add(new HashSet<>(engines.get(engine).held()));
+      for (String name : engines.get(engine).counted()) {
+        if (indices.containsKey(name)) {
+          holders.get(indices.get(name)).add(engine);
+        }
+      }
     }
+    distribution = new LoadDistribution(speeds, offeredLoad, holders);
   }
 
-  /** Returns how often the load of all models was distributed again. */
+  /** Returns how often the load of an engine's models was distributed again. */
   int evaluations() {
     return evaluations;
   }
 
+  /** Returns the load of a model in engines of speed 1. */
+  double offeredLoad(String model) {
+    return offeredLoad[indices.get(model)];
+  }
+
   Optional<ScoredMove> best(int storeLoads) {
-    LoadDistribution distribution = distribution();
-    double before = cost(distribution);
     ScoredMove best = null;
-    for (CandidateMove candidate : mostPromising(distribution, storeLoads)) {
-      Optional<ScoredMove> scored =
-          evaluate(candidate.model(), candidate.engine(), storeLoads, before);
+    for (CandidateMove candidate : mostPromising(storeLoads)) {
+      Optional<ScoredMove> scored = evaluate(candidate);
       if (scored.isPresent() && (best == null || scored.get().gain() > best.gain())) {
         best = scored.get();
       }
@@ -98,27 +113,34 @@
   void apply(ScoredMove scored) {
     enginesWithMove.add(scored.engine());
     scored.move().unload().forEach(model -> remove(model, scored.engine()));
-    add(scored.move().load(), scored.engine());
+    add(indices.get(scored.move().load()), scored.engine());
+    distribution = new LoadDistribution(speeds, offeredLoad, holders);
   }
 
-  private List<CandidateMove> mostPromising(LoadDistribution distribution, int storeLoads) {
+  private List<CandidateMove> mostPromising(int storeLoads) {
     List<CandidateMove> candidates = new ArrayList<>();
-    for (ModelProfile model : sizes.values()) {
-      if (!hasRecentDemand(model.name())) {
+    List<List<Removable>> removable = new ArrayList<>();
+    for (int engine = 0; engine < engines.size(); engine++) {
+      boolean available = engines.get(engine).acceptsOrders() && !enginesWithMove.contains(engine);
+      removable.add(available ? removable(engine) : List.of());
+    }
+    for (int model = 0; model < models.size(); model++) {
+      if (!hasRecentDemand(model)) {
         continue;
       }
-      Replicas replicas = replicas(model.name(), distribution);
-      for (int index = 0; index < engines.size(); index++) {
-        if (!engines.get(index).acceptsOrders()
-            || enginesWithMove.contains(index)
-            || held.get(index).contains(model.name())
-            || !mayLoad(model, index, storeLoads)) {
+      LoadDistribution.Replicas replicas = distribution.replicas(model);
+      for (int engine = 0; engine < engines.size(); engine++) {
+        if (!engines.get(engine).acceptsOrders()
+            || enginesWithMove.contains(engine)
+            || held.get(engine).contains(models.get(model).name())
+            || !mayLoad(model, engine, storeLoads)) {
           continue;
         }
-        double estimate = estimate(model, index, replicas, distribution.load(index));
-        if (estimate >= MINIMUM_ESTIMATE) {
-          candidates.add(new CandidateMove(model, index, estimate));
+        double gain = estimate(model, engine, replicas);
+        if (gain < MINIMUM_ESTIMATE) {
+          continue;
         }
+        candidate(model, engine, gain, removable.get(engine)).ifPresent(candidates::add);
       }
     }
     candidates.sort(Comparator.comparingDouble(CandidateMove::estimate).reversed());
@@ -127,185 +149,219 @@
     return candidates.size() > evaluated ? candidates.subList(0, evaluated) : candidates;
   }
 
-  private boolean mayLoad(ModelProfile model, int index, int storeLoads) {
-    if (!fitsLimit(model.name(), index)) {
+  private boolean mayLoad(int model, int engine, int storeLoads) {
+    if (!fitsLimit(models.get(model).name(), engine)) {
       return false;
     }
-    boolean served = !holders.getOrDefault(model.name(), List.of()).isEmpty();
-    int reservedStoreLoads = served ? RESERVED_STORE_LOADS : 0;
-    return !model.loadsFromStore(engines.get(index)) || storeLoads > reservedStoreLoads;
+    int reservedStoreLoads = holders.get(model).isEmpty() ? 0 : RESERVED_STORE_LOADS;
+    return !models.get(model).loadsFromStore(engines.get(engine))
+        || storeLoads > reservedStoreLoads;
   }
 
   /** Returns whether an engine with a request limit could serve the model besides its others. */
-  private boolean fitsLimit(String model, int index) {
-    OptionalDouble limit = engines.get(index).requestsPerSecond();
+  private boolean fitsLimit(String model, int engine) {
+    OptionalDouble limit = engines.get(engine).requestsPerSecond();
     if (limit.isEmpty()) {
       return true;
     }
-    Set<String> models = new HashSet<>(held.get(index));
-    models.removeIf(each -> !countsAsHolder(each, index));
-    models.add(model);
-    return LimitedReplicas.fits(models, limit.getAsDouble(), demands);
-  }
-
-  private boolean countsAsHolder(String model, int index) {
-    return holders.getOrDefault(model, List.of()).contains(index);
+    Set<String> served = new HashSet<>(held.get(engine));
+    served.removeIf(each -> !countsAsHolder(each, engine));
+    served.add(model);
+    return LimitedReplicas.fits(served, limit.getAsDouble(), demandsByName);
   }
 
-  /** The number of replicas that share a model's load, and the load of their engines. */
-  private record Replicas(int count, double level) {}
-
-  private Replicas replicas(String model, LoadDistribution distribution) {
-    List<Integer> indices = holders.getOrDefault(model, List.of());
-    double level = indices.stream().mapToDouble(distribution::load).min().orElse(0);
-    int count =
-        (int)
-            indices.stream()
-                .filter(index -> distribution.load(index) <= level + LOAD_TOLERANCE)
-                .count();
-    return new Replicas(count, level);
+  private boolean countsAsHolder(String model, int engine) {
+    Integer index = indices.get(model);
+    return index != null && holders.get(index).contains(engine);
   }
 
   /** Estimates the gain of a replica as if only the load of its own model moved. */
-  private double estimate(ModelProfile model, int index, Replicas replicas, double load) {
-    double modelLoad = offeredLoad.getOrDefault(model.name(), 0.0);
-    double gain;
-    if (replicas.count() == 0) {
-      gain =
-          UNSERVED_COST_PER_ENGINE * modelLoad
-              + UNSERVED_COST_PER_WAITING * demandFor(model.name()).waiting()
-              - costIncrease(load, modelLoad);
-    } else {
-      double balancing = (replicas.level() - load) * replicas.count() / (replicas.count() + 1.0);
-      double moved = Math.min(modelLoad, balancing);
-      if (moved <= 0) {
-        return 0;
-      }
-      gain =
-          -replicas.count() * costIncrease(replicas.level(), -moved / replicas.count())
-              - costIncrease(load, moved);
+  private double estimate(int model, int engine, LoadDistribution.Replicas replicas) {
+    double modelLoad = offeredLoad[model];
+    double level = distribution.level(engine);
+    if (replicas.speed() == 0) {
+      return unservedCost(model) - costIncrease(level, modelLoad, speeds[engine]);
     }
-    EngineView engine = engines.get(index);
-    double remainingShare = 1 - model.loadMilliseconds(engine) / DEMAND_DURATION_MILLISECONDS;
-    double loadCost = model.loadsFromStore(engine) ? STORE_LOAD_COST : 0;
-    return gain * Math.max(0, remainingShare) - loadCost;
+    double difference = replicas.level() - level;
+    double balancing =
+        difference * replicas.speed() * speeds[engine] / (replicas.speed() + speeds[engine]);
+    double moved = Math.min(modelLoad, balancing);
+    return moved <= 0
+        ? 0
+        : -costIncrease(replicas.level(), -moved, replicas.speed())
+            - costIncrease(level, moved, speeds[engine]);
   }
 
-  /** Returns how much an engine's cost increases with additional load. */
-  private static double costIncrease(double load, double added) {
-    return (load + added) * (load + added) - load * load;
+  /** Returns how much the cost of engines at a level increases with additional load. */
+  private static double costIncrease(double level, double added, double speed) {
+    return (2 * level + added / speed) * added;
   }
 
-  private Optional<ScoredMove> evaluate(
-      ModelProfile model, int index, int storeLoads, double costBefore) {
-    EngineView engine = engines.get(index);
-    final boolean fromStore = model.loadsFromStore(engine);
-    Optional<List<String>> victims = victims(model, index);
-    if (victims.isEmpty()) {
+  private Optional<CandidateMove> candidate(
+      int model, int engine, double gain, List<Removable> removable) {
+    EngineView view = engines.get(engine);
+    double needed = models.get(model).weightsMegabytes();
+    double free = view.capacityMegabytes() - view.reservedMegabytes() - heldMegabytes(engine);
+    List<Integer> victims = new ArrayList<>();
+    double evictionCost = 0;
+    for (Removable each : removable) {
+      if (free >= needed) {
+        break;
+      }
+      victims.add(each.model());
+      evictionCost += each.cost();
+      free += models.get(each.model()).weightsMegabytes();
+    }
+    if (free < needed) {
       return Optional.empty();
     }
+    double net = value(model, engine, victims, gain - evictionCost);
+    return net < MINIMUM_ESTIMATE
+        ? Optional.empty()
+        : Optional.of(new CandidateMove(model, engine, victims, net));
+  }
+
+  /** Returns what is left of a gain after the time and the cost of the move. */
+  private double value(int model, int engine, List<Integer> victims, double gain) {
+    double time = moveMilliseconds(model, engine, victims);
+    double remainingShare = Math.max(0, 1 - time / DEMAND_DURATION_MILLISECONDS);
+    boolean fromStore = models.get(model).loadsFromStore(engines.get(engine));
+    return gain * remainingShare - (fromStore ? STORE_LOAD_COST : 0);
+  }
+
+  private double moveMilliseconds(int model, int engine, List<Integer> victims) {
+    EngineView view = engines.get(engine);
+    boolean drains = victims.stream().anyMatch(victim -> runsAt(victim, view.id()) > 0);
+    return models.get(model).loadMilliseconds(view) + (drains ? DRAIN_MILLISECONDS : 0);
+  }
+
+  private Optional<ScoredMove> evaluate(CandidateMove candidate) {
     evaluations++;
-    victims.get().forEach(victim -> remove(victim, index));
-    add(model.name(), index);
-    boolean drains = victims.get().stream().anyMatch(victim -> runsAt(victim, engine.id()) > 0);
-    double time = model.loadMilliseconds(engine) + (drains ? DRAIN_MILLISECONDS : 0);
-    double remainingShare = 1 - time / DEMAND_DURATION_MILLISECONDS;
-    double gain = (costBefore - cost(distribution())) * Math.max(0, remainingShare);
-    remove(model.name(), index);
-    victims.get().forEach(victim -> add(victim, index));
-    double loadCost = fromStore ? STORE_LOAD_COST : 0;
-    if (gain - loadCost < MINIMUM_GAIN) {
+    int engine = candidate.engine();
+    final double before = distribution.cost() + unservedCosts(candidate);
+    List<Integer> changed = new ArrayList<>(candidate.victims());
+    for (String name : held.get(engine)) {
+      Integer model = indices.get(name);
+      if (model != null && !changed.contains(model)) {
+        changed.add(model);
+      }
+    }
+    changed.add(candidate.model());
+    candidate.victims().forEach(victim -> holders.get(victim).remove(Integer.valueOf(engine)));
+    holders.get(candidate.model()).add(engine);
+    final double after = distribution.afterChangeOf(changed).cost() + unservedCosts(candidate);
+    holders.get(candidate.model()).remove(Integer.valueOf(engine));
+    candidate
+        .victims()
+        .forEach(
+            victim -> {
+              if (engines.get(engine).counted().contains(models.get(victim).name())) {
+                holders.get(victim).add(engine);
+              }
+            });
+    double gain = value(candidate.model(), engine, candidate.victims(), before - after);
+    if (gain < MINIMUM_GAIN) {
       return Optional.empty();
     }
-    ReplicaMove move = new ReplicaMove(engine.id(), victims.get(), model.name(), fromStore, time);
-    return Optional.of(new ScoredMove(move, index, gain - loadCost));
+    ModelProfile model = models.get(candidate.model());
+    ReplicaMove move =
+        new ReplicaMove(
+            engines.get(engine).id(),
+            candidate.victims().stream().map(victim -> models.get(victim).name()).toList(),
+            model.name(),
+            model.loadsFromStore(engines.get(engine)),
+            moveMilliseconds(candidate.model(), engine, candidate.victims()));
+    return Optional.of(new ScoredMove(move, engine, gain));
   }
 
-  /** Returns the models to unload; empty if that frees too little memory. */
-  private Optional<List<String>> victims(ModelProfile model, int index) {
-    EngineView engine = engines.get(index);
-    double free = engine.capacityMegabytes() - engine.reservedMegabytes() - heldMegabytes(index);
-    List<String> removable =
-        held.get(index).stream()
-            .filter(each -> isEvictable(each, index))
-            .sorted(Comparator.comparingDouble(each -> evictionCost(each, engine.id())))
-            .toList();
-    List<String> victims = new ArrayList<>();
-    for (String each : removable) {
-      if (free >= model.weightsMegabytes()) {
-        break;
+  /** Returns what it costs that the models of a move have no replica, as far as they have none. */
+  private double unservedCosts(CandidateMove candidate) {
+    double cost = holders.get(candidate.model()).isEmpty() ? unservedCost(candidate.model()) : 0;
+    for (int victim : candidate.victims()) {
+      cost += holders.get(victim).isEmpty() ? unservedCost(victim) : 0;
+    }
+    return cost;
+  }
+
+  private double unservedCost(int model) {
+    DemandTracker.Demand demand = demands[model];
+    double expected = demand.usualRequestsPerSecond() * DEMAND_DURATION_MILLISECONDS / 1_000;
+    double cost = RELOAD_COST * Math.min(1, expected);
+    if (!isIdle(demand) && hasRecentDemand(model)) {
+      cost += UNSERVED_COST_PER_ENGINE * offeredLoad[model];
+      cost += UNSERVED_COST_PER_WAITING * demand.waiting();
+    }
+    return cost;
+  }
+
+  /** Returns the replicas that an engine may unload, those that cost the least first. */
+  private List<Removable> removable(int engine) {
+    List<Removable> removable = new ArrayList<>();
+    for (String name : held.get(engine)) {
+      Integer model = indices.get(name);
+      if (model != null && isEvictable(model, engine)) {
+        removable.add(new Removable(model, evictionCost(model, engine)));
       }
-      victims.add(each);
-      free += weights(each);
     }
-    return free >= model.weightsMegabytes() ? Optional.of(victims) : Optional.empty();
+    removable.sort(
+        Comparator.comparingDouble(Removable::cost)
+            .thenComparing(each -> demands[each.model()].usualRequestsPerSecond()));
+    return removable;
   }
 
   /**
    * Returns whether a replica may be unloaded. An idle model may lose its last replica, as it can
-   * be loaded from disk again before the deadline of a request.
+   * be loaded again before the deadline of a request.
    */
-  private boolean isEvictable(String model, int index) {
-    DemandTracker.Demand demand = demandFor(model);
-    boolean idle =
-        demand.waiting() == 0
-            && demand.running() == 0
-            && demand.idleMilliseconds() >= MINIMUM_IDLE_MILLISECONDS;
-    int replicas = holders.getOrDefault(model, List.of()).size();
-    return idle || replicas > (countsAsHolder(model, index) ? 1 : 0);
+  private boolean isEvictable(int model, int engine) {
+    int others = holders.get(model).size() - (holders.get(model).contains(engine) ? 1 : 0);
+    return isIdle(demands[model]) || others > 0;
   }
 
-  private int runsAt(String model, String engine) {
-    return demandFor(model).runningAt().getOrDefault(engine, 0);
+  private static boolean isIdle(DemandTracker.Demand demand) {
+    return demand.waiting() == 0
+        && demand.running() == 0
+        && demand.idleMilliseconds() >= MINIMUM_IDLE_MILLISECONDS;
   }
 
-  private double evictionCost(String model, String engine) {
-    int replicas = holders.getOrDefault(model, List.of()).size();
-    double perReplica = offeredLoad.getOrDefault(model, 0.0) / Math.max(1, replicas);
-    return perReplica + RUNNING_REQUEST_WEIGHT * runsAt(model, engine);
+  private int runsAt(int model, String engine) {
+    return demands[model].runningAt().getOrDefault(engine, 0);
   }
 
-  private double cost(LoadDistribution distribution) {
-    double cost = distribution.cost();
-    for (ModelProfile model : sizes.values()) {
-      boolean unserved = holders.getOrDefault(model.name(), List.of()).isEmpty();
-      if (unserved && hasRecentDemand(model.name())) {
-        DemandTracker.Demand demand = demandFor(model.name());
-        cost += UNSERVED_COST_PER_ENGINE * offeredLoad.getOrDefault(model.name(), 0.0);
-        cost += UNSERVED_COST_PER_WAITING * demand.waiting();
-      }
+  private double evictionCost(int model, int engine) {
+    List<Integer> replicas = holders.get(model);
+    double runs = RUNNING_REQUEST_WEIGHT * runsAt(model, engines.get(engine).id());
+    double others = 0;
+    for (int each : replicas) {
+      others += each == engine ? 0 : speeds[each];
     }
-    return cost;
-  }
-
-  private LoadDistribution distribution() {
-    return LoadDistribution.of(engines.size(), offeredLoad, holders);
-  }
-
-  private boolean hasRecentDemand(String model) {
-    return demandFor(model).idleMilliseconds() < RECENT_DEMAND_MILLISECONDS;
+    if (others == 0) {
+      return unservedCost(model) + runs;
+    }
+    double part = distribution.part(model, engine);
+    return part * part / others + runs;
   }
 
-  private DemandTracker.Demand demandFor(String model) {
-    return demands.getOrDefault(model, DemandTracker.Demand.NONE);
+  private boolean hasRecentDemand(int model) {
+    return demands[model].idleMilliseconds() < RECENT_DEMAND_MILLISECONDS;
   }
 
-  private double heldMegabytes(int index) {
-    return held.get(index).stream().mapToDouble(this::weights).sum();
+  private double heldMegabytes(int engine) {
+    return held.get(engine).stream().mapToDouble(this::weights).sum();
   }
 
   private double weights(String model) {
-    ModelProfile size = sizes.get(model);
-    return size == null ? Double.MAX_VALUE / 4 : size.weightsMegabytes();
+    Integer index = indices.get(model);
+    return index == null ? Double.MAX_VALUE / 4 : models.get(index).weightsMegabytes();
   }
 
-  private void add(String model, int index) {
-    held.get(index).add(model);
-    holders.computeIfAbsent(model, ignored -> new ArrayList<>()).add(index);
+  private void add(int model, int engine) {
+    held.get(engine).add(models.get(model).name());
+    holders.get(model).add(engine);
   }
 
-  private void remove(String model, int index) {
-    held.get(index).remove(model);
-    holders.getOrDefault(model, new ArrayList<>()).remove(Integer.valueOf(index));
+  private void remove(String model, int engine) {
+    held.get(engine).remove(model);
+    holders.get(indices.get(model)).remove(Integer.valueOf(engine));
   }
 }
