--- a/cost/src/main/java/org/agatefield/cost/LearnedRates.java
+++ b/cost/src/main/java/org/agatefield/cost/LearnedRates.java
@@ -1,5 +1,6 @@
 package org.agatefield.cost;
 
+import java.util.OptionalDouble;
 import org.agatefield.knowledge.KnowledgeTable;
 
 /**
@@ -37,6 +38,13 @@
     return Math.exp(paces.logarithm(model));
   }
 
+  /** Returns the same time if requests for the model have been observed lately. */
+  public OptionalDouble observedMillisecondsPerToken(String model) {
+    return paces.isKnown(model)
+        ? OptionalDouble.of(millisecondsPerToken(model))
+        : OptionalDouble.empty();
+  }
+
   /** Returns the lasting speed of a runner; 1 is an average runner. */
   public double relativeSpeed(String runner) {
     return Math.exp(speeds.logarithm(runner));
--- a/cost/src/main/java/org/agatefield/cost/SharedRates.java
+++ b/cost/src/main/java/org/agatefield/cost/SharedRates.java
@@ -64,6 +64,11 @@
     return estimate == null ? defaultLogarithm : estimate;
   }
 
+  /** Returns whether this instance or another has observed a subject lately. */
+  boolean isKnown(String subject) {
+    return estimates.containsKey(subject);
+  }
+
   /** Adds an observation, limited to what a single one can credibly differ from the estimate. */
   void observe(String subject, double logarithm, double weight, long nowMilliseconds) {
     double before = logarithm(subject);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -57,6 +57,7 @@
 import org.agatefield.model.Instance;
 import org.agatefield.model.InstanceState;
 import org.agatefield.placement.DemandReplicaPolicy;
+import org.agatefield.placement.WorkRates;
 import org.agatefield.settings.ForwardingSettings;
 import org.agatefield.store.HttpObjectStore;
 import org.agatefield.store.InformerListener;
@@ -381,7 +382,7 @@
                 room,
                 estimates,
                 presence,
-                plannerClient::ensureAdapter,
+                plannerClient,
                 quotaPolicy(),
                 new RetryBudgets(settings.terms(), fleetSize),
                 demand,
@@ -481,6 +482,8 @@
             new DemandReplicaPolicy(),
             limits,
             permits,
+            new LearnedWorkRates(rates),
+            runnerStates,
             plannerClient);
     plannerClient.connectLocalPlanner(planner);
     planner.start();
@@ -515,6 +518,19 @@
     peers.close();
   }
 
+  /** Provides the planner with the rates that requests have shown. */
+  private record LearnedWorkRates(LearnedRates rates) implements WorkRates {
+    @Override
+    public double millisecondsPerToken(String model) {
+      return rates.observedMillisecondsPerToken(model).orElse(0);
+    }
+
+    @Override
+    public double relativeSpeed(String runner) {
+      return rates.relativeSpeed(runner);
+    }
+  }
+
   /** Tells the detector of crashes what the directory learns. */
   private record CrashedRunnerListener(CrashDetector crashes) implements RunnerDirectory.Listener {
     @Override
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -534,6 +534,7 @@
     }
     String model = terms.prompt().orElseThrow().model();
     if (context.presence().hasAdapter(runner.id(), model, adapter.get(), now)) {
+      context.adapters().used(runner.id(), model, adapter.get());
       sendTo(runner);
       return;
     }
