--- a/cost/src/main/java/org/agatefield/cost/LearnedRates.java
+++ b/cost/src/main/java/org/agatefield/cost/LearnedRates.java
@@ -17,6 +17,9 @@
   /** The reading of a prompt of this size says as much as any larger one. */
   private static final double FULL_WORK_MILLISECONDS = 60;
 
+  /** Work that others have sent unseen makes a time longer, and never shorter. */
+  private static final double TRUST_IN_SLOW_TIMES = 0.25;
+
   private final SharedRates speeds;
   private final SharedRates paces;
 
@@ -65,8 +68,10 @@
     double slowness = Math.log(elapsedMilliseconds / allWorkMilliseconds);
     double size = Math.min(1, allWorkMilliseconds / FULL_WORK_MILLISECONDS);
     double ownShare = Math.min(1, ownWorkMilliseconds / allWorkMilliseconds);
-    speeds.observe(runner, -slowness, size, nowMilliseconds);
-    paces.observe(model, pace + slowness + speed, size * ownShare * ownShare, nowMilliseconds);
+    double trust = slowness > 0 ? TRUST_IN_SLOW_TIMES : 1;
+    double weight = trust * size * ownShare * ownShare;
+    speeds.observe(runner, -slowness, weight, nowMilliseconds);
+    paces.observe(model, pace + slowness + speed, weight, nowMilliseconds);
   }
 
   /** Takes over what other instances have learned; to be called every second or so. */
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
@@ -79,9 +79,12 @@
     return backlogMilliseconds() + uncachedPromptTokens * millisecondsPerToken;
   }
 
-  /** Returns the time to prefill the prompts of earlier requests. */
+  /**
+   * Returns the time to prefill the prompts of earlier requests; as long as some are overdue at
+   * least, since there is work that was not seen.
+   */
   public double backlogMilliseconds() {
-    return pendingPrefillTokens * millisecondsPerToken + outlook.overdueMilliseconds();
+    return Math.max(pendingPrefillTokens * millisecondsPerToken, outlook.overdueMilliseconds());
   }
 
   /** Returns the expected time to the first event of this request, or to its whole answer. */
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerEstimates.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerEstimates.java
@@ -316,7 +316,7 @@
           loads.own(runner).pendingPrefillTokens() + loads.neighbours(runner, now).pendingTokens();
       double reading =
           pending * RunnerLoads.WORK_MILLISECONDS_PER_TOKEN / rates.relativeSpeed(runner);
-      workLeft.put(runner, reading + left.overdueMilliseconds(runner, now));
+      workLeft.put(runner, Math.max(reading, left.overdueMilliseconds(runner, now)));
     }
     return workLeft;
   }
--- a/measurement/src/main/java/org/agatefield/measure/MeasureMain.java
+++ b/measurement/src/main/java/org/agatefield/measure/MeasureMain.java
@@ -16,6 +16,8 @@
 @Command(name = "measure", description = "Compares each decision with its baselines.")
 public final class MeasureMain {
   private static final int EXIT_USAGE = 2;
+  // Ordinary traffic, and one whose waves exceed the capacity for a while.
+  private static final double[] UNEVEN_RUNNERS_LOADS = {0.45, 0.8};
 
   @Option(name = "--user", description = "user profile: cooperative or consortium")
   private String user = "cooperative";
@@ -38,6 +40,9 @@
   @Option(name = "--routing-speed", description = "only measure the latency of routing decisions")
   private boolean routingSpeed = false;
 
+  @Option(name = "--uneven-runners", description = "only compare choices among uneven runners")
+  private boolean unevenRunners = false;
+
   /** Runs the command. */
   public static void main(String[] arguments) {
     try {
@@ -53,6 +58,10 @@
       new RoutingBenchmark().run(out);
       return;
     }
+    if (unevenRunners) {
+      measureUnevenRunners(out);
+      return;
+    }
     UserProfile profile = UserProfile.named(user);
     out.printf("user=%s seeds=%d..%d%n", user, seed, seed + seeds - 1);
     ExecutorService workers = Executors.newFixedThreadPool(threads);
@@ -67,6 +76,28 @@
     }
   }
 
+  private void measureUnevenRunners(PrintStream out) {
+    for (double load : UNEVEN_RUNNERS_LOADS) {
+      for (UnevenRunnersReplay.Policy policy : UnevenRunnersReplay.Policy.values()) {
+        for (long next = seed; next < seed + seeds; next++) {
+          UnevenRunnersReplay.Outcome outcome = new UnevenRunnersReplay(policy, load, next).run();
+          out.printf(
+              "uneven-runners load=%.2f choice=%s seed=%d in_aim=%.4f mean_ms=%.0f p95_ms=%.0f"
+                  + " busiest_to_mean=%.2f busiest_backlog_ms=%.0f other_region=%.3f%n",
+              load,
+              policy,
+              next,
+              outcome.inAimShare(),
+              outcome.meanMilliseconds(),
+              outcome.lateMilliseconds(),
+              outcome.busiestToMean(),
+              outcome.busiestBacklogMilliseconds(),
+              outcome.otherRegionShare());
+        }
+      }
+    }
+  }
+
   private List<Scenario> scenarios() {
     if (scenario.isEmpty()) {
       return List.of(Scenario.values());
