--- a/cost/src/main/java/org/agatefield/cost/RateKind.java
+++ b/cost/src/main/java/org/agatefield/cost/RateKind.java
@@ -16,7 +16,7 @@
   public static final RateKind RUNNER_SPEED = new RateKind("runner-speed", 1.0 / 6, 6);
 
   /** Milliseconds per prompt token by model, on a runner of speed 1. */
-  public static final RateKind MODEL_PACE = new RateKind("model-pace", 0.004, 0.6);
+  public static final RateKind MODEL_PACE = new RateKind("model-pace", 0.002, 2);
 
   private static final long MAXIMUM_AGE_MILLISECONDS = 90_000;
   private static final double WIRE_SCALE = 1_000;
--- a/cost/src/main/java/org/agatefield/cost/SharedRates.java
+++ b/cost/src/main/java/org/agatefield/cost/SharedRates.java
@@ -22,6 +22,9 @@
   private static final double PRIOR_WEIGHT = 2;
   // A single observation counts as if it were off by this factor at most.
   private static final double MAXIMUM_STEP_LOGARITHM = Math.log(2.5);
+  // The first ones may be further off, since the default is only a guess.
+  private static final double MAXIMUM_FIRST_STEP_LOGARITHM = Math.log(12);
+  private static final double FIRST_OBSERVATIONS_WEIGHT = 3;
   // Own observations enough to doubt others that tell something else.
   private static final double TRUSTED_OWN_WEIGHT = 6;
   private static final double MAXIMUM_DIFFERENCE_LOGARITHM = Math.log(2);
@@ -67,9 +70,11 @@
   /** Adds an observation, limited to what a single one can credibly differ from the estimate. */
   void observe(String subject, double logarithm, double weight, long nowMilliseconds) {
     double before = logarithm(subject);
-    double step =
-        Math.max(-MAXIMUM_STEP_LOGARITHM, Math.min(MAXIMUM_STEP_LOGARITHM, logarithm - before));
     Own subjectOwn = own.computeIfAbsent(subject, ignored -> new Own());
+    double known = subjectOwn.sum.weight() + others.getOrDefault(subject, RateSum.NONE).weight();
+    double limit =
+        known < FIRST_OBSERVATIONS_WEIGHT ? MAXIMUM_FIRST_STEP_LOGARITHM : MAXIMUM_STEP_LOGARITHM;
+    double step = Math.max(-limit, Math.min(limit, logarithm - before));
     subjectOwn.sum =
         faded(subjectOwn, nowMilliseconds)
             .plus(RateSum.ofMean(weight, kind.limited(before + step)));
--- a/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/RunnerLoadsTest.java
@@ -93,4 +93,24 @@
         Map.of("r", new RunnerLoads.Load(3, 800)),
         loads.loadsWith(List.of("near", "silent"), 5_100));
   }
+
+  @Test
+  void workThatNeighboursReportedIsWorkedOffWithItsAge() {
+    loads.updateNeighbour("n", Map.of("r", new RunnerLoads.Load(4, 4_000)), 0);
+    double fresh = loads.neighbours("r", 0).pendingTokens();
+    double older = loads.neighbours("r", 100).pendingTokens();
+    double old = loads.neighbours("r", 400).pendingTokens();
+    assertTrue(fresh > older + 1_000, fresh + " and " + older);
+    assertEquals(0, old);
+    assertEquals(4, loads.neighbours("r", 400).running());
+  }
+
+  @Test
+  void workThatKeepsArrivingAtARunnerIsExpectedToGoOn() {
+    for (int period = 0; period < 20; period++) {
+      loads.updateNeighbour("n", Map.of("r", new RunnerLoads.Load(9, 6_000)), 240L * period);
+    }
+    long last = 240L * 19;
+    assertTrue(loads.neighbours("r", last + 300).pendingTokens() > 4_000);
+  }
 }
