--- a/admission/src/main/java/org/agatefield/admission/UrgencyShares.java
+++ b/admission/src/main/java/org/agatefield/admission/UrgencyShares.java
@@ -37,6 +37,12 @@
     return isOwed(work, rank);
   }
 
+  /** Returns whether a rank has got less than it is owed of the given work by rank. */
+  static boolean isOwed(Map<Integer, Double> work, int rank) {
+    double total = work.values().stream().mapToDouble(Double::doubleValue).sum();
+    return work.getOrDefault(rank, 0.0) < GUARANTEED_SHARE * total;
+  }
+
   /** Returns the recent work of a service by rank. */
   Map<Integer, Double> recent(String service, long nowMilliseconds) {
     long now = TimeUnit.MILLISECONDS.toNanos(nowMilliseconds);
@@ -46,10 +52,4 @@
         .forEach((rank, rate) -> work.put(rank, rate.perSecond(now)));
     return work;
   }
-
-  /** Returns whether a rank has got less than it is owed of the given work by rank. */
-  static boolean isOwed(Map<Integer, Double> work, int rank) {
-    double total = work.values().stream().mapToDouble(Double::doubleValue).sum();
-    return work.getOrDefault(rank, 0.0) < GUARANTEED_SHARE * total;
-  }
 }
--- a/forwarding/src/main/java/org/agatefield/forwarding/ServicePressure.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ServicePressure.java
@@ -162,16 +162,16 @@
     return refuses(upTo(service, model, rank, nowMilliseconds));
   }
 
-  private static boolean lacksRoom(TargetPressure pressure) {
-    return pressure.waiting() > 0 || refuses(pressure);
-  }
-
   private static boolean refuses(TargetPressure pressure) {
     double tolerated =
         TOLERATED_REFUSED_SHARE * (pressure.sentPerSecond() + pressure.refusedPerSecond());
     return pressure.refusedPerSecond() > Math.max(NEGLIGIBLE_PER_SECOND, tolerated);
   }
 
+  private static boolean lacksRoom(TargetPressure pressure) {
+    return pressure.waiting() > 0 || refuses(pressure);
+  }
+
   /** Returns how many requests up to a rank were refused in the last seconds and may come back. */
   public double returnsExpected(String service, String model, int rank, long nowMilliseconds) {
     double perSecond = upTo(service, model, rank, nowMilliseconds).refusedPerSecond();
--- a/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
@@ -52,6 +52,7 @@
     this.kind = kind;
   }
 
+  /** Returns the kind of the values. */
   public KnowledgeKind<V> kind() {
     return kind;
   }
--- a/routing/src/test/java/org/agatefield/routing/EntrySelectionTest.java
+++ b/routing/src/test/java/org/agatefield/routing/EntrySelectionTest.java
@@ -103,7 +103,7 @@
   }
 
   @Test
-  void callersOfADomainAtItsPeakAreMovedOnlyInPartAndOnlyWithinTheRegion() {
+  void callersOfDomainAtItsPeakAreMovedOnlyInPartAndOnlyWithinTheRegion() {
     for (int number = 1; number <= 4; number++) {
       add("north-" + number, NORTH, 500, 200);
       add("south-" + number, SOUTH, 500, 0);
@@ -129,7 +129,7 @@
   }
 
   @Test
-  void callersOfADomainWithoutInstancesAreSentToTheirRegion() {
+  void callersOfDomainWithoutInstancesAreSentToTheirRegion() {
     add("south-1", SOUTH, 500, 0);
     add("far-1", ABROAD, 500, 0);
     assertEquals(List.of("south-1"), entries("caller").stream().map(Instance::id).toList());
