--- a/forwarding/src/main/java/org/agatefield/forwarding/LikelyBestChooser.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/LikelyBestChooser.java
@@ -13,13 +13,15 @@
  * <p>Suited to many instances that choose at the same time with the same view, some hundred
  * milliseconds old: always taking the best would send what arrives in that time to one runner.
  * Among runners that are equally far, the scale on which the probability falls grows with the age
- * of the view, so that a difference is evened out no faster than it can be seen to shrink. The
- * distance is drawn first, on a shorter scale, because the way is known exactly and each distance
- * has several runners. Stateless; as thread safe as its source of random numbers.
+ * of the view and with the work that others are expected to have sent since, so that a difference
+ * is evened out no faster than it can be seen to shrink. The distance is drawn first, on a shorter
+ * scale, because the way is known exactly and each distance has several runners. Stateless; as
+ * thread safe as its source of random numbers.
  */
 public final class LikelyBestChooser implements RunnerChooser {
   private static final double MINIMUM_SCALE_MILLISECONDS = 8;
-  private static final double SCALE_PER_AGE = 1.5;
+  private static final double SCALE_PER_AGE = 0.25;
+  private static final double SCALE_PER_UNSEEN = 2;
   private static final double DISTANCE_SCALE_PER_AGE = 0.2;
   private static final Distance[] DISTANCES = Distance.values();
 
@@ -39,13 +41,16 @@
     double[] costs = new double[size];
     double least = Double.MAX_VALUE;
     double age = 0;
+    double unseen = 0;
     for (int index = 0; index < size; index++) {
       RunnerCandidate candidate = candidates.get(index);
       costs[index] = ExpectedCost.millisecondsThere(candidate);
       least = Math.min(least, costs[index]);
       age = Math.max(age, candidate.outlook().viewAgeMilliseconds());
+      unseen += candidate.outlook().unseenMilliseconds();
     }
-    double scale = MINIMUM_SCALE_MILLISECONDS + SCALE_PER_AGE * age;
+    double scale =
+        MINIMUM_SCALE_MILLISECONDS + SCALE_PER_AGE * age + SCALE_PER_UNSEEN * unseen / size;
     double[] weights = new double[size];
     double[] weightOf = new double[DISTANCES.length];
     double[] costOf = new double[DISTANCES.length];
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerCandidate.java
@@ -35,6 +35,7 @@
    * @param overdueMilliseconds how much longer than expected earlier requests are taking
    * @param delayToOthersMilliseconds the time that this request costs those that are there
    * @param viewAgeMilliseconds the mean age of what neighbours have reported
+   * @param unseenMilliseconds the work that neighbours are expected to have sent since then
    * @param room whether the request fits into the runner's token memory
    */
   public record Outlook(
@@ -42,9 +43,10 @@
       double overdueMilliseconds,
       double delayToOthersMilliseconds,
       double viewAgeMilliseconds,
+      double unseenMilliseconds,
       Room room) {
     /** Nothing besides the reading of prompts. */
-    public static final Outlook NONE = new Outlook(0, 0, 0, 0, Room.FREE);
+    public static final Outlook NONE = new Outlook(0, 0, 0, 0, 0, Room.FREE);
   }
 
   /** Creates a candidate of which nothing but the reading of prompts is expected. */
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerEstimates.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerEstimates.java
@@ -144,7 +144,12 @@
         0,
         place.adapterPresent(),
         new RunnerCandidate.Outlook(
-            0, left.overdueMilliseconds(runner, now), 0, neighbours.ageMilliseconds(), Room.FREE));
+            0,
+            left.overdueMilliseconds(runner, now),
+            0,
+            neighbours.ageMilliseconds(),
+            unseenMilliseconds(neighbours, slowness),
+            Room.FREE));
   }
 
   private RunnerCandidate generationCandidate(Place place, RequestWork work, long now) {
@@ -178,10 +183,18 @@
             left.overdueMilliseconds(runner, now),
             delay,
             neighbours.ageMilliseconds(),
+            unseenMilliseconds(neighbours, slowness),
             TokenRoom.judge(
                 memory, work.prompt().orElseThrow().promptTokens(), work.memoryTokens())));
   }
 
+  private static double unseenMilliseconds(RunnerLoads.NeighbourView neighbours, double slowness) {
+    return neighbours.arrivalsPerMillisecond()
+        * neighbours.ageMilliseconds()
+        * RunnerLoads.WORK_MILLISECONDS_PER_TOKEN
+        * slowness;
+  }
+
   private double writing(String runner, RunnerLoads.NeighbourView neighbours, long now) {
     return left.writing(runner, now) + WRITING_PER_NEIGHBOUR_REQUEST * neighbours.running();
   }
--- a/forwarding/src/test/java/org/agatefield/forwarding/LikelyBestChooserTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/LikelyBestChooserTest.java
@@ -21,6 +21,7 @@
   private static final int INSTANCES = 71;
   private static final int RUNNERS = 42;
   private static final double MILLISECONDS_PER_TOKEN = 0.05;
+  private static final double LOAD_OF_OTHERS = 0.6;
 
   private final LikelyBestChooser chooser =
       new LikelyBestChooser(RandomSource.XO_RO_SHI_RO_128_PP.create(5L));
@@ -105,6 +106,6 @@
         0,
         500,
         true,
-        new Outlook(40 / speed, 0, 0, viewAge, Room.FREE));
+        new Outlook(40 / speed, 0, 0, viewAge, LOAD_OF_OTHERS * viewAge, Room.FREE));
   }
 }
