--- a/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
@@ -51,6 +51,7 @@
     this.kind = kind;
   }
 
+  /** Returns the kind of the knowledge. */
   public KnowledgeKind<V> kind() {
     return kind;
   }
