Loads of rare models from the store leave a third of the runners free for shifts of demand

Change: a model of less than a tenth of an engine's load is loaded from the store only while a third of the engines accept orders.

--- a/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
+++ b/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
@@ -27,6 +27,10 @@
   // The next request for a model without a replica waits for a load.
   private static final double RELOAD_COST_PER_MILLISECOND = 0.06 / 1_000;
   private static final double RELOAD_COST = 0.06; // occupies the engine for other orders
+  // A model of less load gains little from being loaded at once.
+  private static final double RARE_LOAD = 0.1;
+  // A load from the store occupies an engine for seconds, in which demand shifts elsewhere.
+  private static final double SPARE_ENGINES_SHARE = 1.0 / 3;
   private static final double MINIMUM_GAIN = 0.12; // an engine executes one order at a time
   private static final long MINIMUM_IDLE_MILLISECONDS = 1_000; // several demand reports
   private static final double DEMAND_DURATION_MILLISECONDS = 9_000; // until other models are busy
@@ -154,9 +158,18 @@
     if (!fitsLimit(models.get(model).name(), engine)) {
       return false;
     }
+    if (!models.get(model).loadsFromStore(engines.get(engine))) {
+      return true;
+    }
     int reservedStoreLoads = holders.get(model).isEmpty() ? 0 : RESERVED_STORE_LOADS;
-    return !models.get(model).loadsFromStore(engines.get(engine))
-        || storeLoads > reservedStoreLoads;
+    return storeLoads > reservedStoreLoads
+        && (offeredLoad[model] >= RARE_LOAD || hasSpareEngines());
+  }
+
+  /** Returns whether engines are left to load a busy model at once, as each takes one order. */
+  private boolean hasSpareEngines() {
+    long available = engines.stream().filter(EngineView::acceptsOrders).count();
+    return available - enginesWithMove.size() > SPARE_ENGINES_SHARE * engines.size();
   }
 
   /** Returns whether an engine with a request limit could serve the model besides its others. */
