--- a/admission/src/main/java/org/agatefield/admission/HeldWorkOrder.java
+++ b/admission/src/main/java/org/agatefield/admission/HeldWorkOrder.java
@@ -62,7 +62,7 @@
   private static int nextRank(
       TreeMap<Integer, ? extends RankBacklog<?>> ranks, Map<Integer, Double> givenByRank) {
     for (int rank : ranks.tailMap(ranks.firstKey(), false).keySet()) {
-      if (UrgencyShares.isOwed(givenByRank, rank)) {
+      if (UrgencyShares.hasTooLittle(rank, givenByRank)) {
         return rank;
       }
     }
--- a/admission/src/main/java/org/agatefield/admission/UrgencyShares.java
+++ b/admission/src/main/java/org/agatefield/admission/UrgencyShares.java
@@ -33,8 +33,7 @@
 
   /** Returns whether a rank has got less than it is owed; false while the service has no work. */
   public boolean isOwed(String service, int rank, long nowMilliseconds) {
-    Map<Integer, Double> work = recent(service, nowMilliseconds);
-    return isOwed(work, rank);
+    return hasTooLittle(rank, recent(service, nowMilliseconds));
   }
 
   /** Returns the recent work of a service by rank. */
@@ -47,8 +46,8 @@
     return work;
   }
 
-  /** Returns whether a rank has got less than it is owed of the given work by rank. */
-  static boolean isOwed(Map<Integer, Double> work, int rank) {
+  /** Returns whether a rank has less than its guaranteed share of work by rank. */
+  static boolean hasTooLittle(int rank, Map<Integer, Double> work) {
     double total = work.values().stream().mapToDouble(Double::doubleValue).sum();
     return work.getOrDefault(rank, 0.0) < GUARANTEED_SHARE * total;
   }
--- a/admission/src/test/java/org/agatefield/admission/ReturnScheduleTest.java
+++ b/admission/src/test/java/org/agatefield/admission/ReturnScheduleTest.java
@@ -44,7 +44,7 @@
   }
 
   @Test
-  void longestWaitOfARouteIsForgottenAfterTwoWindows() {
+  void longestWaitOfRouteIsForgottenAfterTwoWindows() {
     ReturningCallers callers = new ReturningCallers();
     callers.hasReturned("route", 60_000, NOW);
     assertTrue(callers.hasReturned("route", 5_000, NOW + 31_000));
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -623,7 +623,8 @@
     context.metrics().finished(route.kind(), outcome, elapsed);
     LOGGER.info(
         "request={} route={} service={} outcome={} runner={} sends={} first_ms={} total_ms={}"
-            + " waited_ms={} returned={} limit_ms={} model={} adapter={} tokens={} config={} account={} fingerprint={}",
+            + " waited_ms={} returned={}"
+            + " limit_ms={} model={} adapter={} tokens={} config={} account={} fingerprint={}",
         terms.id(),
         route.name(),
         service,
--- a/forwarding/src/main/java/org/agatefield/forwarding/ServicePressure.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ServicePressure.java
@@ -159,14 +159,14 @@
 
   /** Returns whether requests of an urgency and above for a target are refused for lack of room. */
   public boolean refuses(String service, String model, int rank, long nowMilliseconds) {
-    return refuses(upTo(service, model, rank, nowMilliseconds));
+    return refusesTooMany(upTo(service, model, rank, nowMilliseconds));
   }
 
   private static boolean lacksRoom(TargetPressure pressure) {
-    return pressure.waiting() > 0 || refuses(pressure);
+    return pressure.waiting() > 0 || refusesTooMany(pressure);
   }
 
-  private static boolean refuses(TargetPressure pressure) {
+  private static boolean refusesTooMany(TargetPressure pressure) {
     double tolerated =
         TOLERATED_REFUSED_SHARE * (pressure.sentPerSecond() + pressure.refusedPerSecond());
     return pressure.refusedPerSecond() > Math.max(NEGLIGIBLE_PER_SECOND, tolerated);
