--- a/daemon/src/main/java/org/agatefield/daemon/forward/EntryListeners.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EntryListeners.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import org.agatefield.daemon.connections.ConnectionGuard;
 import org.agatefield.daemon.forward.wire.CallerDialect;
 import org.agatefield.model.Address;
 import org.agatefield.model.Instance;
@@ -22,7 +23,6 @@
  * <p>Requests are handled on one event loop.
  */
 final class EntryListeners {
-  private static final int CALLER_IDLE_SECONDS = 120; // Longer than any idle time of callers.
   // The configured limit is not known when the listener opens; the usual one is a quarter of this.
   private static final int HEADER_BYTES = 65_536;
   private static final int OK = 200;
@@ -34,24 +34,28 @@
   private final CallerDialect callers;
   private final BooleanSupplier ready;
   private final Supplier<? extends Collection<Instance>> answering;
+  private final ConnectionGuard guard;
 
   /**
    * Creates listeners.
    *
    * @param ready whether this instance accepts new connections
    * @param answering the instances that callers may be directed to
+   * @param guard bounds what clients hold, over all listeners
    */
   EntryListeners(
       Vertx vertx,
       ForwardingSettings settings,
       CallerDialect callers,
       BooleanSupplier ready,
-      Supplier<? extends Collection<Instance>> answering) {
+      Supplier<? extends Collection<Instance>> answering,
+      ConnectionGuard guard) {
     this.vertx = vertx;
     this.settings = settings;
     this.callers = callers;
     this.ready = ready;
     this.answering = answering;
+    this.guard = guard;
   }
 
   /** Listens on all addresses; completes when all listeners are open, or with the first failure. */
@@ -72,12 +76,11 @@
         new HttpServerOptions()
             .setHttp2ClearTextEnabled(false)
             .setHandle100ContinueAutomatically(true)
-            .setIdleTimeout(CALLER_IDLE_SECONDS)
             .setMaxHeaderSize(HEADER_BYTES)
             .setMaxInitialLineLength(HEADER_BYTES)
             .setTcpNoDelay(true);
-    return vertx
-        .createHttpServer(options)
+    return guard
+        .guard(vertx.createHttpServer(options), options)
         .requestHandler(handler)
         .listen(address.port(), address.host())
         .toCompletionStage()
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -27,6 +27,9 @@
 import java.util.concurrent.TimeoutException;
 import org.agatefield.admission.FleetSize;
 import org.agatefield.admission.QuotaTolerance;
+import org.agatefield.daemon.connections.ConnectionBounds;
+import org.agatefield.daemon.connections.ConnectionGuard;
+import org.agatefield.daemon.connections.HeldConnections;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
 import org.agatefield.daemon.leases.LeaseManager;
 import org.agatefield.daemon.quarantine.ConnectionProbe;
@@ -37,6 +40,7 @@
 import org.agatefield.forwarding.AccountTable;
 import org.agatefield.forwarding.EarliestStartChooser;
 import org.agatefield.forwarding.ForwardingTable;
+import org.agatefield.forwarding.IngressLimits;
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.forwarding.StartInTimePolicy;
@@ -78,6 +82,7 @@
   private static final long EXPIRY_CHECK_MILLISECONDS = 240;
   // Most callers have queried the directory again by then.
   private static final long REFUSAL_DELAY_MILLISECONDS = 1_500;
+  private static final long CONNECTION_CHECK_MILLISECONDS = 1_000;
   private static final long SHUTDOWN_CHECK_MILLISECONDS = 50;
   private static final long MINIMUM_LEAVING_MILLISECONDS = 3_500;
   private static final long GRACE_MARGIN_MILLISECONDS = 500;
@@ -99,6 +104,8 @@
   private final DemandMeter demand = new DemandMeter();
   private final EventLoopDelay delay = new EventLoopDelay();
   private final ResponseMemory responseMemory = new ResponseMemory();
+  private final UnwrittenResponses unwritten = new UnwrittenResponses();
+  private final ConnectionGuard connections;
   private final WaitingRequests waiting;
   private final Set<RequestExchange> exchanges = new HashSet<>();
   private final ConfigurationTracker configuration;
@@ -119,7 +126,6 @@
   private ModelPlanner planner;
   private LeaseManager lease;
   private final StopState stop = new StopState();
-  private final UnwrittenResponses unwritten = new UnwrittenResponses();
   private IngressServer ingress;
 
   /** Creates a daemon without starting anything. */
@@ -142,6 +148,16 @@
     this.configuration = new ConfigurationTracker(dialect.storedObjects());
     this.runners = new RunnerDirectory(dialect.storedObjects());
     this.snapshots = new SnapshotExchange(vertx, configuration, runners);
+    HeldConnections held =
+        new HeldConnections(
+            ConnectionBounds.ofProcess(),
+            () -> responseMemory.totalBytes() + unwritten.totalBytes());
+    this.connections = new ConnectionGuard(held, this::ingressLimits, MonotonicClock::milliseconds);
+    connections.register(metrics);
+  }
+
+  private IngressLimits ingressLimits() {
+    return configuration.table().map(ForwardingTable::limits).orElse(IngressLimits.DEFAULTS);
   }
 
   /** Returns the default runtime of a daemon, with one event loop. */
@@ -260,7 +276,8 @@
             settings,
             dialect.callers(),
             () -> configuration.table().isPresent() && !stop.isLeaving(),
-            peers::answering)
+            peers::answering,
+            connections)
         .listen(ingress, metrics)
         .whenComplete(
             (done, failure) -> {
@@ -439,6 +456,7 @@
     tasks.every(FleetSize.SAMPLE_INTERVAL_MILLISECONDS, fleetSize::sample);
     tasks.every(RequestQuarantine.EXCHANGE_MILLISECONDS, quarantine::exchange);
     tasks.every(RegionalQuotaPolicy.REFRESH_MILLISECONDS, quotas::refresh);
+    tasks.every(CONNECTION_CHECK_MILLISECONDS, connections::sweep);
     tasks.start();
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.agatefield.daemon.connections.ConnectionBounds;
 import org.agatefield.daemon.peers.MembershipDriver;
 import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.membership.DomainRelays;
@@ -96,7 +97,11 @@
     this.transport =
         closer.register(
             new NettyPeerTransport(
-                loop, self.peerAddress(), PeerTransportSettings.defaults(), Optional.empty()));
+                loop,
+                self.peerAddress(),
+                PeerTransportSettings.defaults()
+                    .withinConnections(ConnectionBounds.ofProcess().connections()),
+                Optional.empty()));
     this.members =
         new MembershipDriver(
             self,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
@@ -18,13 +18,10 @@
 /**
  * Receives requests of callers, reads their bodies and starts a {@link RequestExchange} for each.
  *
- * <p>Invariant: the request bodies in memory never exceed {@link #MAXIMUM_BUFFERED_BYTES} in total.
- * Confined to one event loop.
+ * <p>What requests hold is bounded by the guard of their connections. Confined to one event loop.
  */
 final class IngressServer {
   private static final Logger LOGGER = LogManager.getLogger(IngressServer.class);
-  // A quarter of the usual heap.
-  private static final long MAXIMUM_BUFFERED_BYTES = 48L * 1_048_576;
   private static final long NO_CONFIGURATION_RETRY_MILLISECONDS = 300;
   // Any other instance accepts the request immediately.
   private static final long LEAVING_RETRY_MILLISECONDS = 20;
@@ -35,7 +32,6 @@
   private static final int BODY_TOO_LARGE = 413;
 
   private final ForwardingContext context;
-  private long bufferedBytes;
   private volatile int open; // Written by the event loop only.
 
   IngressServer(ForwardingContext context) {
@@ -131,15 +127,13 @@
     private final Buffer content = Buffer.buffer();
     private final RequestFingerprint.BodyDigest bodyDigest = new RequestFingerprint.BodyDigest();
     private boolean done;
-    private long ownBytes;
 
     BodyReader(HttpServerRequest request) {
       this.request = request;
     }
 
     void start() {
-      request.exceptionHandler(cause -> release());
-      request.response().closeHandler(closed -> release());
+      request.exceptionHandler(cause -> done = true);
       request.handler(bytes -> refuseOnError(() -> read(bytes)));
       request.endHandler(ended -> refuseOnError(this::complete));
     }
@@ -156,7 +150,6 @@
         response()
             .refuse(
                 RefusalReason.INTERNAL_ERROR, CallerResponse.jittered(ERROR_RETRY_MILLISECONDS));
-        release();
       }
     }
 
@@ -165,15 +158,10 @@
         return;
       }
       if (content.length() + bytes.length() > limits().bodyBytes()) {
-        abort(() -> response().reject(BODY_TOO_LARGE, "the body is larger than allowed"));
-        return;
-      }
-      if (bufferedBytes + bytes.length() > MAXIMUM_BUFFERED_BYTES) {
-        abort(() -> refuse(request, response(), RefusalReason.MEMORY));
+        done = true;
+        response().reject(BODY_TOO_LARGE, "the body is larger than allowed");
         return;
       }
-      ownBytes += bytes.length();
-      bufferedBytes += bytes.length();
       content.appendBuffer(bytes);
       bodyDigest.update(bytes.getBytes());
     }
@@ -183,26 +171,9 @@
         return;
       }
       done = true;
-      request.response().endHandler(ended -> finished());
       handleBody(request, content, bodyDigest, arrivedAt);
     }
 
-    private void abort(Runnable answer) {
-      done = true;
-      answer.run();
-      release();
-    }
-
-    private void finished() {
-      open--;
-      release();
-    }
-
-    private void release() {
-      bufferedBytes -= ownBytes;
-      ownBytes = 0;
-    }
-
     private CallerResponse response() {
       return new CallerResponse(request, context);
     }
--- a/peer/src/main/java/org/agatefield/peer/NettyPeerTransport.java
+++ b/peer/src/main/java/org/agatefield/peer/NettyPeerTransport.java
@@ -35,6 +35,7 @@
   private final Optional<PeerTls> tls;
   private final Address self;
   private final PeerTraffic traffic = new PeerTraffic();
+  private final UnidentifiedConnections unidentified;
   private final Map<Address, CompletableFuture<PeerConnection>> connections =
       new ConcurrentHashMap<>();
   private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
@@ -58,6 +59,7 @@
     this.settings = settings;
     this.tls = tls;
     this.self = listener;
+    this.unidentified = new UnidentifiedConnections(settings.unidentifiedConnections());
     this.server = bind(listener);
   }
 
@@ -180,8 +182,13 @@
         .build();
   }
 
+  UnidentifiedConnections unidentified() {
+    return unidentified;
+  }
+
   /** Registers a connection that a peer opened, to send messages to that peer as well. */
   void onAccepted(Address opener, PeerConnection connection) {
+    unidentified.identified(connection.channel());
     register(connection.channel());
     connections.putIfAbsent(opener, CompletableFuture.completedFuture(connection));
   }
--- a/peer/src/main/java/org/agatefield/peer/PeerPipeline.java
+++ b/peer/src/main/java/org/agatefield/peer/PeerPipeline.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.agatefield.model.Address;
 import org.agatefield.peer.generated.PeerProtocol.Envelope;
@@ -26,21 +27,27 @@
   private final NettyPeerTransport transport;
   private final PeerTransportSettings settings;
   private final Function<SocketChannel, Optional<SslHandler>> tls;
+  private final Consumer<SocketChannel> onInitialized;
 
   private PeerPipeline(
       NettyPeerTransport transport,
       PeerTransportSettings settings,
-      Function<SocketChannel, Optional<SslHandler>> tls) {
+      Function<SocketChannel, Optional<SslHandler>> tls,
+      Consumer<SocketChannel> onInitialized) {
     this.transport = transport;
     this.settings = settings;
     this.tls = tls;
+    this.onInitialized = onInitialized;
   }
 
   /** Returns the initializer for incoming connections. */
   static PeerPipeline incoming(
       NettyPeerTransport transport, PeerTransportSettings settings, Optional<SslContext> tls) {
     return new PeerPipeline(
-        transport, settings, channel -> tls.map(context -> context.newHandler(channel.alloc())));
+        transport,
+        settings,
+        channel -> tls.map(context -> context.newHandler(channel.alloc())),
+        transport.unidentified()::opened);
   }
 
   /**
@@ -56,7 +63,8 @@
         transport,
         settings,
         channel ->
-            tls.map(context -> context.newHandler(channel.alloc(), peer.host(), peer.port())));
+            tls.map(context -> context.newHandler(channel.alloc(), peer.host(), peer.port())),
+        channel -> {});
   }
 
   @Override
@@ -70,6 +78,7 @@
     pipeline.addLast(
         new IdleStateHandler(0, 0, settings.idleTimeout().toMillis(), TimeUnit.MILLISECONDS));
     pipeline.addLast(new PeerConnection(transport, settings));
+    onInitialized.accept(channel);
   }
 
   private static final class Decoder extends MessageToMessageDecoder<ByteBuf> {
