--- a/daemon/src/main/java/org/agatefield/daemon/connections/ConnectionBounds.java
+++ b/daemon/src/main/java/org/agatefield/daemon/connections/ConnectionBounds.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.OptionalInt;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -19,9 +20,16 @@
   private static final String OPEN_FILES = "Max open files";
   private static final int USUAL_DESCRIPTORS = 4_096;
 
-  /** Returns the bounds that follow from the memory and the descriptors of this process. */
-  public static ConnectionBounds ofProcess() {
-    return of(Runtime.getRuntime().maxMemory(), PlatformDependent.maxDirectMemory(), descriptors());
+  /**
+   * Returns the bounds that follow from the memory and the descriptors of this process.
+   *
+   * @param descriptors how many it may open; as the system says if empty
+   */
+  public static ConnectionBounds ofProcess(OptionalInt descriptors) {
+    return of(
+        Runtime.getRuntime().maxMemory(),
+        PlatformDependent.maxDirectMemory(),
+        descriptors.orElseGet(ConnectionBounds::systemDescriptors));
   }
 
   /**
@@ -36,7 +44,7 @@
         Math.min(heapBytes / 16 * 9, directBytes / 2 * 3), Math.max(1, descriptors / 2));
   }
 
-  private static int descriptors() {
+  private static int systemDescriptors() {
     try {
       return Files.readAllLines(LIMITS).stream()
           .filter(line -> line.startsWith(OPEN_FILES))
--- a/daemon/src/main/java/org/agatefield/daemon/connections/CountingRequestDecoder.java
+++ b/daemon/src/main/java/org/agatefield/daemon/connections/CountingRequestDecoder.java
@@ -22,9 +22,9 @@
  * Decodes the requests of one connection and counts what they hold from the first byte on.
  *
  * <p>Invariants: a request is not decoded before the one ahead of it is answered and its response
- * mostly read; one connection decodes at most {@link #PIECES_PER_TURN} pieces before the event loop
- * reads the others; nothing is passed on after the connection was given up. Confined to the
- * connection's event loop.
+ * sent; one connection decodes at most {@link #PIECES_PER_TURN} pieces before the event loop reads
+ * the others; nothing is passed on after the connection was given up. Confined to the connection's
+ * event loop.
  */
 final class CountingRequestDecoder extends VertxHttpRequestDecoder {
   static final int PIECES_PER_TURN = 256;
@@ -265,8 +265,15 @@
     responseBegun = true;
   }
 
-  /** Called when the last byte of a response is written. */
-  void responseEnded() {
+  /** Called when a response is complete, but not all of it has been sent. */
+  void responseComplete() {
+    if (!refused && !inBody) {
+      connection.responseComplete(guard.now());
+    }
+  }
+
+  /** Called when the operating system has accepted the last byte of a response. */
+  void responseSent() {
     if (refused) {
       return; // Its head is held until the connection is closed.
     }
--- a/daemon/src/main/java/org/agatefield/daemon/connections/HeldConnection.java
+++ b/daemon/src/main/java/org/agatefield/daemon/connections/HeldConnection.java
@@ -24,7 +24,9 @@
     /** The body is incomplete. */
     BODY,
     /** The request has arrived and is not answered yet. */
-    WHOLE
+    WHOLE,
+    /** The response is complete, but the client has not read it. */
+    UNREAD
   }
 
   /**
@@ -51,6 +53,11 @@
     enter(Stage.WHOLE, now);
   }
 
+  /** Records that the response is complete, but not read. */
+  void responseComplete(long now) {
+    enter(Stage.UNREAD, now);
+  }
+
   /** Records that a response was written; the client may send another request. */
   void requestFinished(long now) {
     unfinishedSince = now;
--- a/daemon/src/main/java/org/agatefield/daemon/connections/HeldConnections.java
+++ b/daemon/src/main/java/org/agatefield/daemon/connections/HeldConnections.java
@@ -172,7 +172,7 @@
       case IDLE -> when(waited > limits.idleTimeoutMilliseconds(), GiveUpReason.IDLE);
       case HEAD -> when(waited > limits.headerTimeoutMilliseconds(), GiveUpReason.HEADER_TIMEOUT);
       case BODY -> when(waited > limits.idleTimeoutMilliseconds(), GiveUpReason.BODY_TIMEOUT);
-      case WHOLE -> Optional.empty();
+      case WHOLE, UNREAD -> Optional.empty();
     };
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/connections/ResponseWatch.java
+++ b/daemon/src/main/java/org/agatefield/daemon/connections/ResponseWatch.java
@@ -23,9 +23,11 @@
     if (message instanceof HttpResponse && !interim) {
       decoder.responseBegan();
     }
-    context.write(message, promise);
-    if (message instanceof LastHttpContent && !interim) {
-      decoder.responseEnded();
+    if (!(message instanceof LastHttpContent) || interim) {
+      context.write(message, promise);
+      return;
     }
+    decoder.responseComplete();
+    context.write(message, promise.unvoid().addListener(sent -> decoder.responseSent()));
   }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -49,6 +49,7 @@
 import org.agatefield.model.ErrorKind;
 import org.agatefield.model.Instance;
 import org.agatefield.model.InstanceState;
+import org.agatefield.peer.PeerTransportSettings;
 import org.agatefield.placement.DemandReplicaPolicy;
 import org.agatefield.settings.ForwardingSettings;
 import org.agatefield.store.HttpObjectStore;
@@ -150,7 +151,7 @@
     this.snapshots = new SnapshotExchange(vertx, configuration, runners);
     HeldConnections held =
         new HeldConnections(
-            ConnectionBounds.ofProcess(),
+            ConnectionBounds.ofProcess(settings.descriptors()),
             () -> responseMemory.totalBytes() + unwritten.totalBytes());
     this.connections = new ConnectionGuard(held, this::ingressLimits, MonotonicClock::milliseconds);
     connections.register(metrics);
@@ -216,7 +217,13 @@
             settings.listeners().peers(),
             settings.failureDomain(),
             InstanceState.LIVE);
-    peers = closer.register(new ForwardingPeers(self, context, metrics, random));
+    peers =
+        closer.register(new ForwardingPeers(self, context, metrics, random, transportSettings()));
+  }
+
+  private PeerTransportSettings transportSettings() {
+    int connections = ConnectionBounds.ofProcess(settings.descriptors()).connections();
+    return PeerTransportSettings.defaults().withinConnections(connections);
   }
 
   private void startComponents(UniformRandomProvider random, CompletableFuture<Void> started) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import org.agatefield.daemon.connections.ConnectionBounds;
 import org.agatefield.daemon.peers.MembershipDriver;
 import org.agatefield.daemon.quarantine.RequestQuarantine;
 import org.agatefield.membership.DomainRelays;
@@ -86,7 +85,11 @@
    * @param context its event loop runs everything; it must not be that of the calling thread
    */
   ForwardingPeers(
-      Instance self, Context context, MetricRegistry metrics, UniformRandomProvider random) {
+      Instance self,
+      Context context,
+      MetricRegistry metrics,
+      UniformRandomProvider random,
+      PeerTransportSettings transportSettings) {
     this.context = (ContextInternal) context;
     this.relayView = new RelayView(List.of(), new DomainRelays(self, List.of(self), List.of(self)));
     this.settings =
@@ -96,12 +99,7 @@
     this.loop = this.context.nettyEventLoop();
     this.transport =
         closer.register(
-            new NettyPeerTransport(
-                loop,
-                self.peerAddress(),
-                PeerTransportSettings.defaults()
-                    .withinConnections(ConnectionBounds.ofProcess().connections()),
-                Optional.empty()));
+            new NettyPeerTransport(loop, self.peerAddress(), transportSettings, Optional.empty()));
     this.members =
         new MembershipDriver(
             self,
--- a/daemon/src/test/java/org/agatefield/daemon/connections/HeldConnectionsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/connections/HeldConnectionsTest.java
@@ -65,6 +65,21 @@
     assertEquals(870_000, held.bytes());
   }
 
+  @Test
+  void connectionWhoseClientReadsNothingGoesBeforeWholeRequests() {
+    HeldConnection whole = opened(held, 0);
+    held.hold(whole, 700_000, 0);
+    whole.requestArrived(0);
+    HeldConnection unread = opened(held, 0);
+    held.hold(unread, 100_000, 0);
+    unread.responseComplete(0);
+    HeldConnection small = opened(held, 9_000);
+    small.headBegan(9_000);
+    assertEquals(List.of(), held.hold(small, 60_000, 9_000));
+    HeldConnection next = opened(held, 9_000);
+    assertEquals(List.of(unread), connections(held.hold(next, 190_000, 9_000)).subList(0, 1));
+  }
+
   @Test
   void smallRequestFindsRoomBesideLargeOnes() {
     HeldConnection whole = opened(held, 0);
@@ -116,7 +131,8 @@
     "HEAD, 3001, HEADER_TIMEOUT",
     "BODY, 15000, ''",
     "BODY, 15001, BODY_TIMEOUT",
-    "WHOLE, 600000, ''"
+    "WHOLE, 600000, ''",
+    "UNREAD, 600000, ''"
   })
   void connectionGoesWhenTimeOfItsStageIsOver(
       HeldConnection.Stage stage, long milliseconds, String reason) {
@@ -126,6 +142,7 @@
       case HEAD -> connection.headBegan(1_000);
       case BODY -> connection.bodyArrives(1_000);
       case WHOLE -> connection.requestArrived(1_000);
+      case UNREAD -> connection.responseComplete(1_000);
     }
     long now = 1_000 + milliseconds;
     held.overdue(LIMITS, now - 1_000);
--- a/daemon/src/test/java/org/agatefield/daemon/forward/ForwardingPeersTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/ForwardingPeersTest.java
@@ -22,6 +22,7 @@
 import org.agatefield.model.InstanceState;
 import org.agatefield.peer.PeerMessage;
 import org.agatefield.peer.PeerRefusalException;
+import org.agatefield.peer.PeerTransportSettings;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -47,7 +48,11 @@
               id, address, address, new FailureDomain("region", domain), InstanceState.LIVE);
       peers =
           new ForwardingPeers(
-              self, context, new MetricRegistry(), RandomSource.XO_RO_SHI_RO_128_PP.create(7));
+              self,
+              context,
+              new MetricRegistry(),
+              RandomSource.XO_RO_SHI_RO_128_PP.create(7),
+              PeerTransportSettings.defaults());
       context.runOnContext(run -> peers.start(seeds, this));
     }
 
--- a/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RefusalReason.java
@@ -16,8 +16,6 @@
   RETRY_BUDGET,
   /** This instance is shutting down. */
   SHUTTING_DOWN,
-  /** The memory for request bodies is exhausted. */
-  MEMORY,
   /** The configuration does not, or no longer, contain the client account's key. */
   UNKNOWN_KEY,
   /** The client account has used up its quota. */
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.agatefield.model.Address;
 import org.agatefield.model.FailureDomain;
 
@@ -19,6 +20,7 @@
  * @param regions the region of each failure domain, by the failure domain's name
  * @param terms guarantees of the operators to callers and upstreams
  * @param quotas how quotas of client accounts are enforced
+ * @param descriptors how many descriptors the process may open; as the system says if empty
  * @param log the format and level of the log
  */
 public record ForwardingSettings(
@@ -30,6 +32,7 @@
     Map<String, String> regions,
     Terms terms,
     Quotas quotas,
+    OptionalInt descriptors,
     DaemonSettings.Log log) {
   /** Copies the collections. */
   public ForwardingSettings {
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.regex.Pattern;
 import org.agatefield.model.Address;
@@ -22,7 +23,15 @@
 public final class ForwardingSettingsReader {
   private static final Set<String> TABLES =
       Set.of(
-          "instance", "listen", "store", "membership", "failure_domains", "terms", "quotas", "log");
+          "instance",
+          "listen",
+          "store",
+          "membership",
+          "failure_domains",
+          "terms",
+          "quotas",
+          "limits",
+          "log");
   private static final Pattern NAME = Pattern.compile("[A-Za-z0-9]([A-Za-z0-9._-]{0,126})");
   private static final String HOLDERS = "holders";
   private static final String EQUAL_PARTS = "equal_parts";
@@ -59,6 +68,9 @@
         new SettingsTable(file, "failure_domains", root, lines, faults).texts(NAME, NAME_RULE);
     final Terms terms = readTerms(new SettingsTable(file, "terms", root, lines, faults));
     final Quotas quotas = readQuotas(new SettingsTable(file, "quotas", root, lines, faults));
+    SettingsTable limits = new SettingsTable(file, "limits", root, lines, faults);
+    final int descriptors = (int) limits.integer("descriptors", 64, 100_000_000, 0);
+    limits.rejectUnknownKeys();
     final DaemonSettings.Log log =
         SettingsReader.readLog(new SettingsTable(file, "log", root, lines, faults));
     SettingsReader.rejectUnknownTables(file, root, lines, faults, TABLES);
@@ -66,7 +78,16 @@
       throw new SettingsException(faults);
     }
     return new ForwardingSettings(
-        name, failureDomain, listeners, storeAddress, seeds, regions, terms, quotas, log);
+        name,
+        failureDomain,
+        listeners,
+        storeAddress,
+        seeds,
+        regions,
+        terms,
+        quotas,
+        descriptors == 0 ? OptionalInt.empty() : OptionalInt.of(descriptors),
+        log);
   }
 
   private static Listeners readListeners(SettingsTable table) {
