--- a/daemon/src/main/java/org/agatefield/daemon/forward/EntryListeners.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EntryListeners.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.agatefield.daemon.connections.ConnectionGuard;
 import org.agatefield.daemon.forward.wire.CallerDialect;
 import org.agatefield.forwarding.IngressLimits;
 import org.agatefield.model.Address;
@@ -20,7 +21,6 @@
  * <p>Requests are handled on one event loop.
  */
 final class EntryListeners {
-  private static final int CALLER_IDLE_SECONDS = 120; // Longer than any idle time of callers.
   // The configured limit is not known when the listener opens; the usual one is a quarter of this.
   private static final int HEADER_BYTES = IngressLimits.INSTANCE_HEADER_BYTES;
   private static final int OK = 200;
@@ -32,24 +32,28 @@
   private final CallerDialect callers;
   private final BooleanSupplier ready;
   private final EntryDirectory directory;
+  private final ConnectionGuard guard;
 
   /**
    * Creates listeners.
    *
    * @param ready whether this instance accepts new connections
    * @param directory answers which instances a caller should use
+   * @param guard bounds what clients hold, over all listeners
    */
   EntryListeners(
       Vertx vertx,
       ForwardingSettings settings,
       CallerDialect callers,
       BooleanSupplier ready,
-      EntryDirectory directory) {
+      EntryDirectory directory,
+      ConnectionGuard guard) {
     this.vertx = vertx;
     this.settings = settings;
     this.callers = callers;
     this.ready = ready;
     this.directory = directory;
+    this.guard = guard;
   }
 
   /** Listens on all addresses; completes when all listeners are open, or with the first failure. */
@@ -70,12 +74,11 @@
         new HttpServerOptions()
             .setHttp2ClearTextEnabled(false)
             .setHandle100ContinueAutomatically(true)
-            .setIdleTimeout(CALLER_IDLE_SECONDS)
             .setMaxHeaderSize(HEADER_BYTES)
             .setMaxInitialLineLength(HEADER_BYTES)
             .setTcpNoDelay(true);
-    return vertx
-        .createHttpServer(options)
+    return guard
+        .guard(vertx.createHttpServer(options), options)
         .requestHandler(handler)
         .listen(address.port(), address.host())
         .toCompletionStage()
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -30,6 +30,9 @@
 import org.agatefield.admission.QuotaTolerance;
 import org.agatefield.cost.LearnedRates;
 import org.agatefield.cost.RateKind;
+import org.agatefield.daemon.connections.ConnectionBounds;
+import org.agatefield.daemon.connections.ConnectionGuard;
+import org.agatefield.daemon.connections.HeldConnections;
 import org.agatefield.daemon.forward.wire.PlatformDialect;
 import org.agatefield.daemon.leases.LeaseManager;
 import org.agatefield.daemon.quarantine.ConnectionProbe;
@@ -41,6 +44,7 @@
 import org.agatefield.forwarding.AccountUsageSharing;
 import org.agatefield.forwarding.EnginePool;
 import org.agatefield.forwarding.ForwardingTable;
+import org.agatefield.forwarding.IngressLimits;
 import org.agatefield.forwarding.LikelyBestChooser;
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.forwarding.RunnerEstimates;
@@ -56,6 +60,7 @@
 import org.agatefield.model.ErrorKind;
 import org.agatefield.model.Instance;
 import org.agatefield.model.InstanceState;
+import org.agatefield.peer.PeerTransportSettings;
 import org.agatefield.placement.DemandReplicaPolicy;
 import org.agatefield.placement.WorkRates;
 import org.agatefield.settings.ForwardingSettings;
@@ -90,6 +95,7 @@
   private static final long EXPIRY_CHECK_MILLISECONDS = 240;
   // Most callers have queried the directory again by then.
   private static final long REFUSAL_DELAY_MILLISECONDS = 1_500;
+  private static final long CONNECTION_CHECK_MILLISECONDS = 1_000;
   private static final long SHUTDOWN_CHECK_MILLISECONDS = 50;
   private static final long MINIMUM_LEAVING_MILLISECONDS = 3_500;
   private static final long GRACE_MARGIN_MILLISECONDS = 500;
@@ -111,6 +117,8 @@
   private final DemandMeter demand = new DemandMeter();
   private final EventLoopDelay delay = new EventLoopDelay();
   private final ResponseMemory responseMemory = new ResponseMemory();
+  private final UnwrittenResponses unwritten = new UnwrittenResponses();
+  private final ConnectionGuard connections;
   private WaitingRequests waiting;
   private RoomAllocation room;
   private final Set<RequestExchange> exchanges = new HashSet<>();
@@ -137,7 +145,6 @@
   private ModelPlanner planner;
   private LeaseManager lease;
   private final StopState stop = new StopState();
-  private final UnwrittenResponses unwritten = new UnwrittenResponses();
   private IngressServer ingress;
 
   /** Creates a daemon without starting anything. */
@@ -159,6 +166,16 @@
     this.configuration = new ConfigurationTracker(dialect.storedObjects());
     this.runners = new RunnerDirectory(dialect.storedObjects());
     this.snapshots = new SnapshotExchange(vertx, configuration, runners);
+    HeldConnections held =
+        new HeldConnections(
+            ConnectionBounds.ofProcess(settings.descriptors()),
+            () -> responseMemory.totalBytes() + unwritten.totalBytes());
+    this.connections = new ConnectionGuard(held, this::ingressLimits, MonotonicClock::milliseconds);
+    connections.register(metrics);
+  }
+
+  private IngressLimits ingressLimits() {
+    return configuration.table().map(ForwardingTable::limits).orElse(IngressLimits.DEFAULTS);
   }
 
   /** Returns the default runtime of a daemon, with one event loop. */
@@ -217,7 +234,13 @@
             settings.listeners().peers(),
             settings.failureDomain(),
             InstanceState.LIVE);
-    peers = closer.register(new ForwardingPeers(self, context, metrics, random));
+    peers =
+        closer.register(new ForwardingPeers(self, context, metrics, random, transportSettings()));
+  }
+
+  private PeerTransportSettings transportSettings() {
+    int connections = ConnectionBounds.ofProcess(settings.descriptors()).connections();
+    return PeerTransportSettings.defaults().withinConnections(connections);
   }
 
   private void startComponents(UniformRandomProvider random, CompletableFuture<Void> started) {
@@ -297,7 +320,8 @@
             settings,
             dialect.callers(),
             () -> configuration.table().isPresent() && !stop.isLeaving(),
-            directory)
+            directory,
+            connections)
         .listen(ingress, metrics)
         .whenComplete(
             (done, failure) -> {
@@ -510,6 +534,7 @@
     tasks.every(FleetSize.SAMPLE_INTERVAL_MILLISECONDS, fleetSize::sample);
     tasks.every(RequestQuarantine.EXCHANGE_MILLISECONDS, quarantine::exchange);
     tasks.every(RegionalQuotaPolicy.REFRESH_MILLISECONDS, quotas::refresh);
+    tasks.every(CONNECTION_CHECK_MILLISECONDS, connections::sweep);
     tasks.start();
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingPeers.java
@@ -85,7 +85,11 @@
    * @param context its event loop runs everything; it must not be that of the calling thread
    */
   ForwardingPeers(
-      Instance self, Context context, MetricRegistry metrics, UniformRandomProvider random) {
+      Instance self,
+      Context context,
+      MetricRegistry metrics,
+      UniformRandomProvider random,
+      PeerTransportSettings transportSettings) {
     this.context = (ContextInternal) context;
     this.relayView = new RelayView(List.of(), new DomainRelays(self, List.of(self), List.of(self)));
     this.settings =
@@ -95,8 +99,7 @@
     this.loop = this.context.nettyEventLoop();
     this.transport =
         closer.register(
-            new NettyPeerTransport(
-                loop, self.peerAddress(), PeerTransportSettings.defaults(), Optional.empty()));
+            new NettyPeerTransport(loop, self.peerAddress(), transportSettings, Optional.empty()));
     this.members =
         new MembershipDriver(
             self,
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettings.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.agatefield.model.Address;
 import org.agatefield.model.FailureDomain;
 
@@ -20,6 +21,7 @@
  * @param terms guarantees of the operators to callers and upstreams
  * @param quotas how quotas of client accounts are enforced
  * @param capacity what the machine of the instance can do
+ * @param descriptors how many descriptors the process may open; as the system says if empty
  * @param log the format and level of the log
  */
 public record ForwardingSettings(
@@ -32,6 +34,7 @@
     Terms terms,
     Quotas quotas,
     Capacity capacity,
+    OptionalInt descriptors,
     DaemonSettings.Log log) {
   /** Copies the collections. */
   public ForwardingSettings {
--- a/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
+++ b/settings/src/main/java/org/agatefield/settings/ForwardingSettingsReader.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalInt;
 import java.util.Set;
 import java.util.regex.Pattern;
 import org.agatefield.model.Address;
@@ -31,6 +32,7 @@
           "terms",
           "quotas",
           "capacity",
+          "limits",
           "log");
   private static final Pattern NAME = Pattern.compile("[A-Za-z0-9]([A-Za-z0-9._-]{0,126})");
   private static final String HOLDERS = "holders";
@@ -70,6 +72,9 @@
     final Quotas quotas = readQuotas(new SettingsTable(file, "quotas", root, lines, faults));
     final Capacity capacity =
         readCapacity(new SettingsTable(file, "capacity", root, lines, faults));
+    SettingsTable limits = new SettingsTable(file, "limits", root, lines, faults);
+    final int descriptors = (int) limits.integer("descriptors", 64, 100_000_000, 0);
+    limits.rejectUnknownKeys();
     final DaemonSettings.Log log =
         SettingsReader.readLog(new SettingsTable(file, "log", root, lines, faults));
     SettingsReader.rejectUnknownTables(file, root, lines, faults, TABLES);
@@ -77,7 +82,17 @@
       throw new SettingsException(faults);
     }
     return new ForwardingSettings(
-        name, failureDomain, listeners, storeAddress, seeds, regions, terms, quotas, capacity, log);
+        name,
+        failureDomain,
+        listeners,
+        storeAddress,
+        seeds,
+        regions,
+        terms,
+        quotas,
+        capacity,
+        descriptors == 0 ? OptionalInt.empty() : OptionalInt.of(descriptors),
+        log);
   }
 
   private static Listeners readListeners(SettingsTable table) {
