--- a/cost/src/main/java/org/agatefield/cost/SharedRates.java
+++ b/cost/src/main/java/org/agatefield/cost/SharedRates.java
@@ -24,7 +24,7 @@
   private static final double MAXIMUM_STEP_LOGARITHM = Math.log(2.5);
   // The first ones may be further off, since the default is only a guess.
   private static final double MAXIMUM_FIRST_STEP_LOGARITHM = Math.log(12);
-  private static final double FIRST_OBSERVATIONS_WEIGHT = 3;
+  private static final double FIRST_OBSERVATIONS_WEIGHT = 1;
   // Own observations enough to doubt others that tell something else.
   private static final double TRUSTED_OWN_WEIGHT = 6;
   private static final double MAXIMUM_DIFFERENCE_LOGARITHM = Math.log(2);
