LearnedRatesTest: the test of fading fails with the fading off

Cause: with few earlier observations the test also passed when observations did not fade (trial by hand). Change: three times as many before the runner changes.

--- a/cost/src/test/java/org/agatefield/cost/LearnedRatesTest.java
+++ b/cost/src/test/java/org/agatefield/cost/LearnedRatesTest.java
@@ -91,7 +91,7 @@
 
   @Test
   void runnerThatHasBecomeFasterIsRecognisedSoon() {
-    learn(rates, 400);
+    learn(rates, 1_200);
     double before = rates.relativeSpeed("runner-1");
     for (int time = 0; time < 30; time++) {
       observe(rates, "runner-1", "heavy", FAST_SPEED, HEAVY_PACE, 100_000 + 500L * time);
