Less urgent requests yield where urgent ones for the same model are refused, not where any of the service waits

With 66 instances some urgent request of the service waits at nearly every moment, so all others were held to a backlog of 180 ms on every runner, whatever model it serves. Change: pressure counts by model, and by refusals. WaitingReplayTest, CompetingRequestsPolicyTest, ServicePressureTest pass.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RoomAllocation.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RoomAllocation.java
@@ -131,7 +131,9 @@
             .orElse(OptionalLong.empty());
     return new CompetingRequestsPolicy.Claim(
         urgentObjective,
-        urgentObjective.isPresent() && pressure.isPressedAbove(claim.service(), claim.rank(), now),
+        urgentObjective.isPresent()
+            && pressure.refuses(
+                claim.service(), claim.model().orElse(""), claim.rank() - 1, now),
         urgencies.isOwed(claim.service(), claim.rank(), now));
   }
 
--- a/forwarding/src/main/java/org/agatefield/forwarding/CompetingRequestsPolicy.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CompetingRequestsPolicy.java
@@ -30,7 +30,7 @@
    *
    * @param urgentObjectiveMilliseconds the shortest objective of more urgent requests for the
    *     service; empty if there are none
-   * @param urgentPressure whether more urgent requests for the service lack room
+   * @param urgentPressure whether more urgent requests for the same model are refused
    * @param owedShare whether its urgency has got less than its guaranteed share of the room
    */
   public record Claim(
