Shifts of demand followed on evidence, tests of placement by work and of adapters beside loads

Cause: a risen rate showed with the two seconds' average only; a load was known to be complete with a report that no order had passed, hundreds of milliseconds later.

Change: rates start anew on evidence or after a pause; rare models' reload has its price by the time of their load; a load is complete with the runner's entry or any report that includes its order.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -135,6 +135,7 @@
   }
 
   void update(RunnerEntry entry, boolean newProcess, int slots) {
+    final Optional<RunnerEntry> before = Optional.ofNullable(runner);
     runner = entry;
     adapters.setSlots(slots);
     if (newProcess) {
@@ -147,6 +148,16 @@
     }
     inHostMemory = entry.inHostMemory();
     onDisk = entry.onDisk();
+    boolean loadIsListed =
+        current
+            .filter(task -> loadsModel(task) && task.isAccepted() && entry.holds(task.model()))
+            .filter(task -> before.filter(old -> !old.holds(task.model())).isPresent())
+            .isPresent();
+    if (loadIsListed) { // The entry is written at the end of a load, before a report is due.
+      busy = false;
+      lastOrderAt = MonotonicClock.milliseconds(); // Reports may be older than the entry.
+      complete(current.get(), true);
+    }
   }
 
   /** Sets whether the runner's reports of its work are used, so that they must be recent. */
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -2,6 +2,7 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Context;
@@ -17,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.OrderOutcome;
 import org.agatefield.daemon.forward.wire.RateLimitAnnouncement;
@@ -42,6 +44,7 @@
   private static final long REPORT_AGE_MILLISECONDS = 250;
   private static final int ACCEPTED = 202;
   private static final int CONFLICT = 409;
+  private static final int BROKEN = 500;
 
   private final Vertx vertx = Vertx.vertx();
   private final Context context = vertx.getOrCreateContext();
@@ -49,6 +52,10 @@
   private volatile RunnerReport report = report(0, false);
   private volatile int orderStatus = ACCEPTED;
   private volatile long answerDelay = 1;
+  private final List<RunnerReport> reports = new CopyOnWriteArrayList<>();
+  private final AtomicInteger storeLoadsAsked = new AtomicInteger();
+  private volatile boolean storeAllowsLoads = true;
+  private int port;
   private EngineController controller;
 
   /**
@@ -86,12 +93,17 @@
 
     @Override
     public Buffer encodeOrder(RunnerOrder order) {
-      return Buffer.buffer(order.action() + " " + order.model() + " " + order.acceptedOrders());
+      String load = order.adapter().map(name -> order.model() + "/" + name).orElse(order.model());
+      return Buffer.buffer(order.action() + " " + load + " " + order.acceptedOrders());
     }
 
     @Override
     public OrderOutcome orderOutcome(int status) {
-      return status == ACCEPTED ? OrderOutcome.ACCEPTED : OrderOutcome.CONFLICT;
+      return switch (status) {
+        case ACCEPTED -> OrderOutcome.ACCEPTED;
+        case CONFLICT -> OrderOutcome.CONFLICT;
+        default -> OrderOutcome.UNKNOWN;
+      };
     }
 
     @Override
@@ -110,7 +122,7 @@
     }
   }
 
-  private static final class Granted implements EngineController.PlannerCallbacks {
+  private final class Granted implements EngineController.PlannerCallbacks {
     @Override
     public Optional<LeaseGrant> grant() {
       return Optional.of(new LeaseGrant(1, Long.MAX_VALUE));
@@ -137,6 +149,17 @@
 
     @Override
     public void dropping(String runner, String model) {}
+
+    @Override
+    public void reported(RunnerEntry runner, RunnerReport received) {
+      reports.add(received);
+    }
+
+    @Override
+    public boolean beginStoreLoad(RunnerEntry runner) {
+      storeLoadsAsked.incrementAndGet();
+      return storeAllowsLoads;
+    }
   }
 
   private static RunnerReport report(long acceptedOrders, boolean busy, String... models) {
@@ -155,20 +178,8 @@
             .toCompletionStage()
             .toCompletableFuture()
             .join();
-    RunnerEntry entry =
-        new RunnerEntry(
-            "r",
-            1,
-            OptionalLong.empty(),
-            "service",
-            new Address("127.0.0.1", server.actualPort()),
-            "domain",
-            96,
-            false,
-            OptionalLong.empty(),
-            Optional.of(List.of()),
-            Set.of(),
-            Set.of());
+    port = server.actualPort();
+    RunnerEntry entry = entry();
     onLoop(
         () -> {
           controller =
@@ -184,6 +195,24 @@
     await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
   }
 
+  private RunnerEntry entry(String... models) {
+    List<LoadedModel> held =
+        java.util.Arrays.stream(models).map(name -> new LoadedModel(name, Set.of())).toList();
+    return new RunnerEntry(
+        "r",
+        1,
+        OptionalLong.empty(),
+        "service",
+        new Address("127.0.0.1", port),
+        "domain",
+        96,
+        false,
+        OptionalLong.empty(),
+        Optional.of(held),
+        Set.of(),
+        Set.of());
+  }
+
   @AfterEach
   void stop() {
     vertx.close().toCompletionStage().toCompletableFuture().join();
@@ -256,4 +285,118 @@
     assertEquals(1, orders.size(), orders.toString());
     assertEquals(Set.of("other"), onLoop(controller::possiblyHeld));
   }
+
+  private void holdModel(String model) {
+    report = report(0, false, model);
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::possiblyHeld).contains(model));
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
+  }
+
+  private CompletableFuture<Boolean> ensureAdapter(String model, String adapter) {
+    return onLoop(() -> controller.ensureAdapter(model, adapter));
+  }
+
+  @Test
+  void adapterIsLoadedWhileModelIsBeingLoaded() {
+    holdModel("a");
+    startLoad("b");
+    await().atMost(TIMEOUT).until(() -> orders.size() == 1);
+    report = report(1, true, "a");
+    await().atMost(TIMEOUT).until(() -> ensureAdapter("a", "x").join());
+    assertEquals(List.of("LOAD b 0", "LOAD a/x 1"), orders);
+  }
+
+  @Test
+  void adapterThatRunnerRefusesBesideModelLoadIsNotOrderedAgainDuringThatLoad() {
+    holdModel("a");
+    startLoad("b");
+    await().atMost(TIMEOUT).until(() -> orders.size() == 1);
+    report = report(1, true, "a");
+    await().atMost(TIMEOUT).until(() -> reports.contains(report));
+    orderStatus = CONFLICT;
+    assertFalse(ensureAdapter("a", "x").join());
+    assertFalse(ensureAdapter("a", "x").join());
+    assertEquals(2, orders.size(), orders.toString());
+    orderStatus = ACCEPTED;
+    report = report(1, false, "a", "b");
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
+    assertTrue(ensureAdapter("a", "x").join());
+  }
+
+  @Test
+  void noAdapterIsOrderedWhileItIsUnknownWhetherModelOrderWasAccepted() {
+    holdModel("a");
+    orderStatus = BROKEN;
+    startLoad("b");
+    await().atMost(TIMEOUT).until(() -> !orders.isEmpty());
+    final CompletableFuture<Boolean> adapter = ensureAdapter("a", "x");
+    await().atMost(TIMEOUT).until(() -> orders.size() >= 4);
+    assertEquals(Set.of("LOAD b 0"), Set.copyOf(orders));
+    orderStatus = ACCEPTED;
+    assertTrue(adapter.join());
+  }
+
+  @Test
+  void loadIsSeenToBeCompleteWhileAdapterOrdersKeepComing() {
+    holdModel("a");
+    onLoop(
+        () -> {
+          controller.update(controller.runner(), false, 10_000);
+          return null;
+        });
+    startLoad("b");
+    await().atMost(TIMEOUT).until(() -> orders.size() == 1);
+    report = report(1, false, "a", "b");
+    AtomicInteger names = new AtomicInteger();
+    await()
+        .pollInterval(Duration.ofMillis(20))
+        .atMost(TIMEOUT)
+        .until(
+            () -> {
+              ensureAdapter("a", "x" + names.incrementAndGet());
+              return afterTick(controller::isReady);
+            });
+    assertEquals(Set.of("a", "b"), onLoop(controller::possiblyHeld));
+  }
+
+  @Test
+  void loadFromStoreIsNotOrderedBeforeTheStoreAllowsIt() {
+    storeAllowsLoads = false;
+    startLoad("b");
+    await().atMost(TIMEOUT).until(() -> storeLoadsAsked.get() >= 3);
+    assertTrue(orders.isEmpty(), orders.toString());
+    storeAllowsLoads = true;
+    await().atMost(TIMEOUT).until(() -> orders.size() == 1);
+  }
+
+  @Test
+  void adaptersAreLoadedAheadOnlyWhileSlotsAreFree() {
+    holdModel("a");
+    onLoop(
+        () -> {
+          controller.update(controller.runner(), false, 2);
+          controller.preloadAdapters("a", List.of("x1", "x2", "x3"));
+          return null;
+        });
+    assertTrue(ensureAdapter("a", "x1").join());
+    assertTrue(ensureAdapter("a", "x2").join());
+    assertEquals(List.of("LOAD a/x1 0", "LOAD a/x2 1"), orders);
+  }
+
+  @Test
+  void loadIsCompleteOnceTheRunnerEntryListsTheModel() {
+    startLoad("b");
+    await().atMost(TIMEOUT).until(() -> orders.size() == 1);
+    report = report(1, true);
+    await().atMost(TIMEOUT).until(() -> reports.contains(report));
+    assertFalse(onLoop(controller::isReady));
+    boolean ready =
+        onLoop(
+            () -> {
+              controller.update(entry("b"), false, 8);
+              return controller.isReady();
+            });
+    assertTrue(ready);
+    assertEquals(Set.of("b"), onLoop(controller::possiblyHeld));
+  }
 }
--- a/placement/src/main/java/org/agatefield/placement/DemandTracker.java
+++ b/placement/src/main/java/org/agatefield/placement/DemandTracker.java
@@ -20,6 +20,9 @@
   private static final double SHIFT_STANDARD_DEVIATIONS = 3.5;
   // What reports of a single instance that come at once may make of a steady rate.
   private static final double SHIFT_SHARE = 0.5;
+  private static final long PAUSE_MILLISECONDS = 5_000; // what came before no longer counts
+  // Keeps the first request after a pause from looking like many.
+  private static final double START_MILLISECONDS = 350;
   private static final long MAXIMUM_REPORT_AGE_MILLISECONDS = 1_500; // several report intervals
 
   private final Map<String, ModelRate> rates = new HashMap<>();
@@ -27,38 +30,47 @@
 
   private record InstanceReport(List<ModelDemand> demands, long atMilliseconds) {}
 
-  /** Averages over an exponential window. */
+  /** Counts over an exponential window, and the time that they were counted over. */
   private static final class Average {
     private final double windowMilliseconds;
-    private double tokensPerSecond;
-    private double outputTokensPerSecond;
-    private double requestsPerSecond;
+    private double tokens;
+    private double outputTokens;
+    private double requests;
+    private double milliseconds;
 
     Average(double windowMilliseconds) {
       this.windowMilliseconds = windowMilliseconds;
+      this.milliseconds = windowMilliseconds;
     }
 
-    void decay(long milliseconds) {
-      scale(Math.exp(-milliseconds / windowMilliseconds));
+    void decay(long elapsedMilliseconds) {
+      double remaining = Math.exp(-elapsedMilliseconds / windowMilliseconds);
+      tokens *= remaining;
+      outputTokens *= remaining;
+      requests *= remaining;
+      milliseconds = milliseconds * remaining + windowMilliseconds * (1 - remaining);
     }
 
-    void scale(double factor) {
-      tokensPerSecond *= factor;
-      outputTokensPerSecond *= factor;
-      requestsPerSecond *= factor;
+    void add(ModelDemand demand) {
+      tokens += demand.arrivedTokens();
+      outputTokens += demand.arrivedOutputTokens();
+      requests += demand.arrivedRequests();
     }
 
-    void add(ModelDemand demand) {
-      double perSecond = 1_000 / windowMilliseconds;
-      tokensPerSecond += demand.arrivedTokens() * perSecond;
-      outputTokensPerSecond += demand.arrivedOutputTokens() * perSecond;
-      requestsPerSecond += demand.arrivedRequests() * perSecond;
+    /** Goes on from the counts of another average as if they had been counted in a given time. */
+    void restartFrom(Average other, double countedMilliseconds) {
+      tokens = other.tokens;
+      outputTokens = other.outputTokens;
+      requests = other.requests;
+      milliseconds = countedMilliseconds;
     }
 
-    void set(Average other) {
-      tokensPerSecond = other.tokensPerSecond;
-      outputTokensPerSecond = other.outputTokensPerSecond;
-      requestsPerSecond = other.requestsPerSecond;
+    double perSecond(double count) {
+      return count * 1_000 / milliseconds;
+    }
+
+    double requestsPerSecond() {
+      return perSecond(requests);
     }
   }
 
@@ -79,22 +91,29 @@
     }
 
     void add(ModelDemand demand) {
+      if (demand.arrivedRequests() > 0 && updatedAt - lastRequestAt > PAUSE_MILLISECONDS) {
+        average.restartFrom(recent, START_MILLISECONDS);
+      }
       average.add(demand);
       recent.add(demand);
       usual.add(demand);
       followShift();
     }
 
-    /** Takes over the recent rate where chance does not explain how far it is from the average. */
+    /** Averages anew where chance does not explain how far the recent rate is from the average. */
     private void followShift() {
-      double difference = Math.abs(recent.requestsPerSecond - average.requestsPerSecond);
+      double before = average.requestsPerSecond();
+      double now = recent.requestsPerSecond();
       double perSecond = 1_000 / RECENT_WINDOW_MILLISECONDS;
-      double variance = Math.max(average.requestsPerSecond, perSecond) * perSecond / 2;
-      double larger = Math.max(recent.requestsPerSecond, average.requestsPerSecond);
-      if (difference > SHIFT_SHARE * larger
-          && difference > SHIFT_STANDARD_DEVIATIONS * Math.sqrt(variance)) {
-        average.set(recent);
+      double variance = Math.max(before, perSecond) * perSecond / 2;
+      double difference = Math.abs(now - before);
+      if (difference <= SHIFT_SHARE * Math.max(now, before)
+          || difference <= SHIFT_STANDARD_DEVIATIONS * Math.sqrt(variance)) {
+        return;
       }
+      // A rise is noticed before the recent window holds only what came after it.
+      double counted = now > before ? RECENT_WINDOW_MILLISECONDS / 2 : RECENT_WINDOW_MILLISECONDS;
+      average.restartFrom(recent, counted);
     }
   }
 
@@ -200,13 +219,13 @@
   private static Demand demand(ModelRate rate, RequestCounts counts, long now) {
     rate.decayTo(now);
     return new Demand(
-        rate.average.tokensPerSecond,
-        rate.average.requestsPerSecond,
+        rate.average.perSecond(rate.average.tokens),
+        rate.average.requestsPerSecond(),
         counts.waiting,
         counts.running,
         now - rate.lastRequestAt,
         counts.runningAt,
-        rate.average.outputTokensPerSecond,
-        rate.usual.requestsPerSecond);
+        rate.average.perSecond(rate.average.outputTokens),
+        rate.usual.requestsPerSecond());
   }
 }
--- a/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
+++ b/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
@@ -24,8 +24,9 @@
   // Requests for a model without a replica are all lost; on overloaded engines only some are.
   private static final double UNSERVED_COST_PER_ENGINE = 8;
   private static final double UNSERVED_COST_PER_WAITING = 0.15;
-  // The next request for a model without a replica waits for a load, which takes an engine's order.
-  private static final double RELOAD_COST = 0.3;
+  // The next request for a model without a replica waits for a load.
+  private static final double RELOAD_COST_PER_MILLISECOND = 0.06 / 1_000;
+  private static final double RELOAD_COST = 0.06; // occupies the engine for other orders
   private static final double MINIMUM_GAIN = 0.12; // an engine executes one order at a time
   private static final long MINIMUM_IDLE_MILLISECONDS = 1_000; // several demand reports
   private static final double DEMAND_DURATION_MILLISECONDS = 9_000; // until other models are busy
@@ -260,7 +261,7 @@
               }
             });
     double gain = value(candidate.model(), engine, candidate.victims(), before - after);
-    if (gain < MINIMUM_GAIN) {
+    if (gain < minimumGain(candidate.model())) {
       return Optional.empty();
     }
     ModelProfile model = models.get(candidate.model());
@@ -274,6 +275,12 @@
     return Optional.of(new ScoredMove(move, engine, gain));
   }
 
+  /** Returns the least gain of a move; requests without any replica never wait for a larger one. */
+  private double minimumGain(int model) {
+    boolean awaited = holders.get(model).isEmpty() && demands[model].waiting() > 0;
+    return awaited ? MINIMUM_ESTIMATE : MINIMUM_GAIN;
+  }
+
   /** Returns what it costs that the models of a move have no replica, as far as they have none. */
   private double unservedCosts(CandidateMove candidate) {
     double cost = holders.get(candidate.model()).isEmpty() ? unservedCost(candidate.model()) : 0;
@@ -286,7 +293,9 @@
   private double unservedCost(int model) {
     DemandTracker.Demand demand = demands[model];
     double expected = demand.usualRequestsPerSecond() * DEMAND_DURATION_MILLISECONDS / 1_000;
-    double cost = RELOAD_COST * Math.min(1, expected);
+    double reload =
+        RELOAD_COST + RELOAD_COST_PER_MILLISECOND * models.get(model).storeLoadMilliseconds();
+    double cost = reload * Math.min(1, expected);
     if (!isIdle(demand) && hasRecentDemand(model)) {
       cost += UNSERVED_COST_PER_ENGINE * offeredLoad[model];
       cost += UNSERVED_COST_PER_WAITING * demand.waiting();
--- a/placement/src/test/java/org/agatefield/placement/UnevenDemandReplay.java
+++ b/placement/src/test/java/org/agatefield/placement/UnevenDemandReplay.java
@@ -10,7 +10,6 @@
 import java.util.OptionalDouble;
 import java.util.Random;
 import java.util.Set;
-import java.util.function.LongFunction;
 import org.agatefield.model.ModelDemand;
 import org.agatefield.model.WeightStoreLimits;
 
@@ -18,9 +17,9 @@
  * Replays a fleet whose demand is concentrated on a few models that change, with many models that
  * are asked for rarely, against a replica policy.
  *
- * <p>Time advances in steps; nothing depends on the machine's speed or on the wall clock. Running
- * requests are approximated by their rate and duration, waiting ones are counted. Confined to one
- * thread.
+ * <p>The rates of models and engines are those that were learned, or nominal ones. Time advances in
+ * steps; nothing depends on the machine's speed or on the wall clock. Running requests are
+ * approximated by their rate and duration, waiting ones are counted. Confined to one thread.
  */
 final class UnevenDemandReplay {
   static final int ENGINES = 42;
@@ -35,6 +34,7 @@
   private static final int MODELS_IN_MEMORY = 4;
   private static final int MODELS_ON_DISK = 12;
   private static final double STORE_LOADS_PER_SECOND = 10;
+  private static final int STORE_LOAD_BURST = 3;
   private static final double DISK_LOAD_MILLISECONDS = 1_000;
   private static final double MEMORY_LOAD_MILLISECONDS = 700;
   private static final long COMPLETION_KNOWN_MILLISECONDS = 400; // report lag and poll interval
@@ -104,8 +104,10 @@
   final List<Engine> engines = new ArrayList<>();
   final List<Long> rareWaits = new ArrayList<>();
   final List<ReplicaMove> moves = new ArrayList<>();
+  final Map<Long, Integer> storeLoadsAt = new HashMap<>();
   final DemandTracker tracker = new DemandTracker();
   final Set<Integer> silentInstances = new HashSet<>();
+  boolean ratesAreLearned = true;
   long now;
   long planningNanoseconds;
   long longestPlanNanoseconds;
@@ -114,15 +116,14 @@
   private final Random random;
   private final double storeLoadMilliseconds;
   private final ReplicaPolicy policy;
-  private final LongFunction<Long> nanoseconds;
   private final List<Map<String, long[]>> unreported = new ArrayList<>();
+  private boolean countsLoading;
   private LoadBudget budget = LoadBudget.startingAt(0);
 
   UnevenDemandReplay(long seed, double storeLoadMilliseconds, ReplicaPolicy policy) {
     this.random = new Random(seed);
     this.storeLoadMilliseconds = storeLoadMilliseconds;
     this.policy = policy;
-    this.nanoseconds = ignored -> System.nanoTime();
     for (int index = 0; index < MODELS; index++) {
       boolean quick = index % 3 == 0;
       double pace = quick ? 0.23 + 0.12 * random.nextDouble() : 1;
@@ -339,13 +340,13 @@
     int concurrent = (int) (STORE_LOADS_PER_SECOND * 3);
     budget =
         budget.refill(
-            new WeightStoreLimits(STORE_LOADS_PER_SECOND, concurrent, 24), now * 1_000_000L);
+            new WeightStoreLimits(STORE_LOADS_PER_SECOND, STORE_LOAD_BURST, 24), now * 1_000_000L);
     long loading =
         engines.stream().filter(each -> each.move != null && each.move.fromStore()).count();
     int allowed = (int) Math.min(budget.available(), Math.max(0, concurrent - loading));
-    long before = nanoseconds.apply(0);
+    long before = System.nanoTime();
     List<ReplicaMove> planned = policy.plan(views, profiles, demands, allowed);
-    long took = nanoseconds.apply(0) - before;
+    long took = System.nanoTime() - before;
     planningNanoseconds += took;
     longestPlanNanoseconds = Math.max(longestPlanNanoseconds, took);
     plans++;
@@ -358,6 +359,7 @@
     moves.add(move);
     if (move.fromStore()) {
       budget = budget.take();
+      storeLoadsAt.merge(now, 1, Integer::sum);
     }
     Engine engine =
         engines.stream().filter(each -> each.id.equals(move.runner())).findFirst().orElseThrow();
@@ -371,8 +373,10 @@
     engine.loadedAt = start + (long) profile.loadMilliseconds(view(engine));
   }
 
-  /** The measured pace of each model is known to the policy. */
   private ModelProfile profile(Model model) {
+    if (!ratesAreLearned) {
+      return model.profile;
+    }
     ModelProfile known = model.profile;
     return new ModelProfile(
         known.name(),
@@ -399,7 +403,7 @@
         engine.inMemory,
         engine.onDisk,
         engine.move == null && engine.freeAt <= now && engine.downUntil <= now,
-        engine.speed);
+        ratesAreLearned ? engine.speed : 1);
   }
 
   /** Crashes an engine; it comes back empty, with the copies on its disk. */
@@ -411,6 +415,20 @@
     engine.downUntil = backAt;
   }
 
+  private boolean serves(Engine engine, Model model) {
+    boolean loading = engine.move != null && engine.move.load().equals(model.name());
+    return engine.downUntil <= now
+        && (engine.held.contains(model.name()) || countsLoading && loading);
+  }
+
+  /** Returns the level of a model once all loads that have begun are complete. */
+  double orderedLevel(Model model) {
+    countsLoading = true;
+    double level = level(model);
+    countsLoading = false;
+    return level;
+  }
+
   /** Returns the load of each engine divided by its speed, with all load spread evenly. */
   double[] levels() {
     double[] load = new double[engines.size()];
@@ -429,7 +447,7 @@
   private void spread(Model model, double[] load, Map<Model, double[]> parts) {
     List<Integer> holders = new ArrayList<>();
     for (int index = 0; index < engines.size(); index++) {
-      if (engines.get(index).held.contains(model.name()) && engines.get(index).downUntil <= now) {
+      if (serves(engines.get(index), model)) {
         holders.add(index);
       }
     }
@@ -469,7 +487,7 @@
     double[] levels = levels();
     double lowest = Double.MAX_VALUE;
     for (int index = 0; index < levels.length; index++) {
-      if (engines.get(index).held.contains(model.name()) && engines.get(index).downUntil <= now) {
+      if (serves(engines.get(index), model)) {
         lowest = Math.min(lowest, levels[index]);
       }
     }
