--- a/cost/src/test/java/org/agatefield/cost/TokenRoomTest.java
+++ b/cost/src/test/java/org/agatefield/cost/TokenRoomTest.java
@@ -63,8 +63,9 @@
       @ForAll @IntRange(min = 1, max = 20_000) int tokens,
       @ForAll @IntRange(min = 0, max = 4_000) int age) {
     double own = 0;
-    while (TokenRoom.judge(new TokenRoom.View(TOTAL, used, age, own, 0), tokens, tokens)
-        == Room.FREE) {
+    while (own <= TOTAL
+        && TokenRoom.judge(new TokenRoom.View(TOTAL, used, age, own, 0), tokens, tokens)
+            == Room.FREE) {
       own += tokens;
     }
     assertTrue(used + own <= TOTAL);
