--- a/daemon/src/main/java/org/agatefield/daemon/forward/RoomAllocation.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RoomAllocation.java
@@ -132,8 +132,7 @@
     return new CompetingRequestsPolicy.Claim(
         urgentObjective,
         urgentObjective.isPresent()
-            && pressure.refuses(
-                claim.service(), claim.model().orElse(""), claim.rank() - 1, now),
+            && pressure.refuses(claim.service(), claim.model().orElse(""), claim.rank() - 1, now),
         urgencies.isOwed(claim.service(), claim.rank(), now));
   }
 
