--- a/daemon/src/main/java/org/agatefield/daemon/connections/CountingRequestDecoder.java
+++ b/daemon/src/main/java/org/agatefield/daemon/connections/CountingRequestDecoder.java
@@ -342,13 +342,12 @@
   }
 
   private void closeFor(GiveUpReason reason) {
-    switch (reason) {
-      case MEMORY, CONNECTIONS ->
-          answerAndClose(
-              "503 Service Unavailable", "Retry-After: " + guard.retrySeconds() + "\r\n");
-      case HEADER_TIMEOUT, BODY_TIMEOUT -> answerAndClose("408 Request Timeout", "");
-      case IDLE -> answerAndClose("", "");
+    boolean isShortage = reason == GiveUpReason.MEMORY || reason == GiveUpReason.CONNECTIONS;
+    if (isShortage) {
+      answerAndClose("503 Service Unavailable", "Retry-After: " + guard.retrySeconds() + "\r\n");
+      return;
     }
+    answerAndClose("408 Request Timeout", "");
   }
 
   /** Answers a request that has not arrived whole and closes the connection. */
@@ -359,7 +358,7 @@
     }
     boolean incomplete = unanswered ? inBody && !responseBegun : !inBody && headBytes > 0;
     refused = true;
-    if (!incomplete || status.isEmpty() || !context.channel().isWritable()) {
+    if (!incomplete || !context.channel().isWritable()) {
       context.close();
       return;
     }
