--- a/daemon/src/test/java/org/agatefield/daemon/connections/HeldConnectionsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/connections/HeldConnectionsTest.java
@@ -142,6 +142,7 @@
       case BODY -> connection.bodyArrives(1_000);
       case WHOLE -> connection.requestArrived(1_000);
       case UNREAD -> connection.responseComplete(1_000);
+      default -> throw new IllegalStateException("unknown stage " + stage);
     }
     long now = 1_000 + milliseconds;
     held.overdue(LIMITS, now - 1_000);
--- a/forwarding/src/main/java/org/agatefield/forwarding/CompetingRequestsPolicy.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/CompetingRequestsPolicy.java
@@ -17,6 +17,8 @@
   private static final double OBJECTIVE_SHARE = 0.75;
   // Leaves more than half of the urgent objective to urgent requests that were turned away.
   private static final double OBJECTIVE_SHARE_UNDER_PRESSURE = 0.3;
+  // A request whose objective is nearly as short could not be served in time if it yielded.
+  private static final double PATIENT_OBJECTIVES = 2;
 
   private final SendPolicy single;
 
@@ -43,32 +45,37 @@
   public SendPolicy.Decision decide(
       RunnerCandidate candidate, SendPolicy.Timing timing, Claim claim) {
     SendPolicy.Decision decision = single.decide(candidate, timing);
-    if (decision == SendPolicy.Decision.SEND && mustYield(candidate, claim)) {
+    if (decision == SendPolicy.Decision.SEND && mustYield(candidate, timing, claim)) {
       return SendPolicy.Decision.WAIT;
     }
     return decision;
   }
 
   /** Returns whether a runner's room is left to more urgent requests. */
-  private static boolean mustYield(RunnerCandidate candidate, Claim claim) {
-    return candidate.backlogMilliseconds() > backlogLeftToUrgent(claim);
+  private static boolean mustYield(
+      RunnerCandidate candidate, SendPolicy.Timing timing, Claim claim) {
+    return candidate.backlogMilliseconds() > backlogLeftToUrgent(timing, claim);
   }
 
   /** Returns the longest backlog that a request of a claim may add to. */
-  private static double backlogLeftToUrgent(Claim claim) {
+  private static double backlogLeftToUrgent(SendPolicy.Timing timing, Claim claim) {
     if (claim.urgentObjectiveMilliseconds().isEmpty()) {
       return Double.MAX_VALUE;
     }
-    boolean pressed = claim.urgentPressure() && !claim.owedShare();
-    double share = pressed ? OBJECTIVE_SHARE_UNDER_PRESSURE : OBJECTIVE_SHARE;
-    return share * claim.urgentObjectiveMilliseconds().getAsLong();
+    long urgentObjective = claim.urgentObjectiveMilliseconds().getAsLong();
+    if (claim.urgentPressure() && !claim.owedShare()) {
+      return OBJECTIVE_SHARE_UNDER_PRESSURE * urgentObjective;
+    }
+    boolean patient = timing.objectiveMilliseconds() >= PATIENT_OBJECTIVES * urgentObjective;
+    return patient ? OBJECTIVE_SHARE * urgentObjective : Double.MAX_VALUE;
   }
 
   /** Returns how long a runner's backlog has to shrink until it takes a request of that claim. */
   public double excessMilliseconds(
       RunnerCandidate candidate, SendPolicy.Timing timing, Claim claim) {
     double limit =
-        Math.min(OBJECTIVE_SHARE * timing.objectiveMilliseconds(), backlogLeftToUrgent(claim));
+        Math.min(
+            OBJECTIVE_SHARE * timing.objectiveMilliseconds(), backlogLeftToUrgent(timing, claim));
     return Math.max(0, candidate.backlogMilliseconds() - limit);
   }
 }
--- a/forwarding/src/test/java/org/agatefield/forwarding/CompetingRequestsPolicyTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/CompetingRequestsPolicyTest.java
@@ -35,6 +35,15 @@
     assertEquals(SendPolicy.Decision.SEND, policy.decide(withBacklog(800), PATIENT, Claim.ALONE));
   }
 
+  @Test
+  void requestThatIsNearlyAsUrgentYieldsOnlyWhileUrgentOnesAreRefused() {
+    SendPolicy.Timing hurried = new SendPolicy.Timing(1_300, 1_300, 4_000);
+    Claim calm = new Claim(URGENT_OBJECTIVE, false, false);
+    Claim pressed = new Claim(URGENT_OBJECTIVE, true, false);
+    assertEquals(SendPolicy.Decision.SEND, policy.decide(withBacklog(800), hurried, calm));
+    assertEquals(SendPolicy.Decision.WAIT, policy.decide(withBacklog(800), hurried, pressed));
+  }
+
   @Test
   void patientRequestYieldsWhileUrgentOnesLackRoomUnlessItsShareIsOwed() {
     RunnerCandidate busy = withBacklog(500);
--- a/placement/src/main/java/org/agatefield/placement/TokenWork.java
+++ b/placement/src/main/java/org/agatefield/placement/TokenWork.java
@@ -13,6 +13,8 @@
       1_000.0 / 13_000 / 34_300;
   // A step of a full batch generates one token for each request, where a prompt is read in pieces.
   private static final double PROMPT_TOKENS_PER_OUTPUT_TOKEN = 4;
+  // A fuller engine keeps requests waiting beyond the objectives of urgent ones.
+  static final double USABLE_SHARE = 0.7;
 
   /** Returns the work while nothing has been learned; it includes that of the generated tokens. */
   public static TokenWork nominal(double weightsMegabytes) {
@@ -21,8 +23,8 @@
 
   /** Returns the work for a learned time per prompt token. */
   public static TokenWork learned(double millisecondsPerToken) {
-    return new TokenWork(
-        millisecondsPerToken, millisecondsPerToken * PROMPT_TOKENS_PER_OUTPUT_TOKEN);
+    double planned = millisecondsPerToken / USABLE_SHARE;
+    return new TokenWork(planned, planned * PROMPT_TOKENS_PER_OUTPUT_TOKEN);
   }
 
   /** Returns how many engines of speed 1 the demand keeps busy. */
