--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -30,6 +30,7 @@
 import org.agatefield.admission.QuotaTolerance;
 import org.agatefield.cost.LearnedRates;
 import org.agatefield.cost.RateKind;
+import org.agatefield.daemon.connections.BoundedAcceptance;
 import org.agatefield.daemon.connections.ConnectionBounds;
 import org.agatefield.daemon.connections.ConnectionGuard;
 import org.agatefield.daemon.connections.HeldConnections;
@@ -149,7 +150,7 @@
 
   /** Creates a daemon without starting anything. */
   public ForwardingDaemon(ForwardingSettings settings, PlatformDialect dialect) {
-    this(settings, dialect, newVertx());
+    this(settings, dialect, newVertx(settings));
   }
 
   /**
@@ -179,12 +180,15 @@
   }
 
   /** Returns the default runtime of a daemon, with one event loop. */
-  public static Vertx newVertx() {
-    return Vertx.vertx(
-        new VertxOptions()
-            .setEventLoopPoolSize(1)
-            .setWorkerPoolSize(1)
-            .setInternalBlockingPoolSize(1));
+  public static Vertx newVertx(ForwardingSettings settings) {
+    return Vertx.builder()
+        .with(
+            new VertxOptions()
+                .setEventLoopPoolSize(1)
+                .setWorkerPoolSize(1)
+                .setInternalBlockingPoolSize(1))
+        .withTransport(new BoundedAcceptance(ConnectionBounds.ofProcess(settings.descriptors())))
+        .build();
   }
 
   private void exceptionUncaught(Throwable exception) {
