A replica of a busy model is given up only if it isn't missed while the other loads

The gain counted the state after the load alone. Change: what the victims' absence costs until the model is loaded is taken off a move's gain. Placement's tests pass.

--- a/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
+++ b/placement/src/main/java/org/agatefield/placement/ReplicaDraft.java
@@ -243,6 +243,12 @@
     return gain * remainingShare - (fromStore ? STORE_LOAD_COST : 0);
   }
 
+  /** Returns what it costs that the victims serve nobody until the model is loaded. */
+  private double lossMeanwhile(CandidateMove candidate, double costIncrease) {
+    double time = moveMilliseconds(candidate.model(), candidate.engine(), candidate.victims());
+    return Math.max(0, costIncrease) * Math.min(1, time / DEMAND_DURATION_MILLISECONDS);
+  }
+
   private double moveMilliseconds(int model, int engine, List<Integer> victims) {
     EngineView view = engines.get(engine);
     boolean drains = victims.stream().anyMatch(victim -> runsAt(victim, view.id()) > 0);
@@ -262,6 +268,7 @@
     }
     changed.add(candidate.model());
     candidate.victims().forEach(victim -> holders.get(victim).remove(Integer.valueOf(engine)));
+    final double meanwhile = distribution.afterChangeOf(changed).cost() + unservedCosts(candidate);
     holders.get(candidate.model()).add(engine);
     final double after = distribution.afterChangeOf(changed).cost() + unservedCosts(candidate);
     holders.get(candidate.model()).remove(Integer.valueOf(engine));
@@ -273,7 +280,9 @@
                 holders.get(victim).add(engine);
               }
             });
-    double gain = value(candidate.model(), engine, candidate.victims(), before - after);
+    double gain =
+        value(candidate.model(), engine, candidate.victims(), before - after)
+            - lossMeanwhile(candidate, meanwhile - before);
     if (gain < minimumGain(candidate.model())) {
       return Optional.empty();
     }
