An instance that is behind doesn't take its own delay for slowness of runners

Change: what is overdue or slow is counted beyond three of the instance's own delays; nothing is learned while it is more than 30 ms behind; rates of others are taken over each 1.9 s.

--- a/cost/src/main/java/org/agatefield/cost/WorkLeft.java
+++ b/cost/src/main/java/org/agatefield/cost/WorkLeft.java
@@ -20,6 +20,7 @@
   private static final double SLOWNESS_STEP = 0.5;
   private static final double MAXIMUM_SLOWNESS_LOGARITHM = Math.log(4);
   // Deviations below this come from the network and from event loops.
+  private static final double INSTANCE_DELAYS_PER_ATTEMPT = 3; // Connect, send, first event.
   private static final double TOLERANCE_MILLISECONDS = 60;
   private static final double TOLERANCE_SHARE = 0.25;
   private static final double MAXIMUM_OVERDUE_MILLISECONDS = 2_000;
@@ -28,6 +29,7 @@
   private static final double FULLY_COUNTED_OUTPUT_TOKENS = 40;
 
   private final Map<String, Runner> runners = new HashMap<>();
+  private double instanceDelayMilliseconds;
 
   private static final class Runner {
     private final List<AttemptWork> attempts = new ArrayList<>();
@@ -155,9 +157,19 @@
     return tokens;
   }
 
-  private static double lateMilliseconds(AttemptWork attempt, long now) {
+  /**
+   * Sets by how much this instance itself is behind, which is no fault of the runners: it notices
+   * both the connection and the first event of an attempt that much later.
+   */
+  public void instanceDelayed(double milliseconds) {
+    instanceDelayMilliseconds = milliseconds;
+  }
+
+  private double lateMilliseconds(AttemptWork attempt, long now) {
     double expected = attempt.expectation().firstEventMilliseconds();
-    return now - attempt.sentAt() - expected * (1 + TOLERANCE_SHARE) - TOLERANCE_MILLISECONDS;
+    double tolerated =
+        TOLERANCE_MILLISECONDS + INSTANCE_DELAYS_PER_ATTEMPT * instanceDelayMilliseconds;
+    return now - attempt.sentAt() - expected * (1 + TOLERANCE_SHARE) - tolerated;
   }
 
   private static double fadedSlowness(Runner runner, long now) {
--- a/cost/src/test/java/org/agatefield/cost/WorkLeftTest.java
+++ b/cost/src/test/java/org/agatefield/cost/WorkLeftTest.java
@@ -36,6 +36,15 @@
     assertEquals(1, left.slowness("other", 600));
   }
 
+  @Test
+  void instanceThatIsBehindDoesNotTakeItsOwnDelayForSlownessOfRunners() {
+    left.instanceDelayed(150);
+    AttemptWork attempt = left.started("r", EXPECTATION, 0);
+    assertEquals(0, left.overdueMilliseconds("r", 600));
+    left.firstEvent(attempt, 600);
+    assertEquals(1, left.slowness("r", 600));
+  }
+
   @Test
   void outputCountsByWhatIsLeftToWrite() {
     AttemptWork attempt = left.started("r", EXPECTATION, 0);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -103,6 +103,8 @@
   // Leaves the rest of the margin for closing.
   private static final long LAST_WRITES_MILLISECONDS = 300;
   private static final double MILLISECONDS_PER_SECOND = 1_000;
+  // Rates that others have learned change over seconds.
+  private static final long RATES_REFRESH_MILLISECONDS = 1_920;
   private static final int LOWEST_PRIORITY = 9;
 
   private final Closer closer = new Closer();
@@ -530,8 +532,8 @@
     tasks.every(EntryDirectory.PUBLISH_MILLISECONDS, directory::publishLoad);
     tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, room::publish);
     tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, knowledge::sendReports);
-    tasks.every(LoadExchange.PERIOD_MILLISECONDS, estimates::refresh);
-    tasks.every(KnowledgeExchange.PERIOD_MILLISECONDS, rates::refresh);
+    tasks.every(LoadExchange.PERIOD_MILLISECONDS, this::refreshEstimates);
+    tasks.every(RATES_REFRESH_MILLISECONDS, rates::refresh);
     tasks.every(PlannerClient.DEMAND_MILLISECONDS, now -> plannerClient.reportDemand());
     tasks.every(PlannerClient.NOTICE_MILLISECONDS, now -> plannerClient.announce());
     tasks.every(EXPIRY_CHECK_MILLISECONDS, runners::removeExpired);
@@ -542,6 +544,11 @@
     tasks.start();
   }
 
+  private void refreshEstimates(long nowMilliseconds) {
+    estimates.instanceDelayed(delay.smoothedMilliseconds());
+    estimates.refresh(nowMilliseconds);
+  }
+
   /** Closes the peer connections as if the process had died; used to test the other instances. */
   public void closePeers() {
     peers.close();
--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerEstimates.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerEstimates.java
@@ -44,6 +44,8 @@
   private static final long STATE_DELAY_MILLISECONDS = 300;
   private static final double MAXIMUM_WORK_TOKENS = 10_000_000;
   private static final long UNSEEN_MILLISECONDS = 2_000;
+  // Beyond this delay of the instance the times that it sees say little about runners.
+  private static final double MAXIMUM_LEARNING_DELAY_MILLISECONDS = 30;
 
   private final LearnedRates rates;
   private final RunnerLoads loads;
@@ -53,6 +55,7 @@
   private Map<String, Observed<RunnerState>> latestStates = new HashMap<>();
   private double memoryPerWorkToken = INITIAL_MEMORY_PER_WORK_TOKEN;
   private double memoryPerRequest = INITIAL_MEMORY_PER_REQUEST;
+  private boolean learning = true;
 
   /**
    * Where a request may go. Immutable.
@@ -78,6 +81,12 @@
     latestStates = states.all(nowMilliseconds);
   }
 
+  /** Sets by how much this instance itself is behind; to be called often. */
+  public void instanceDelayed(double milliseconds) {
+    left.instanceDelayed(milliseconds);
+    learning = milliseconds <= MAXIMUM_LEARNING_DELAY_MILLISECONDS;
+  }
+
   /** Returns what a request is likely to cost, whichever runner it goes to. */
   public RequestWork work(
       String route, String account, Optional<GenerationParameters> prompt, long bodyBytes) {
@@ -289,7 +298,7 @@
     String runner = attempt.runner();
     loads.prefillEnded(runner, attempt.expectation().pendingTokens());
     work.parts().ifPresent(parts -> loads.recordCachedParts(runner, parts));
-    if (near) {
+    if (near && learning) {
       rates.observe(
           runner,
           work.paceKey(),
