Read once more: the same said once, what nobody asks for removed, doc comments whole

Cause: five kinds checked their numbers each for itself; EarliestStartChooser had the prices of the way a second time beside ExpectedCost; two tests built the same fleet; the process's bounds were read three times at a start; KnowledgeTable.forgetSubject and ServicePressure.isPressedAbove had no caller in the product since pressure counts by model. Invariants and thread safety on six types.

--- a/admission/src/main/java/org/agatefield/admission/HeldWork.java
+++ b/admission/src/main/java/org/agatefield/admission/HeldWork.java
@@ -1,6 +1,9 @@
 package org.agatefield.admission;
 
-/** Work that waits at the edge of callers, with what its caller still expects. */
+/**
+ * Work that waits at the edge of callers, with what its caller still expects. Implementations keep
+ * the values unchanged while the work waits; confined to the thread of the queue.
+ */
 public interface HeldWork extends WaitingWork {
   /** Returns the service that the work is for. */
   String service();
--- a/admission/src/main/java/org/agatefield/admission/WaitingWork.java
+++ b/admission/src/main/java/org/agatefield/admission/WaitingWork.java
@@ -2,7 +2,7 @@
 
 /**
  * Work that waits for room, as both edges of the system order it. Implementations keep the values
- * unchanged while the work waits.
+ * unchanged while the work waits; confined to the thread of the queue.
  */
 public interface WaitingWork {
   /** Returns a number that is unique among the work of one queue; later work has a higher one. */
--- a/command/src/main/java/org/agatefield/command/ConfigurationCheckCommand.java
+++ b/command/src/main/java/org/agatefield/command/ConfigurationCheckCommand.java
@@ -14,7 +14,11 @@
 import org.agatefield.configuration.check.DocumentCheck;
 import org.agatefield.model.ConfigurationDocument;
 
-/** Checks a document without a daemon: errors, warnings and what it would change. */
+/**
+ * Checks a document without a daemon: errors, warnings and what it would change.
+ *
+ * <p>Invariant: sends nothing. Confined to the thread that runs the command.
+ */
 @Command(
     name = "check",
     description =
--- a/daemon/src/main/java/org/agatefield/daemon/connections/GiveUpReason.java
+++ b/daemon/src/main/java/org/agatefield/daemon/connections/GiveUpReason.java
@@ -1,6 +1,6 @@
 package org.agatefield.daemon.connections;
 
-/** Why a connection of a client is given up. */
+/** Why a connection of a client is given up. Immutable. */
 public enum GiveUpReason {
   /** All connections together hold too much memory. */
   MEMORY,
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -121,6 +121,7 @@
   private final EventLoopDelay delay = new EventLoopDelay();
   private final ResponseMemory responseMemory = new ResponseMemory();
   private final UnwrittenResponses unwritten = new UnwrittenResponses();
+  private final ConnectionBounds bounds;
   private final ConnectionGuard connections;
   private WaitingRequests waiting;
   private RoomAllocation room;
@@ -169,10 +170,9 @@
     this.configuration = new ConfigurationTracker(dialect.storedObjects());
     this.runners = new RunnerDirectory(dialect.storedObjects());
     this.snapshots = new SnapshotExchange(vertx, configuration, runners);
+    this.bounds = ConnectionBounds.ofProcess(settings.descriptors());
     HeldConnections held =
-        new HeldConnections(
-            ConnectionBounds.ofProcess(settings.descriptors()),
-            () -> responseMemory.totalBytes() + unwritten.totalBytes());
+        new HeldConnections(bounds, () -> responseMemory.totalBytes() + unwritten.totalBytes());
     this.connections = new ConnectionGuard(held, this::ingressLimits, MonotonicClock::milliseconds);
     connections.register(metrics);
   }
@@ -245,8 +245,7 @@
   }
 
   private PeerTransportSettings transportSettings() {
-    int connections = ConnectionBounds.ofProcess(settings.descriptors()).connections();
-    return PeerTransportSettings.defaults().withinConnections(connections);
+    return PeerTransportSettings.defaults().withinConnections(bounds.connections());
   }
 
   private void startComponents(UniformRandomProvider random, CompletableFuture<Void> started) {
--- a/daemon/src/test/java/org/agatefield/daemon/forward/KnowledgeExchangeTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/KnowledgeExchangeTest.java
@@ -12,10 +12,7 @@
 import org.agatefield.knowledge.KnowledgeTable;
 import org.agatefield.knowledge.RunnerState;
 import org.agatefield.membership.DomainRelays;
-import org.agatefield.model.Address;
-import org.agatefield.model.FailureDomain;
 import org.agatefield.model.Instance;
-import org.agatefield.model.InstanceState;
 import org.agatefield.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
 
@@ -64,20 +61,8 @@
   }
 
   private void startFleet(int instancesPerDomain) {
-    for (int domain = 0; domain < DOMAINS; domain++) {
-      for (int number = 0; number < instancesPerDomain; number++) {
-        String id = "d" + domain + "-" + (char) ('a' + number);
-        Address address = new Address("127.0.0.1", 1 + members.size());
-        Instance instance =
-            new Instance(
-                id,
-                address,
-                address,
-                new FailureDomain("region", "d" + domain),
-                InstanceState.LIVE);
-        members.put(id, new Member(instance));
-      }
-    }
+    TestInstances.of(DOMAINS, instancesPerDomain)
+        .forEach(each -> members.put(each.id(), new Member(each)));
   }
 
   private void run(long milliseconds) {
@@ -106,7 +91,7 @@
     for (int size : List.of(3, 8)) {
       members.clear();
       startFleet(size);
-      observeAt("d1-b");
+      observeAt("d1-ab");
       run(CONVERGENCE_MILLISECONDS);
       members.keySet().forEach(id -> assertTrue(isKnownAt(id), size + " " + id));
     }
@@ -115,7 +100,7 @@
   @Test
   void knowledgeKeepsTheAgeOfItsObservationOnEveryWay() {
     startFleet(8);
-    observeAt("d1-b");
+    observeAt("d1-ab");
     run(CONVERGENCE_MILLISECONDS);
     for (Member member : members.values()) {
       assertEquals(0, member.states.known(RUNNER, now).orElseThrow().atMilliseconds());
@@ -125,7 +110,7 @@
   @Test
   void knowledgeThatIsNotRenewedIsForgottenEverywhere() {
     startFleet(8);
-    observeAt("d1-b");
+    observeAt("d1-ab");
     run(RunnerState.KIND.maximumAgeMilliseconds() + CONVERGENCE_MILLISECONDS);
     members.values().forEach(member -> assertTrue(member.states.all(now).isEmpty()));
   }
@@ -134,17 +119,17 @@
   void neighboursTellEachOtherWhileTheRelayIsSilent() {
     startFleet(8);
     run(CONVERGENCE_MILLISECONDS);
-    dead.add("d0-a");
+    dead.add("d0-aa");
     run(CONVERGENCE_MILLISECONDS);
-    observeAt("d0-b");
+    observeAt("d0-ab");
     run(CONVERGENCE_MILLISECONDS);
-    assertTrue(isKnownAt("d0-c"));
+    assertTrue(isKnownAt("d0-ac"));
   }
 
   @Test
   void unchangedKnowledgeIsSentOnlyToRefreshIt() {
     startFleet(8);
-    observeAt("d1-b");
+    observeAt("d1-ab");
     run(KnowledgeExchange.PERIOD_MILLISECONDS * 2);
     facts = 0;
     run(KnowledgeExchange.PERIOD_MILLISECONDS);
@@ -155,16 +140,16 @@
   void kindsOfLaterBuildsArePassedOver() {
     startFleet(3);
     members
-        .get("d0-a")
+        .get("d0-aa")
         .exchange
         .reportReceived(
             new PeerMessage.KnowledgeReport(
-                "d0-b",
+                "d0-ab",
                 false,
                 List.of(
                     new PeerMessage.KnownKind(
                         "of-a-later-build",
                         List.of(new PeerMessage.KnownFact(RUNNER, 0, List.of(1L)))))));
-    assertTrue(members.get("d0-a").states.all(now).isEmpty());
+    assertTrue(members.get("d0-aa").states.all(now).isEmpty());
   }
 }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/LoadExchangeTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/LoadExchangeTest.java
@@ -12,10 +12,7 @@
 import org.agatefield.cost.LearnedRates;
 import org.agatefield.forwarding.RunnerLoads;
 import org.agatefield.membership.DomainRelays;
-import org.agatefield.model.Address;
-import org.agatefield.model.FailureDomain;
 import org.agatefield.model.Instance;
-import org.agatefield.model.InstanceState;
 import org.agatefield.peer.PeerMessage;
 import org.junit.jupiter.api.Test;
 
@@ -64,20 +61,8 @@
   }
 
   private void startFleet(int instancesPerDomain) {
-    for (int domain = 0; domain < DOMAINS; domain++) {
-      for (int number = 0; number < instancesPerDomain; number++) {
-        String id = "d" + domain + "-" + (char) ('a' + number / 26) + (char) ('a' + number % 26);
-        Address address = new Address("127.0.0.1", 1 + members.size());
-        Instance instance =
-            new Instance(
-                id,
-                address,
-                address,
-                new FailureDomain("region", "d" + domain),
-                InstanceState.LIVE);
-        members.put(id, new Member(instance));
-      }
-    }
+    TestInstances.of(DOMAINS, instancesPerDomain)
+        .forEach(each -> members.put(each.id(), new Member(each)));
   }
 
   private void run(long milliseconds) {
--- a/forwarding/src/main/java/org/agatefield/forwarding/EarliestStartChooser.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/EarliestStartChooser.java
@@ -16,12 +16,8 @@
  * margin. Stateless and thread safe.
  */
 public final class EarliestStartChooser implements RunnerChooser {
-  // Crossing domains pays off if it saves about a tenth of the usual one-second objective.
-  private static final double DOMAIN_CROSSING_MILLISECONDS = 60;
-  private static final double REGION_CROSSING_MILLISECONDS = 250;
   // Each additional stream lengthens every decoding step of the others.
   private static final double MILLISECONDS_PER_RUNNING_REQUEST = 4;
-  private static final double ADAPTER_LOAD_MILLISECONDS = 25;
 
   // Without random ties, instances with the same view of the loads would all choose the same
   // runner.
@@ -48,13 +44,8 @@
   }
 
   private static double expectedMilliseconds(RunnerCandidate candidate) {
-    double crossing =
-        switch (candidate.distance()) {
-          case SAME_DOMAIN -> 0;
-          case SAME_REGION -> DOMAIN_CROSSING_MILLISECONDS;
-          case OTHER_REGION -> REGION_CROSSING_MILLISECONDS;
-        };
-    double adapter = candidate.adapterPresent() ? 0 : ADAPTER_LOAD_MILLISECONDS;
+    double crossing = ExpectedCost.crossingMilliseconds(candidate.distance());
+    double adapter = candidate.adapterPresent() ? 0 : ExpectedCost.ADAPTER_LOAD_MILLISECONDS;
     return crossing + candidate.prefillMilliseconds() + adapter + queueingMilliseconds(candidate);
   }
 
--- a/forwarding/src/main/java/org/agatefield/forwarding/ExpectedCost.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ExpectedCost.java
@@ -7,7 +7,7 @@
   // Crossing domains pays off if it saves about a tenth of the usual one-second objective.
   private static final double DOMAIN_CROSSING_MILLISECONDS = 60;
   private static final double REGION_CROSSING_MILLISECONDS = 250;
-  private static final double ADAPTER_LOAD_MILLISECONDS = 25;
+  static final double ADAPTER_LOAD_MILLISECONDS = 25;
 
   private ExpectedCost() {}
 
--- a/forwarding/src/main/java/org/agatefield/forwarding/ServicePressure.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ServicePressure.java
@@ -132,11 +132,6 @@
     return total;
   }
 
-  /** Returns whether requests for a service that are more urgent than a rank lack room. */
-  public boolean isPressedAbove(String service, int rank, long nowMilliseconds) {
-    return mostUrgentRank(service, nowMilliseconds) < rank;
-  }
-
   /** Returns whether requests for a service of any urgency lack room. */
   public boolean isPressed(String service, long nowMilliseconds) {
     return mostUrgentRank(service, nowMilliseconds) <= LOWEST_RANK;
--- a/forwarding/src/main/java/org/agatefield/forwarding/check/Field.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/check/Field.java
@@ -1,6 +1,6 @@
 package org.agatefield.forwarding.check;
 
-/** The fields that findings name. */
+/** The fields that findings name. Immutable. */
 public enum Field {
   /** The name of a route, service, account or model. */
   NAME,
--- a/forwarding/src/test/java/org/agatefield/forwarding/ServicePressureTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ServicePressureTest.java
@@ -31,10 +31,11 @@
   @Test
   void refusedUrgentRequestsPressLessUrgentOnesOnly() {
     pressure.refused(SERVICE, MODEL, 1, NOW);
-    assertTrue(pressure.isPressedAbove(SERVICE, 2, NOW));
-    assertFalse(pressure.isPressedAbove(SERVICE, 1, NOW));
-    assertFalse(pressure.isPressedAbove(SERVICE, 0, NOW));
-    assertFalse(pressure.isPressedAbove("other", 2, NOW));
+    assertTrue(pressure.refuses(SERVICE, MODEL, 1, NOW));
+    assertFalse(pressure.refuses(SERVICE, MODEL, 0, NOW));
+    assertFalse(pressure.refuses(SERVICE, MODEL, -1, NOW));
+    assertFalse(pressure.refuses("other", MODEL, 1, NOW));
+    assertFalse(pressure.refuses(SERVICE, "other", 1, NOW));
   }
 
   @Test
--- a/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeKind.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeKind.java
@@ -37,6 +37,11 @@
     return second.atMilliseconds() > first.atMilliseconds() ? second : first;
   }
 
+  /** Returns whether there are enough numbers and the first ones are not negative. */
+  static boolean areCounts(List<Long> numbers, int count) {
+    return numbers.size() >= count && numbers.stream().limit(count).allMatch(each -> each >= 0);
+  }
+
   /** How far a kind of knowledge is spread. */
   enum Scope {
     /** To the instances of the source's failure domain. */
--- a/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeTable.java
@@ -94,11 +94,6 @@
     entries.put(subject, new Entry<>(observed, revision));
   }
 
-  /** Forgets what every source knows of a subject that no longer exists. */
-  public void forgetSubject(String subject) {
-    sources.values().forEach(entries -> entries.remove(subject));
-  }
-
   /** Forgets what the sources that match know, because another source now speaks for them. */
   public void forgetSources(Predicate<String> source) {
     sources.keySet().removeIf(each -> !each.equals(SELF) && source.test(each));
--- a/knowledge/src/main/java/org/agatefield/knowledge/RunnerState.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/RunnerState.java
@@ -55,8 +55,7 @@
 
     @Override
     public Optional<RunnerState> decode(List<Long> numbers) {
-      if (numbers.size() < NUMBERS
-          || numbers.stream().limit(NUMBERS).anyMatch(number -> number < 0)
+      if (!KnowledgeKind.areCounts(numbers, NUMBERS)
           || numbers.get(1) > Integer.MAX_VALUE
           || numbers.get(2) > Integer.MAX_VALUE) {
         return Optional.empty();
--- a/knowledge/src/main/java/org/agatefield/knowledge/TargetPressure.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/TargetPressure.java
@@ -64,9 +64,7 @@
 
     @Override
     public Optional<TargetPressure> decode(List<Long> numbers) {
-      if (numbers.size() < NUMBERS
-          || numbers.stream().limit(NUMBERS).anyMatch(number -> number < 0)
-          || numbers.get(0) > Integer.MAX_VALUE) {
+      if (!KnowledgeKind.areCounts(numbers, NUMBERS) || numbers.get(0) > Integer.MAX_VALUE) {
         return Optional.empty();
       }
       return Optional.of(
--- a/routing/src/main/java/org/agatefield/routing/DomainLoad.java
+++ b/routing/src/main/java/org/agatefield/routing/DomainLoad.java
@@ -62,10 +62,9 @@
     @Override
     public Optional<DomainLoad> decode(List<Long> numbers) {
       boolean valid =
-          numbers.size() >= NUMBERS
-              && numbers.stream()
-                  .limit(NUMBERS)
-                  .allMatch(number -> number >= 0 && number <= MAXIMUM_MILLIPROCESSORS);
+          KnowledgeKind.areCounts(numbers, NUMBERS)
+              && numbers.get(0) <= MAXIMUM_MILLIPROCESSORS
+              && numbers.get(1) <= MAXIMUM_MILLIPROCESSORS;
       return valid ? Optional.of(new DomainLoad(numbers.get(0), numbers.get(1))) : Optional.empty();
     }
   }
--- a/routing/src/main/java/org/agatefield/routing/InstanceLoad.java
+++ b/routing/src/main/java/org/agatefield/routing/InstanceLoad.java
@@ -58,10 +58,9 @@
 
     @Override
     public Optional<InstanceLoad> decode(List<Long> numbers) {
-      if (numbers.size() < NUMBERS
-          || numbers.get(0) <= 0
+      if (!KnowledgeKind.areCounts(numbers, NUMBERS)
+          || numbers.get(0) == 0
           || numbers.get(0) > MAXIMUM_MILLIPROCESSORS
-          || numbers.get(1) < 0
           || numbers.get(1) > MAXIMUM_DELAY_MILLISECONDS) {
         return Optional.empty();
       }
