--- a/cost/src/main/java/org/agatefield/cost/RateKind.java
+++ b/cost/src/main/java/org/agatefield/cost/RateKind.java
@@ -40,18 +40,8 @@
   }
 
   @Override
-  public String name() {
-    return name;
-  }
-
-  @Override
-  public Scope scope() {
-    return Scope.FLEET;
-  }
-
-  @Override
-  public long maximumAgeMilliseconds() {
-    return MAXIMUM_AGE_MILLISECONDS;
+  public Terms terms() {
+    return new Terms(name, Scope.FLEET, MAXIMUM_AGE_MILLISECONDS);
   }
 
   @Override
--- a/knowledge/src/main/java/org/agatefield/knowledge/AccountUsage.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/AccountUsage.java
@@ -18,18 +18,8 @@
    */
   public record Kind(long timeConstantMilliseconds) implements KnowledgeKind<AccountUsage> {
     @Override
-    public String name() {
-      return "account-usage";
-    }
-
-    @Override
-    public Scope scope() {
-      return Scope.FLEET;
-    }
-
-    @Override
-    public long maximumAgeMilliseconds() {
-      return timeConstantMilliseconds;
+    public Terms terms() {
+      return new Terms("account-usage", Scope.FLEET, timeConstantMilliseconds);
     }
 
     @Override
--- a/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeKind.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/KnowledgeKind.java
@@ -12,14 +12,23 @@
  * @param <V> the type of a value, an immutable record
  */
 public interface KnowledgeKind<V> {
+  /** Returns how the kind is named, spread and kept. */
+  Terms terms();
+
   /** Returns the name on the wire, which never changes. */
-  String name();
+  default String name() {
+    return terms().name();
+  }
 
   /** Returns how far the kind is spread. */
-  Scope scope();
+  default Scope scope() {
+    return terms().scope();
+  }
 
   /** Returns the age from which a value no longer counts. */
-  long maximumAgeMilliseconds();
+  default long maximumAgeMilliseconds() {
+    return terms().maximumAgeMilliseconds();
+  }
 
   /**
    * Combines what two sources know of one subject. The operation is commutative and associative.
@@ -42,6 +51,14 @@
     return numbers.size() >= count && numbers.stream().limit(count).allMatch(each -> each >= 0);
   }
 
+  /**
+   * How a kind is named, spread and kept. Immutable.
+   *
+   * @param name the name on the wire, which never changes
+   * @param maximumAgeMilliseconds the age from which a value no longer counts
+   */
+  record Terms(String name, Scope scope, long maximumAgeMilliseconds) {}
+
   /** How far a kind of knowledge is spread. */
   enum Scope {
     /** To the instances of the source's failure domain. */
--- a/knowledge/src/main/java/org/agatefield/knowledge/RunnerState.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/RunnerState.java
@@ -23,18 +23,8 @@
     private static final int NUMBERS = 5;
 
     @Override
-    public String name() {
-      return "runner-state";
-    }
-
-    @Override
-    public Scope scope() {
-      return Scope.FLEET;
-    }
-
-    @Override
-    public long maximumAgeMilliseconds() {
-      return MAXIMUM_AGE_MILLISECONDS;
+    public Terms terms() {
+      return new Terms("runner-state", Scope.FLEET, MAXIMUM_AGE_MILLISECONDS);
     }
 
     @Override
--- a/knowledge/src/main/java/org/agatefield/knowledge/TargetPressure.java
+++ b/knowledge/src/main/java/org/agatefield/knowledge/TargetPressure.java
@@ -32,18 +32,8 @@
     private static final double RATE_UNITS = 1_000;
 
     @Override
-    public String name() {
-      return "target-pressure";
-    }
-
-    @Override
-    public Scope scope() {
-      return Scope.FLEET;
-    }
-
-    @Override
-    public long maximumAgeMilliseconds() {
-      return MAXIMUM_AGE_MILLISECONDS;
+    public Terms terms() {
+      return new Terms("target-pressure", Scope.FLEET, MAXIMUM_AGE_MILLISECONDS);
     }
 
     @Override
--- a/knowledge/src/test/java/org/agatefield/knowledge/KnowledgeTableTest.java
+++ b/knowledge/src/test/java/org/agatefield/knowledge/KnowledgeTableTest.java
@@ -25,18 +25,8 @@
   /** Adds up what the sources have counted. */
   private static final class SumKind implements KnowledgeKind<Long> {
     @Override
-    public String name() {
-      return "sum";
-    }
-
-    @Override
-    public Scope scope() {
-      return Scope.FLEET;
-    }
-
-    @Override
-    public long maximumAgeMilliseconds() {
-      return 1_000;
+    public Terms terms() {
+      return new Terms("sum", Scope.FLEET, 1_000);
     }
 
     @Override
--- a/routing/src/main/java/org/agatefield/routing/DomainLoad.java
+++ b/routing/src/main/java/org/agatefield/routing/DomainLoad.java
@@ -31,18 +31,8 @@
     private static final int NUMBERS = 2;
 
     @Override
-    public String name() {
-      return "domain-load";
-    }
-
-    @Override
-    public Scope scope() {
-      return Scope.FLEET;
-    }
-
-    @Override
-    public long maximumAgeMilliseconds() {
-      return MAXIMUM_AGE_MILLISECONDS;
+    public Terms terms() {
+      return new Terms("domain-load", Scope.FLEET, MAXIMUM_AGE_MILLISECONDS);
     }
 
     @Override
--- a/routing/src/main/java/org/agatefield/routing/InstanceLoad.java
+++ b/routing/src/main/java/org/agatefield/routing/InstanceLoad.java
@@ -31,18 +31,8 @@
     private static final int NUMBERS = 2;
 
     @Override
-    public String name() {
-      return "instance-load";
-    }
-
-    @Override
-    public Scope scope() {
-      return Scope.FAILURE_DOMAIN;
-    }
-
-    @Override
-    public long maximumAgeMilliseconds() {
-      return MAXIMUM_AGE_MILLISECONDS;
+    public Terms terms() {
+      return new Terms("instance-load", Scope.FAILURE_DOMAIN, MAXIMUM_AGE_MILLISECONDS);
     }
 
     @Override
