UnevenDemandTest: the crash while loading needs an engine that loads

Cause: modelIsLoadedElsewhereAfterEngineCrashesWhileLoadingIt would have passed with no engine loading the model, without a crash. Change: it asks for one. UnevenDemandTest passes (an engine was loading before as well).

--- a/placement/src/test/java/org/agatefield/placement/UnevenDemandTest.java
+++ b/placement/src/test/java/org/agatefield/placement/UnevenDemandTest.java
@@ -1,6 +1,7 @@
 package org.agatefield.placement;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -133,11 +134,12 @@
     while (replay.orderedLevel(risen) > SUFFICIENT_LEVEL) {
       replay.step();
     }
-    for (UnevenDemandReplay.Engine engine : replay.engines) {
-      if (engine.move != null && engine.move.load().equals(risen.name())) {
-        replay.crash(engine, Long.MAX_VALUE);
-      }
-    }
+    List<UnevenDemandReplay.Engine> loading =
+        replay.engines.stream()
+            .filter(each -> each.move != null && each.move.load().equals(risen.name()))
+            .toList();
+    assertFalse(loading.isEmpty());
+    loading.forEach(engine -> replay.crash(engine, Long.MAX_VALUE));
     long crashedAt = replay.now;
     while (replay.orderedLevel(risen) > SUFFICIENT_LEVEL
         && replay.now < crashedAt + SHIFT_MILLISECONDS) {
