--- a/review/standin-2/Case10.java
+++ b/review/standin-2/Case10.java
@@ -56,7 +56,7 @@
                   "answer to " + id);
               return true;
             })) {
-      deployment.store.put("servers", "i-desk", "{\"service\":\"crew-desk\",\"address\":\""
+      deployment.register("i-desk", "{\"service\":\"crew-desk\",\"address\":\""
           + runner.address() + "\",\"zone\":\"kochi-ernakulam\",\"version\":\"v1\",\"slots\":6,"
           + "\"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":1}");
       deployment.start();
--- a/review/standin-2/Deployment.java
+++ b/review/standin-2/Deployment.java
@@ -4,6 +4,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Stream;
 
 /**
@@ -19,6 +21,7 @@
   private static final String[] REGIONS = {"kochi", "kochi", "kozhikode"};
   private static final String IP = "127.0.0.1";
   private static final long READY_SECONDS = 40;
+  static final long HEARTBEAT_MILLISECONDS = 1_200;
 
   final Record record;
   final Path folder;
@@ -26,13 +29,14 @@
   final List<Runner> runners = new ArrayList<>();
   final List<Entry> entries = new ArrayList<>();
   final int[] endedByThemselves;
+  private final Map<String, String> registered = new ConcurrentHashMap<>();
   private volatile boolean closing;
   private volatile boolean broken;
 
   Deployment(Record record, int instances, CrowdCase.Runners kinds) throws IOException {
     this.record = record;
     folder = Files.createTempDirectory("review-2-");
-    store = new Store(IP);
+    store = new Store(IP, HEARTBEAT_MILLISECONDS);
     for (int number = 0; number < kinds.plain(); number++) {
       add(new Runner(record, "i-desk" + number, IP, "crew-desk", ZONES[number % 3], 6,
           kinds.plainMilliseconds(),
@@ -48,12 +52,32 @@
     }
     endedByThemselves = new int[instances];
     store.put("config", "main", configuration());
+    Http.daemon("heartbeats", this::beat);
     Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses, "end"));
   }
 
   private void add(Runner runner) throws IOException {
     runners.add(runner);
-    store.put("servers", runner.id, runner.entry());
+    register(runner.id, runner.entry());
+  }
+
+  /** Writes an entry of the kind of the runners now and with every heartbeat. */
+  void register(String name, String entry) throws IOException {
+    registered.put(name, entry);
+    store.put("servers", name, entry);
+  }
+
+  private void beat() {
+    try {
+      while (true) {
+        Runner.pause(HEARTBEAT_MILLISECONDS);
+        for (Map.Entry<String, String> each : registered.entrySet()) {
+          store.put("servers", each.getKey(), each.getValue());
+        }
+      }
+    } catch (IOException interrupted) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   private static String configuration() {
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -23,7 +23,11 @@
   private static final int MAXIMUM_ITEMS = 500;
   private static final int MAXIMUM_BYTES = 1_048_576;
 
+  private static final String RUNNERS = "servers";
+  private static final long HEARTBEATS_OF_SILENCE = 3;
+
   private final Map<String, ObjectNode> objects = new TreeMap<>(); // By KIND/NAME.
+  private final Map<String, Long> writtenAt = new TreeMap<>(); // Of the entries of runners.
   private final List<Event> events = new ArrayList<>();
   private final Http.Server server;
   private long revision = 100;
@@ -40,8 +44,28 @@
     }
   }
 
-  Store(String address) throws IOException {
+  /** Creates a store that removes entries of runners which are not written often enough. */
+  Store(String address, long heartbeatMilliseconds) throws IOException {
     server = new Http.Server(address, this::answer);
+    Http.daemon("expiry", () -> expire(HEARTBEATS_OF_SILENCE * heartbeatMilliseconds));
+  }
+
+  private void expire(long silenceMilliseconds) {
+    try {
+      while (true) {
+        Runner.pause(100);
+        synchronized (this) {
+          long oldest = System.nanoTime() - silenceMilliseconds * 1_000_000L;
+          for (String name : List.copyOf(writtenAt.keySet())) {
+            if (writtenAt.get(name) < oldest) {
+              delete(RUNNERS, name);
+            }
+          }
+        }
+      }
+    } catch (IOException interrupted) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   String address() {
@@ -50,10 +74,16 @@
 
   /** Writes an object as the operator and the runners do. */
   synchronized void put(String kind, String name, String spec) throws IOException {
+    if (kind.equals(RUNNERS)) {
+      writtenAt.put(name, System.nanoTime());
+    }
     replace(kind, name, JSON.readTree(spec));
   }
 
   synchronized void delete(String kind, String name) {
+    if (kind.equals(RUNNERS)) {
+      writtenAt.remove(name);
+    }
     ObjectNode removed = objects.remove(kind + "/" + name);
     if (removed != null) {
       revision++;
