--- a/review/standin-2/Case10.java
+++ b/review/standin-2/Case10.java
@@ -29,10 +29,10 @@
             new Deployment(record, INSTANCES, new CrowdCase.Runners(0, 0, 0, 0))) {
       try {
         code = play(deployment, record, !"0".equals(System.getenv("TROUBLE")));
-      } catch (IOException | RuntimeException failed) {
+      } catch (IOException | RuntimeException | Error failed) {
         record.say("could not run: %s", failed);
       }
-    } catch (IOException | RuntimeException failed) {
+    } catch (IOException | RuntimeException | Error failed) {
       System.out.println("could not run: " + failed);
     }
     System.exit(code);
--- a/review/standin-2/CrowdCase.java
+++ b/review/standin-2/CrowdCase.java
@@ -56,10 +56,10 @@
       try {
         deployment.start();
         code = play(deployment, record, !"0".equals(System.getenv("TROUBLE")));
-      } catch (IOException | RuntimeException failed) {
+      } catch (IOException | RuntimeException | Error failed) {
         record.say("could not run: %s", failed);
       }
-    } catch (IOException | RuntimeException failed) {
+    } catch (IOException | RuntimeException | Error failed) {
       System.out.println("could not run: " + failed);
     }
     System.exit(code);
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -1,46 +1,50 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 
 /**
  * The platform's store as PROTOCOL.md describes it: objects by kind and name, one revision counter,
- * conditional writes, lists and watches. Thread-safe.
+ * conditional writes, lists in pages and watches. Keeps objects as text. Thread-safe.
  */
 final class Store implements AutoCloseable {
   private static final ObjectMapper JSON = new ObjectMapper();
   private static final String BASE = "/api/objects/";
+  private static final String RUNNERS = "servers";
+  private static final long HEARTBEATS_OF_SILENCE = 3;
+  private static final long HISTORY_NANOSECONDS = 20_000_000_000L; // history_s
   // PROTOCOL.md: "about 500 or 1 MB at most".
   private static final int MAXIMUM_ITEMS = 500;
   private static final int MAXIMUM_BYTES = 1_048_576;
 
-  private static final String RUNNERS = "servers";
-  private static final long HEARTBEATS_OF_SILENCE = 3;
-
-  private final Map<String, ObjectNode> objects = new TreeMap<>(); // By KIND/NAME.
+  private final Map<String, Item> objects = new TreeMap<>(); // By KIND/NAME.
   private final Map<String, Long> writtenAt = new TreeMap<>(); // Of the entries of runners.
-  private final List<Event> events = new ArrayList<>();
+  private final Deque<Event> events = new ArrayDeque<>();
   private final Http.Server server;
   private long revision = 100;
+  private long forgotten = 100; // The revision of the last event that is no longer kept.
 
-  private static final class Event {
-    final long revision;
-    final String kind;
-    final ObjectNode json;
+  /** An object of the store. */
+  private record Item(String name, long revision, long created, String spec) {
+    String json() {
+      return "{\"metadata\":{\"name\":\"" + name + "\",\"revision\":" + revision
+          + ",\"create_rev\":" + created + ",\"deleting\":false,\"finalizers\":[]},\"spec\":" + spec
+          + ",\"status\":null}";
+    }
+  }
 
-    Event(long revision, String kind, ObjectNode json) {
-      this.revision = revision;
-      this.kind = kind;
-      this.json = json;
+  private record Event(long revision, long at, String kind, Item item, boolean deleted) {
+    String json() {
+      return "{\"object\":" + item.json() + ",\"deleted\":" + deleted + "}";
     }
   }
 
@@ -73,51 +77,40 @@
   }
 
   /** Writes an object as the operator and the runners do. */
-  synchronized void put(String kind, String name, String spec) throws IOException {
+  synchronized void put(String kind, String name, String spec) {
     if (kind.equals(RUNNERS)) {
       writtenAt.put(name, System.nanoTime());
     }
-    replace(kind, name, JSON.readTree(spec));
+    replace(kind, name, spec);
   }
 
-  synchronized void delete(String kind, String name) {
-    if (kind.equals(RUNNERS)) {
-      writtenAt.remove(name);
-    }
-    ObjectNode removed = objects.remove(kind + "/" + name);
+  private synchronized void delete(String kind, String name) {
+    writtenAt.remove(name);
+    Item removed = objects.remove(kind + "/" + name);
     if (removed != null) {
       revision++;
       event(kind, removed, true);
     }
   }
 
-  private ObjectNode replace(String kind, String name, JsonNode spec) {
-    ObjectNode before = objects.get(kind + "/" + name);
-    if (before != null && before.path("spec").equals(spec)) {
+  private Item replace(String kind, String name, String spec) {
+    Item before = objects.get(kind + "/" + name);
+    if (before != null && before.spec().equals(spec)) {
       return before;
     }
     revision++;
-    ObjectNode object = JSON.createObjectNode();
-    long created = before == null ? revision : before.path("metadata").path("create_rev").asLong();
-    object
-        .putObject("metadata")
-        .put("name", name)
-        .put("revision", revision)
-        .put("create_rev", created)
-        .put("deleting", false)
-        .putArray("finalizers");
-    object.set("spec", spec);
-    object.putNull("status");
-    objects.put(kind + "/" + name, object);
-    event(kind, object, false);
-    return object;
+    Item item = new Item(name, revision, before == null ? revision : before.created(), spec);
+    objects.put(kind + "/" + name, item);
+    event(kind, item, false);
+    return item;
   }
 
-  private void event(String kind, ObjectNode object, boolean deleted) {
-    ObjectNode json = JSON.createObjectNode();
-    json.set("object", object);
-    json.put("deleted", deleted);
-    events.add(new Event(revision, kind, json));
+  private void event(String kind, Item item, boolean deleted) {
+    long now = System.nanoTime();
+    events.add(new Event(revision, now, kind, item, deleted));
+    while (now - events.peek().at() > HISTORY_NANOSECONDS) {
+      forgotten = events.remove().revision();
+    }
     notifyAll();
   }
 
@@ -126,7 +119,7 @@
     String[] parts = request.target().split("\\?", 2);
     Map<String, String> query = query(parts.length > 1 ? parts[1] : "");
     if (!parts[0].startsWith(BASE)) {
-      respond(out, 404, JSON.createObjectNode());
+      respond(out, 404, "{}");
       return true;
     }
     String[] path = parts[0].substring(BASE.length()).split("/");
@@ -157,17 +150,17 @@
     long from = Long.parseLong(query.get("watch"));
     long until =
         System.nanoTime() + Long.parseLong(query.getOrDefault("wait_ms", "30000")) * 1_000_000L;
-    ObjectNode json = JSON.createObjectNode();
+    List<Event> found = new ArrayList<>();
+    long reached;
     synchronized (this) {
-      ArrayNode found = json.putArray("events");
-      while (true) {
+      while (from >= forgotten) {
         for (Event each : events) {
-          if (each.revision > from && each.kind.equals(kind)) {
-            found.add(each.json);
+          if (each.revision() > from && each.kind().equals(kind)) {
+            found.add(each);
           }
         }
         long left = (until - System.nanoTime()) / 1_000_000L;
-        if (found.size() > 0 || left <= 0) {
+        if (!found.isEmpty() || left <= 0) {
           break;
         }
         try {
@@ -176,64 +169,78 @@
           throw new IOException(interrupted);
         }
       }
-      json.put("store_revision", revision);
+      reached = revision;
+      if (from < forgotten && found.isEmpty()) {
+        reached = -1;
+      }
+    }
+    if (reached < 0) {
+      respond(out, 410, "{}");
+      return;
+    }
+    StringBuilder json = new StringBuilder("{\"events\":[");
+    for (Event each : found) {
+      json.append(each == found.get(0) ? "" : ",").append(each.json());
     }
-    respond(out, 200, json);
+    respond(out, 200, json.append("],\"store_revision\":").append(reached).append('}').toString());
   }
 
   private void read(String kind, String name, Map<String, String> query, OutputStream out)
       throws IOException {
-    ObjectNode json = JSON.createObjectNode();
+    StringBuilder json = new StringBuilder();
     int status = 200;
     synchronized (this) {
       if (name.isEmpty()) {
-        ArrayNode items = json.putArray("items");
-        String after = kind + "/" + query.getOrDefault("after", "");
-        boolean truncated = false;
-        long bytes = 0;
-        for (Map.Entry<String, ObjectNode> each : objects.entrySet()) {
-          if (!each.getKey().startsWith(kind + "/") || each.getKey().compareTo(after) <= 0) {
-            continue;
-          }
-          bytes += each.getValue().toString().length();
-          truncated = items.size() > 0 && (bytes > MAXIMUM_BYTES || items.size() >= MAXIMUM_ITEMS);
-          if (truncated) {
-            break;
-          }
-          items.add(each.getValue());
-        }
-        json.put("truncated", truncated).put("store_revision", revision);
+        list(kind, kind + "/" + query.getOrDefault("after", ""), json);
       } else if (objects.containsKey(kind + "/" + name)) {
-        json = objects.get(kind + "/" + name);
+        json.append(objects.get(kind + "/" + name).json());
       } else {
         status = 404;
+        json.append("{}");
+      }
+    }
+    respond(out, status, json.toString());
+  }
+
+  private void list(String kind, String after, StringBuilder json) {
+    boolean truncated = false;
+    int items = 0;
+    json.append("{\"items\":[");
+    for (Map.Entry<String, Item> each : objects.entrySet()) {
+      if (!each.getKey().startsWith(kind + "/") || each.getKey().compareTo(after) <= 0) {
+        continue;
+      }
+      int bytes = json.length() + each.getValue().spec().length();
+      truncated = items > 0 && (bytes > MAXIMUM_BYTES || items >= MAXIMUM_ITEMS);
+      if (truncated) {
+        break;
       }
+      json.append(items == 0 ? "" : ",").append(each.getValue().json());
+      items++;
     }
-    respond(out, status, json);
+    json.append("],\"truncated\":").append(truncated).append(",\"store_revision\":")
+        .append(revision).append('}');
   }
 
   private void change(
       Http.Message request, String kind, String named, Map<String, String> query, OutputStream out)
       throws IOException {
-    JsonNode body = JSON.readTree(request.body.length == 0 ? "{}".getBytes() : request.body);
-    ObjectNode answer;
+    JsonNode body = JSON.readTree(request.body.length == 0 ? new byte[] {'{', '}'} : request.body);
+    Item answer;
     int status = 200;
     synchronized (this) {
       boolean create = request.method().equals("POST");
       String name = create ? body.path("metadata").path("name").asText() : named;
-      ObjectNode before = objects.get(kind + "/" + name);
+      Item before = objects.get(kind + "/" + name);
       long expected =
           query.containsKey("revision")
               ? Long.parseLong(query.get("revision"))
               : body.path("metadata").path("revision").asLong(-1);
       boolean differs =
-          before != null
-              && !create
-              && expected >= 0
-              && before.path("metadata").path("revision").asLong() != expected;
+          before != null && !create && expected >= 0 && before.revision() != expected;
       if (before == null && !create) {
         status = 404;
-        answer = JSON.createObjectNode();
+        answer = null;
       } else if ((before != null && create) || differs) {
         status = 409;
         answer = before;
@@ -241,17 +248,15 @@
         delete(kind, name);
         answer = before;
       } else {
-        answer = replace(kind, name, body.path("spec"));
+        answer = replace(kind, name, body.path("spec").toString());
       }
     }
-    respond(out, status, answer);
+    respond(out, status, answer == null ? "{}" : answer.json());
   }
 
-  private static void respond(OutputStream out, int status, JsonNode json) throws IOException {
+  private static void respond(OutputStream out, int status, String json) throws IOException {
     Http.write(
-        out,
-        "HTTP/1.1 " + status + " x\r\nContent-Type: application/json\r\n",
-        JSON.writeValueAsBytes(json));
+        out, "HTTP/1.1 " + status + " x\r\nContent-Type: application/json\r\n", json);
   }
 
   @Override
