--- a/review/standin-2/Entry.java
+++ b/review/standin-2/Entry.java
@@ -140,10 +140,6 @@
     }
   }
 
-  void signal(String signal) throws IOException, InterruptedException {
-    new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
-  }
-
   @Override
   public void close() throws InterruptedException {
     if (process != null) {
