Contents of stored objects are bounded by what their trees take of the heap

Cause: a response of the store became a tree of nodes before anything looked at its size. 1,040,000 bytes of "{}," are 346,500 nodes and as many maps.

Change: BoundedTreeReader counts each node before it is created. What exceeds its share is null, like bytes that can't be read: it names no runner, the others hold, and the next sound entry is used. Field names are no longer interned in the virtual machine.

--- a/store/src/main/java/org/agatefield/store/BoundedJson.java
+++ b/store/src/main/java/org/agatefield/store/BoundedJson.java
@@ -1,9 +1,9 @@
 package org.agatefield.store;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.NullNode;
@@ -12,60 +12,103 @@
 import java.util.Optional;
 
 /**
- * Parses JSON from the store into trees of limited depth.
+ * Parses JSON from the store into trees of limited depth and size.
  *
  * <p>Invariants: a tree can be written, copied and compared recursively on a small stack; the
  * content of an object that cannot be parsed or exceeds the limits becomes null, and the other
- * objects of the same response are not affected. Stateless and safe for use by any thread.
+ * objects of the same response are not affected; all trees of a response together take no more than
+ * {@link #RESPONSE_HEAP_BYTES} of the heap. Stateless and safe for use by any thread.
  */
-final class BoundedJson {
+public final class BoundedJson {
   static final int MAXIMUM_NESTING = 64;
-
-  /** The field that holds the content of an object. */
-  static final String CONTENT_FIELD = "spec";
+  static final long RESPONSE_HEAP_BYTES = 32 * 1_048_576;
 
   // A response holds a list of changes, each of which holds an object.
   private static final int ENVELOPE_NESTING = 4;
-  private static final ObjectMapper MAPPER =
-      new ObjectMapper(
-          JsonFactory.builder()
-              .streamReadConstraints(
-                  StreamReadConstraints.builder().maxNestingDepth(MAXIMUM_NESTING).build())
-              .build());
+  // Names that other writers choose must not fill the virtual machine's table of constants.
+  private static final JsonFactory FACTORY =
+      JsonFactory.builder()
+          .streamReadConstraints(
+              StreamReadConstraints.builder().maxNestingDepth(MAXIMUM_NESTING).build())
+          .disable(JsonFactory.Feature.INTERN_FIELD_NAMES)
+          .build();
 
   private BoundedJson() {}
 
-  /** Parses JSON; empty if it is invalid or exceeds the limits. */
+  /** Reads a value with a new parser. */
+  @FunctionalInterface
+  private interface Reading {
+    JsonNode read(BoundedTreeReader reader) throws IOException;
+  }
+
+  /** The limits of one response. The allowance is shared by all parts that are parsed alone. */
+  private record Response(byte[] bytes, ContentLimits limits, HeapAllowance allowance) {
+    JsonNode read(int start, int end, Reading reading) throws IOException {
+      try (JsonParser parser = FACTORY.createParser(bytes, start, end - start)) {
+        return reading.read(new BoundedTreeReader(parser, limits, allowance));
+      }
+    }
+  }
+
+  /** Parses JSON that holds no objects, or one; empty if it is invalid or exceeds the limits. */
   static Optional<JsonNode> parse(byte[] bytes) {
-    return parseWithinLimits(bytes, 0, bytes.length);
+    Optional<JsonNode> parsed = parseContent(bytes, ContentLimits.ORDINARY);
+    return parsed.filter(tree -> !tree.isNull());
+  }
+
+  /** Parses a content; empty if it is invalid, null if it exceeds the limits. */
+  public static Optional<JsonNode> parseContent(byte[] bytes, ContentLimits limits) {
+    Response response = response(bytes, limits);
+    try {
+      return Optional.of(response.read(0, bytes.length, BoundedTreeReader::readContent));
+    } catch (IOException exception) {
+      return Optional.empty(); // The caller reports the failure.
+    }
   }
 
   /**
    * Parses objects, or changes of objects, each of which may be unreadable; empty if they cannot be
-   * told apart.
+   * told apart or take too much memory together.
    */
-  static Optional<JsonNode> parseObjects(byte[] bytes) {
-    return parse(bytes).or(() -> parseMembers(bytes, 0, bytes.length, ENVELOPE_NESTING));
+  static Optional<JsonNode> parseObjects(byte[] bytes, ContentLimits limits) {
+    try {
+      return Optional.of(
+          response(bytes, limits)
+              .read(0, bytes.length, reader -> reader.readObjects(ENVELOPE_NESTING)));
+    } catch (BoundedTreeReader.ResponseTooLargeException exception) {
+      return Optional.empty(); // The caller reports the failure.
+    } catch (IOException exception) {
+      return parseMembersOf(response(bytes, limits));
+    }
+  }
+
+  private static Response response(byte[] bytes, ContentLimits limits) {
+    return new Response(bytes, limits, new HeapAllowance(RESPONSE_HEAP_BYTES));
   }
 
-  private static Optional<JsonNode> parseWithinLimits(byte[] bytes, int start, int end) {
+  private static Optional<JsonNode> parseMembersOf(Response response) {
     try {
-      return Optional.ofNullable(MAPPER.readTree(bytes, start, end - start));
-    } catch (IOException exception) {
-      return Optional.empty(); // The caller parses its members one by one or reports the failure.
+      return parseMembers(response, 0, response.bytes().length, ENVELOPE_NESTING);
+    } catch (BoundedTreeReader.ResponseTooLargeException exception) {
+      return Optional.empty(); // The caller reports the failure.
     }
   }
 
-  private static Optional<JsonNode> parseMembers(byte[] bytes, int start, int end, int nesting) {
-    return JsonScanner.split(bytes, start, end)
-        .map(container -> parseMembers(bytes, container, nesting));
+  private static Optional<JsonNode> parseMembers(Response response, int start, int end, int nesting)
+      throws BoundedTreeReader.ResponseTooLargeException {
+    Optional<JsonScanner.Container> container = JsonScanner.split(response.bytes(), start, end);
+    return container.isEmpty()
+        ? Optional.empty()
+        : Optional.of(parseMembers(response, container.get(), nesting));
   }
 
-  private static JsonNode parseMembers(byte[] bytes, JsonScanner.Container container, int nesting) {
+  private static JsonNode parseMembers(
+      Response response, JsonScanner.Container container, int nesting)
+      throws BoundedTreeReader.ResponseTooLargeException {
     ArrayNode array = JsonNodeFactory.instance.arrayNode();
     ObjectNode object = JsonNodeFactory.instance.objectNode();
     for (JsonScanner.Member member : container.members()) {
-      JsonNode parsed = parseMember(bytes, member, nesting);
+      JsonNode parsed = parseMember(response, member, nesting);
       if (container.array()) {
         array.add(parsed);
       } else {
@@ -75,11 +118,32 @@
     return container.array() ? array : object;
   }
 
-  private static JsonNode parseMember(byte[] bytes, JsonScanner.Member member, int nesting) {
-    Optional<JsonNode> parsed = parseWithinLimits(bytes, member.start(), member.end());
-    if (parsed.isEmpty() && nesting > 0 && !member.name().equals(CONTENT_FIELD)) {
-      parsed = parseMembers(bytes, member.start(), member.end(), nesting - 1);
+  private static JsonNode parseMember(Response response, JsonScanner.Member member, int nesting)
+      throws BoundedTreeReader.ResponseTooLargeException {
+    Reading reading =
+        switch (member.name()) {
+          case BoundedTreeReader.CONTENT_FIELD -> BoundedTreeReader::readContent;
+          case BoundedTreeReader.METADATA_FIELD -> BoundedTreeReader::readMetadata;
+          default -> reader -> reader.readObjects(Math.max(0, nesting - 1));
+        };
+    try {
+      return response.read(member.start(), member.end(), reading);
+    } catch (BoundedTreeReader.ResponseTooLargeException exception) {
+      throw exception;
+    } catch (IOException exception) {
+      return nesting > 0 && mayBeSplit(member)
+          ? parseMembers(response, member.start(), member.end(), nesting - 1)
+              .orElse(NullNode.getInstance())
+          : NullNode.getInstance();
     }
-    return parsed.orElse(NullNode.getInstance());
+  }
+
+  private static boolean mayBeSplit(JsonScanner.Member member) {
+    return switch (member.name()) {
+      case BoundedTreeReader.CONTENT_FIELD, BoundedTreeReader.STATUS_FIELD -> false;
+      case BoundedTreeReader.METADATA_FIELD ->
+          member.end() - member.start() <= BoundedTreeReader.METADATA_HEAP_BYTES;
+      default -> true;
+    };
   }
 }
--- a/store/src/main/java/org/agatefield/store/HttpObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/HttpObjectStore.java
@@ -267,7 +267,7 @@
 
   private ObjectPage pageOf(ObjectKind kind, HttpCall.Answer answer) {
     requireSuccess(false, kind.plural(), answer);
-    return ObjectCodec.parseObjects(answer.body())
+    return ObjectCodec.parseObjects(answer.body(), dialect.contentLimits(kind))
         .flatMap(root -> dialect.decodePage(kind, root))
         .map(page -> inEra(eraOf(answer), page))
         .orElseThrow(() -> malformed(false, kind.plural()));
--- a/store/src/main/java/org/agatefield/store/HttpWatch.java
+++ b/store/src/main/java/org/agatefield/store/HttpWatch.java
@@ -106,7 +106,7 @@
       return;
     }
     try {
-      ObjectCodec.parseObjects(line)
+      ObjectCodec.parseObjects(line, ContentLimits.ORDINARY)
           .ifPresentOrElse(
               this::dispatch, () -> LOGGER.warn("watch skips invalid JSON kind={}", kind));
     } catch (RuntimeException exception) {
--- a/store/src/main/java/org/agatefield/store/LongPollWatch.java
+++ b/store/src/main/java/org/agatefield/store/LongPollWatch.java
@@ -54,6 +54,9 @@
     /** Returns the path of the call that reports changes after a version. */
     String path(ObjectKind kind, String fromVersion);
 
+    /** Returns the limits of what is read of the contents of a kind. */
+    ContentLimits contentLimits(ObjectKind kind);
+
     /** Decodes a response; empty if {@code root} is malformed. */
     Optional<Batch> decode(ObjectKind kind, JsonNode root);
 
@@ -125,7 +128,8 @@
       return;
     }
     Optional<Batch> batch =
-        ObjectCodec.parseObjects(answer.body()).flatMap(root -> dialect.decode(call.kind(), root));
+        ObjectCodec.parseObjects(answer.body(), dialect.contentLimits(call.kind()))
+            .flatMap(root -> dialect.decode(call.kind(), root));
     if (batch.isEmpty()) {
       end(StoreFailure.UNAVAILABLE, "response is not a list of changes");
       return;
--- a/store/src/main/java/org/agatefield/store/ObjectCodec.java
+++ b/store/src/main/java/org/agatefield/store/ObjectCodec.java
@@ -58,10 +58,11 @@
   /**
    * Parses a page, or changes of objects; empty if the objects cannot be told apart.
    *
-   * <p>The content of an object that cannot be read is null; it hides no other object.
+   * <p>The content of an object that cannot be read or exceeds the limits is null; it hides no
+   * other object.
    */
-  static Optional<JsonNode> parseObjects(Buffer body) {
-    return BoundedJson.parseObjects(body.getBytes());
+  static Optional<JsonNode> parseObjects(Buffer body, ContentLimits limits) {
+    return BoundedJson.parseObjects(body.getBytes(), limits);
   }
 
   /** Decodes an object; empty if {@code root} is not an object of the store. */
--- a/store/src/main/java/org/agatefield/store/StoreDialect.java
+++ b/store/src/main/java/org/agatefield/store/StoreDialect.java
@@ -42,6 +42,11 @@
   /** Decodes a page of a list; empty if {@code root} is not a page. */
   Optional<ObjectPage> decodePage(ObjectKind kind, JsonNode root);
 
+  /** Returns the limits of what is read of the contents of a kind. */
+  default ContentLimits contentLimits(ObjectKind kind) {
+    return ContentLimits.ORDINARY;
+  }
+
   /**
    * Returns the failure for a response status and body.
    *
--- a/store/src/test/java/org/agatefield/store/BoundedJsonTest.java
+++ b/store/src/test/java/org/agatefield/store/BoundedJsonTest.java
@@ -7,10 +7,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.TextNode;
 import io.vertx.core.buffer.Buffer;
+import java.io.IOException;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
@@ -64,7 +68,8 @@
   }
 
   private static Optional<JsonNode> parse(String text) {
-    return ObjectCodec.parseObjects(Buffer.buffer(text.getBytes(ISO_8859_1)));
+    return ObjectCodec.parseObjects(
+        Buffer.buffer(text.getBytes(ISO_8859_1)), ContentLimits.ORDINARY);
   }
 
   @ParameterizedTest
@@ -148,6 +153,85 @@
     }
   }
 
+  private static Optional<ObjectPage> limitedPage(ContentLimits limits, String... items) {
+    String body =
+        "{\"metadata\":{\"resourceVersion\":\"9\"},\"items\":[" + String.join(",", items) + "]}";
+    return ObjectCodec.parseObjects(Buffer.buffer(body), limits)
+        .flatMap(root -> DIALECT.decodePage(ObjectKind.RUNNER, root));
+  }
+
+  /** Guards against trees that take many times the bytes of their text (review/7). */
+  @ParameterizedTest
+  @ValueSource(strings = {"{}", "[]", "1.5", "7", "\"text\"", "{\"a\":null}"})
+  void contentWhoseTreeExceedsLimitsIsNullAndHidesNoOtherObject(String element) {
+    ContentLimits limits = new ContentLimits(65_536, Optional.empty());
+    String large = "{\"note\":[" + (element + ",").repeat(10_000) + element + "]}";
+    List<StoredObject> objects =
+        limitedPage(limits, object("a", "{\"value\":1}"), object("odd", large), object("z", "{}"))
+            .orElseThrow()
+            .objects()
+            .objects();
+    assertEquals("{\"value\":1}", objects.get(0).content().toString());
+    assertTrue(objects.get(1).content().isNull());
+    assertEquals("{}", objects.get(2).content().toString());
+  }
+
+  @Test
+  void largeFieldThatIsNotReadLeavesTheOthers() {
+    ContentLimits limits = ContentLimits.ofFields(65_536, Set.of("value"));
+    String content = "{\"note\":[" + "{},".repeat(100_000) + "{}],\"value\":[1,{\"a\":2}]}";
+    StoredObject read =
+        limitedPage(limits, object("a", content)).orElseThrow().objects().objects().get(0);
+    assertEquals("{\"value\":[1,{\"a\":2}]}", read.content().toString());
+  }
+
+  @Test
+  void largeMetadataDropOneObjectOnly() {
+    String large =
+        "{\"metadata\":{\"name\":\"a\",\"finalizers\":[" + "{},".repeat(100_000) + "{}]}}";
+    for (String neighbour : List.of("{}", "{\"note\":NaN}")) {
+      List<StoredObject> objects =
+          limitedPage(ContentLimits.ORDINARY, large, object("z", neighbour))
+              .orElseThrow()
+              .objects()
+              .objects();
+      assertEquals(List.of("z"), objects.stream().map(each -> each.key().name()).toList());
+    }
+  }
+
+  @Test
+  void responseWhoseContentsTakeTooMuchTogetherIsRefused() {
+    String content = "[" + "{},".repeat(50_000) + "{}]";
+    String[] items = Collections.nCopies(8, object("a", content)).toArray(String[]::new);
+    assertTrue(limitedPage(ContentLimits.ORDINARY, items).isEmpty());
+    items[7] = object("odd", "{\"note\":NaN}");
+    assertTrue(limitedPage(ContentLimits.ORDINARY, items).isEmpty());
+  }
+
+  @Property(tries = 1_000, seed = "44")
+  void contentWithinLimitsEqualsTreeOfAnOrdinaryParser(@ForAll("fragments") String text)
+      throws IOException {
+    Optional<JsonNode> read =
+        BoundedJson.parseContent(text.getBytes(ISO_8859_1), ContentLimits.ORDINARY);
+    if (read.isPresent()) {
+      assertEquals(new ObjectMapper().readTree(text.getBytes(ISO_8859_1)), read.get());
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "{\"a\":[1,-2.5,1e999,9223372036854775807,9223372036854775808,true,false,null,\"t\"]}",
+        "{\"a\":1,\"a\":{\"b\":[[],{}]},\"c\":\"\\u00e9\"}",
+        "\"text\"",
+        "3"
+      })
+  void contentOfEverySortEqualsTreeOfAnOrdinaryParser(String text) throws IOException {
+    assertEquals(
+        new ObjectMapper().readTree(text),
+        BoundedJson.parseContent(text.getBytes(UTF_8), ContentLimits.ORDINARY).orElseThrow());
+  }
+
   @Provide
   Arbitrary<String> fragments() {
     return Arbitraries.of(
@@ -188,7 +272,7 @@
                 + "]}")
             .getBytes(UTF_8);
     Optional<ObjectPage> page =
-        ObjectCodec.parseObjects(Buffer.buffer(body))
+        ObjectCodec.parseObjects(Buffer.buffer(body), ContentLimits.ORDINARY)
             .flatMap(root -> DIALECT.decodePage(ObjectKind.RUNNER, root));
     assertFalse(page.isEmpty());
     assertEquals(2, page.get().objects().objects().size());
--- a/store/src/test/java/org/agatefield/store/OddObjectTest.java
+++ b/store/src/test/java/org/agatefield/store/OddObjectTest.java
@@ -192,6 +192,11 @@
             return "/";
           }
 
+          @Override
+          public ContentLimits contentLimits(ObjectKind kind) {
+            return ContentLimits.ORDINARY;
+          }
+
           @Override
           public Optional<LongPollWatch.Batch> decode(ObjectKind kind, JsonNode root) {
             throw new IllegalStateException("on purpose");
