The relay keeps the latest content of each object, not those of its last 512 changes

Cause: the log of changes held objects in place of names. Change: one change is kept for each name, with its number; its content is looked up when it is asked for. Requesters get the latest state of each object that has changed, as they do with a list; a deletion that was overwritten is not told.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/ObjectRelay.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ObjectRelay.java
@@ -2,10 +2,10 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.Vertx;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -24,12 +24,13 @@
  * Serves the objects of one kind and their changes to other instances.
  *
  * <p>Invariants: requests fail until the objects are known, and while they may be stale because
- * their source does not respond or has not confirmed them recently; a requester that is too far
- * behind gets all objects. Versions are valid only for this process; they name the store's era, so
- * that a requester that knows a later one does not go back. Confined to one event loop.
+ * their source does not respond or has not confirmed them recently; of each object only the latest
+ * content is kept, which stands for all changes before it; a requester that is too far behind gets
+ * all objects. Versions are valid only for this process; they name the store's era, so that a
+ * requester that knows a later one does not go back. Confined to one event loop.
  */
 final class ObjectRelay implements InformerListener {
-  private static final int MAXIMUM_CHANGES = 512; // Several seconds of changes by busy runners.
+  private static final int MAXIMUM_CHANGES = 512;
   // Longer than the longest wait of a watch. A suspended process receives no confirmations and
   // becomes stale.
   private static final long STALE_AFTER_MILLISECONDS = 2_500;
@@ -39,9 +40,10 @@
   private final Vertx vertx;
   private final String processId;
   private final Map<String, RelayedObject> objects = new HashMap<>();
-  private final Deque<Change> changes = new ArrayDeque<>();
+  private final Map<String, Change> changes = new LinkedHashMap<>(); // By name, oldest first.
   private final List<Pending> pending = new ArrayList<>();
   private long lastChange;
+  private long forgottenChange;
   private long era = StoreVersion.NO_ERA;
   private final LongSupplier clock;
   private long confirmedAt;
@@ -50,16 +52,21 @@
   private boolean interrupted;
   private boolean batching;
 
-  private record Change(long number, RelayedObject object) {}
+  /**
+   * The last change of an object. Immutable.
+   *
+   * @param version the object's version, the last known one if it was deleted
+   */
+  private record Change(long number, String version) {}
 
   /** A relayed object; serialized once, on the first request. */
   private static final class RelayedObject {
     private final String name;
     private final String version;
-    private final Optional<JsonNode> content;
+    private final JsonNode content;
     private PeerMessage.ObjectState state;
 
-    RelayedObject(String name, String version, Optional<JsonNode> content) {
+    RelayedObject(String name, String version, JsonNode content) {
       this.name = name;
       this.version = version;
       this.content = content;
@@ -67,7 +74,9 @@
 
     PeerMessage.ObjectState state() {
       if (state == null) {
-        state = new PeerMessage.ObjectState(name, version, content.map(CompressedJson::compress));
+        state =
+            new PeerMessage.ObjectState(
+                name, version, Optional.of(CompressedJson.compress(content)));
       }
       return state;
     }
@@ -96,22 +105,21 @@
     era = listedEra;
     changes.clear(); // Requesters list all objects, which tells them what the store has lost.
     lastChange++;
+    forgottenChange = lastChange;
   }
 
   @Override
   public void changed(StoredObject object) {
     RelayedObject relayed =
-        new RelayedObject(
-            object.key().name(), object.resourceVersion(), Optional.of(object.content()));
+        new RelayedObject(object.key().name(), object.resourceVersion(), object.content());
     objects.put(relayed.name, relayed);
-    append(relayed);
+    record(relayed.name, relayed.version);
   }
 
   @Override
   public void deleted(ObjectKey key) {
     RelayedObject before = objects.remove(key.name());
-    String version = before == null ? "" : before.version;
-    append(new RelayedObject(key.name(), version, Optional.empty()));
+    record(key.name(), before == null ? "" : before.version);
   }
 
   @Override
@@ -178,11 +186,14 @@
     }
   }
 
-  private void append(RelayedObject relayed) {
+  private void record(String name, String version) {
     lastChange++;
-    changes.addLast(new Change(lastChange, relayed));
+    changes.remove(name); // The name moves to the end.
+    changes.put(name, new Change(lastChange, version));
     if (changes.size() > MAXIMUM_CHANGES) {
-      changes.removeFirst();
+      Iterator<Change> oldest = changes.values().iterator();
+      forgottenChange = oldest.next().number();
+      oldest.remove();
     }
     if (!batching && !pending.isEmpty()) {
       batching = true;
@@ -202,14 +213,22 @@
 
   private PeerMessage.ObjectsAnswer changesAfter(long number) {
     List<PeerMessage.ObjectState> newer = new ArrayList<>();
-    for (Change change : changes) {
-      if (change.number() > number) {
-        newer.add(change.object().state());
-      }
-    }
+    changes.forEach(
+        (name, change) -> {
+          if (change.number() > number) {
+            newer.add(stateOf(name, change));
+          }
+        });
     return new PeerMessage.ObjectsAnswer(version(), false, newer);
   }
 
+  private PeerMessage.ObjectState stateOf(String name, Change change) {
+    RelayedObject object = objects.get(name);
+    return object == null
+        ? new PeerMessage.ObjectState(name, change.version(), Optional.empty())
+        : object.state();
+  }
+
   private String version() {
     return new StoreVersion(era, processId + ':' + lastChange).toString();
   }
@@ -223,8 +242,8 @@
     }
     try {
       long number = Long.parseLong(version.substring(prefix.length()));
-      long oldest = changes.isEmpty() ? lastChange : changes.getFirst().number() - 1;
-      return number >= oldest && number <= lastChange ? Optional.of(number) : Optional.empty();
+      boolean retained = number >= forgottenChange && number <= lastChange;
+      return retained ? Optional.of(number) : Optional.empty();
     } catch (NumberFormatException exception) {
       return Optional.empty(); // Version of another process; the requester gets all objects.
     }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/ObjectRelayTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/ObjectRelayTest.java
@@ -1,5 +1,6 @@
 package org.agatefield.daemon.forward;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -70,6 +71,62 @@
     assertTrue(answer.objects().isEmpty());
   }
 
+  private void change(ObjectKey key, String version) {
+    onEventLoop(
+        () -> {
+          relay.changed(
+              new StoredObject(key, version, List.of(), JsonNodeFactory.instance.objectNode()));
+          return relay;
+        });
+  }
+
+  private static List<String> versions(PeerMessage.ObjectsAnswer answer) {
+    return answer.objects().stream().map(PeerMessage.ObjectState::resourceVersion).toList();
+  }
+
+  /** Guards against earlier contents that are kept until a process has no memory (review/7). */
+  @Test
+  void changesOfOneObjectAreRelayedAsItsLatestContentOnly() {
+    list("1", true);
+    final String version = request("").version();
+    ObjectKey other = new ObjectKey(ObjectKind.RUNNER, "i-2");
+    change(KEY, "2");
+    change(other, "3");
+    for (int number = 4; number < 2_000; number++) {
+      change(KEY, Integer.toString(number));
+    }
+    assertEquals(List.of("3", "1999"), versions(request(version)));
+    assertFalse(request(version).whole());
+  }
+
+  @Test
+  void objectThatIsDeletedAfterChangesIsRelayedAsDeleted() {
+    list("1", true);
+    final String version = request("").version();
+    change(KEY, "2");
+    onEventLoop(
+        () -> {
+          relay.deleted(KEY);
+          return relay;
+        });
+    PeerMessage.ObjectsAnswer answer = request(version);
+    assertEquals(List.of("2"), versions(answer));
+    assertTrue(answer.objects().get(0).content().isEmpty());
+    change(KEY, "3");
+    assertEquals(List.of("3"), versions(request(version)));
+    assertTrue(request(version).objects().get(0).content().isPresent());
+  }
+
+  @Test
+  void requesterGetsAllObjectsOnceChangesOfTooManyWereForgotten() {
+    list("1", true);
+    final String version = request("").version();
+    for (int number = 2; number < 600; number++) {
+      change(new ObjectKey(ObjectKind.RUNNER, "i-" + number), Integer.toString(number));
+    }
+    assertTrue(request(version).whole());
+  }
+
   /** Guards against neighbours that learn of a removal late as their relay's watch is silent. */
   @Test
   void nothingIsRelayedFromAnInterruptedWatchUntilItIsConfirmed() {
