--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -169,7 +169,8 @@
     this.context = vertx.getOrCreateContext();
     this.configuration = new ConfigurationTracker(dialect.storedObjects());
     this.runners = new RunnerDirectory(dialect.storedObjects());
-    this.snapshots = new SnapshotExchange(vertx, configuration, runners);
+    this.snapshots =
+        new SnapshotExchange(vertx, configuration, runners, dialect.store()::contentLimits);
     this.bounds = ConnectionBounds.ofProcess(settings.descriptors());
     HeldConnections held =
         new HeldConnections(bounds, () -> responseMemory.totalBytes() + unwritten.totalBytes());
@@ -345,7 +346,12 @@
   private void createWatches(HttpObjectStore store) {
     configuration.listen(table -> peers.announceConfigurationVersion(table.version()));
     ObjectSource source =
-        new RelayedObjectSource(vertx, store, () -> peers.relays().sources(), peers::request);
+        new RelayedObjectSource(
+            vertx,
+            store,
+            () -> peers.relays().sources(),
+            peers::request,
+            dialect.store()::contentLimits);
     createWatch(source, ObjectKind.CONFIGURATION, configuration);
     createWatch(source, ObjectKind.RUNNER, runners);
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjectSource.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RelayedObjectSource.java
@@ -9,11 +9,13 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.LongStream;
 import org.agatefield.daemon.peers.CompressedJson;
 import org.agatefield.model.Instance;
 import org.agatefield.peer.PeerMessage;
+import org.agatefield.store.ContentLimits;
 import org.agatefield.store.ObjectKey;
 import org.agatefield.store.ObjectKind;
 import org.agatefield.store.ObjectList;
@@ -54,6 +56,7 @@
   private final ObjectSource store;
   private final Supplier<List<Instance>> sources;
   private final RequestSender sender;
+  private final Function<ObjectKind, ContentLimits> limits;
   private final Map<ObjectKind, String> lastSource = new HashMap<>();
   private final Map<ObjectKind, Long> storeReadAt = new HashMap<>();
   private final Map<ObjectKind, Long> newestEras = new HashMap<>();
@@ -69,13 +72,19 @@
    * Creates a source.
    *
    * @param sources the relay instances to query instead of the store, best first
+   * @param limits what is read of the contents of a kind
    */
   RelayedObjectSource(
-      Vertx vertx, ObjectSource store, Supplier<List<Instance>> sources, RequestSender sender) {
+      Vertx vertx,
+      ObjectSource store,
+      Supplier<List<Instance>> sources,
+      RequestSender sender,
+      Function<ObjectKind, ContentLimits> limits) {
     this.vertx = vertx;
     this.store = store;
     this.sources = sources;
     this.sender = sender;
+    this.limits = limits;
   }
 
   @Override
@@ -202,7 +211,7 @@
     return RELAYED_VERSION_PREFIX + source.id() + '/' + answer.version();
   }
 
-  private static List<StoredObject> objects(ObjectKind kind, List<PeerMessage.ObjectState> states) {
+  private List<StoredObject> objects(ObjectKind kind, List<PeerMessage.ObjectState> states) {
     List<StoredObject> objects = new ArrayList<>();
     for (PeerMessage.ObjectState state : states) {
       state.content().ifPresent(content -> objects.add(object(kind, state, content)));
@@ -210,14 +219,13 @@
     return objects;
   }
 
-  /** Returns a relayed object; its content is null if it cannot be read. */
-  private static StoredObject object(
-      ObjectKind kind, PeerMessage.ObjectState state, byte[] content) {
+  /** Returns a relayed object; its content is null if it cannot be read or exceeds the limits. */
+  private StoredObject object(ObjectKind kind, PeerMessage.ObjectState state, byte[] content) {
     return new StoredObject(
         new ObjectKey(kind, state.name()),
         state.resourceVersion(),
         List.of(),
-        CompressedJson.decompress(content).orElse(NullNode.getInstance()));
+        CompressedJson.decompress(content, limits.apply(kind)).orElse(NullNode.getInstance()));
   }
 
   private static StoreException gone(String reason) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/SnapshotExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/SnapshotExchange.java
@@ -7,10 +7,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
 import org.agatefield.daemon.peers.CompressedJson;
 import org.agatefield.model.Instance;
 import org.agatefield.peer.PeerMessage;
+import org.agatefield.store.ContentLimits;
+import org.agatefield.store.ObjectKind;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -33,14 +37,28 @@
   private final Vertx vertx;
   private final ConfigurationTracker configuration;
   private final RunnerDirectory runners;
+  private final ContentLimits configurationLimits;
+  private final ContentLimits entryLimits;
   private final ObjectMapper mapper = new ObjectMapper();
   private ForwardingPeers peers;
   private boolean requestScheduled;
 
-  SnapshotExchange(Vertx vertx, ConfigurationTracker configuration, RunnerDirectory runners) {
+  /**
+   * Creates an exchange.
+   *
+   * @param limits what is read of the contents of a kind
+   */
+  SnapshotExchange(
+      Vertx vertx,
+      ConfigurationTracker configuration,
+      RunnerDirectory runners,
+      Function<ObjectKind, ContentLimits> limits) {
     this.vertx = vertx;
     this.configuration = configuration;
     this.runners = runners;
+    this.configurationLimits = limits.apply(ObjectKind.CONFIGURATION);
+    long entryBytes = limits.apply(ObjectKind.RUNNER).heapBytes();
+    this.entryLimits = ContentLimits.ofFields(entryBytes, Set.of(NAME_FIELD, CONTENT_FIELD));
   }
 
   /** Requests snapshots from peers until configuration and runners are known. */
@@ -110,10 +128,11 @@
   private void apply(Instance holder, PeerMessage.SnapshotAnswer snapshot) {
     snapshot
         .configuration()
-        .flatMap(CompressedJson::decompress)
+        .flatMap(bytes -> CompressedJson.decompress(bytes, configurationLimits))
         .ifPresent(content -> configuration.applyIfNewer(content, holder.id()));
     for (byte[] each : snapshot.runners()) {
-      CompressedJson.decompress(each).ifPresent(entry -> add(entry, snapshot.ageMilliseconds()));
+      CompressedJson.decompress(each, entryLimits)
+          .ifPresent(entry -> add(entry, snapshot.ageMilliseconds()));
     }
   }
 
--- a/daemon/src/main/java/org/agatefield/daemon/peers/CompressedJson.java
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/CompressedJson.java
@@ -1,6 +1,7 @@
 package org.agatefield.daemon.peers;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -12,14 +13,16 @@
 import java.util.zip.GZIPOutputStream;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.ErrorKind;
+import org.agatefield.store.BoundedJson;
+import org.agatefield.store.ContentLimits;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
  * Serializes the JSON documents that instances exchange, gzip-compressed unless they are small.
  *
- * <p>Invariant: reading a document expands to no more than the maximum document size and nesting.
- * Safe for use by any thread.
+ * <p>Invariant: reading a document expands to no more than the maximum document size, nesting and
+ * memory. Safe for use by any thread.
  */
 public final class CompressedJson {
   private static final Logger LOGGER = LogManager.getLogger(CompressedJson.class);
@@ -29,12 +32,12 @@
   // Trees are written and copied recursively on small stacks. Stored contents, which are less
   // nested, are sent within other documents.
   private static final int MAXIMUM_NESTING = 100;
-  private static final ObjectMapper MAPPER =
-      new ObjectMapper(
-          JsonFactory.builder()
-              .streamReadConstraints(
-                  StreamReadConstraints.builder().maxNestingDepth(MAXIMUM_NESTING).build())
-              .build());
+  private static final JsonFactory FACTORY =
+      JsonFactory.builder()
+          .streamReadConstraints(
+              StreamReadConstraints.builder().maxNestingDepth(MAXIMUM_NESTING).build())
+          .build();
+  private static final ObjectMapper MAPPER = new ObjectMapper();
 
   private CompressedJson() {}
 
@@ -60,10 +63,18 @@
     return bytes.toByteArray();
   }
 
-  /** Returns the JSON tree; logs a warning and returns empty if the bytes contain none. */
-  public static Optional<JsonNode> decompress(byte[] bytes) {
-    try {
-      return Optional.of(MAPPER.readTree(decompressIfNeeded(bytes)));
+  /**
+   * Returns the JSON tree; logs a warning and returns empty if the bytes contain none, or one that
+   * exceeds the limits.
+   */
+  public static Optional<JsonNode> decompress(byte[] bytes, ContentLimits limits) {
+    try (JsonParser parser = FACTORY.createParser(decompressIfNeeded(bytes))) {
+      JsonNode content = BoundedJson.readContent(parser, limits);
+      if (!content.isNull()) {
+        return Optional.of(content);
+      }
+      LOGGER.warn("received JSON content from a peer that is null or too large");
+      return Optional.empty();
     } catch (IOException | AgatefieldException exception) {
       LOGGER.warn("received invalid JSON content from a peer: {}", exception.getMessage());
       return Optional.empty();
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RelayedErasTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RelayedErasTest.java
@@ -23,6 +23,7 @@
 import org.agatefield.model.Instance;
 import org.agatefield.model.InstanceState;
 import org.agatefield.peer.PeerMessage;
+import org.agatefield.store.ContentLimits;
 import org.agatefield.store.ObjectKey;
 import org.agatefield.store.ObjectKind;
 import org.agatefield.store.ObjectList;
@@ -53,7 +54,8 @@
     private final Map<String, Long> relayEras = new TreeMap<>();
     private final List<Instance> sources = new ArrayList<>();
     private final RelayedObjectSource requester =
-        new RelayedObjectSource(VERTX, this, () -> List.copyOf(sources), this::send);
+        new RelayedObjectSource(
+            VERTX, this, () -> List.copyOf(sources), this::send, kind -> ContentLimits.ORDINARY);
     private Map<String, StoredObject> copy = Map.of();
     private long copiedRevision;
     private long era = 1;
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RelayedObjectSourceTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RelayedObjectSourceTest.java
@@ -22,6 +22,7 @@
 import org.agatefield.model.Instance;
 import org.agatefield.model.InstanceState;
 import org.agatefield.peer.PeerMessage;
+import org.agatefield.store.ContentLimits;
 import org.agatefield.store.ObjectKey;
 import org.agatefield.store.ObjectKind;
 import org.agatefield.store.ObjectList;
@@ -35,6 +36,7 @@
 
 class RelayedObjectSourceTest {
   private static final long LIMIT_SECONDS = 10;
+  private static final ContentLimits LIMITS = new ContentLimits(131_072, Optional.empty());
 
   private final Vertx vertx = Vertx.vertx();
   private volatile long clock = 10_000;
@@ -42,7 +44,7 @@
   private final List<Instance> sources = new ArrayList<>();
   private final CountingStore store = new CountingStore();
   private final RelayedObjectSource objects =
-      new RelayedObjectSource(vertx, store, () -> List.copyOf(sources), this::send);
+      new RelayedObjectSource(vertx, store, () -> List.copyOf(sources), this::send, kind -> LIMITS);
 
   /** An empty store that counts list calls. */
   private static final class CountingStore implements ObjectSource {
@@ -96,6 +98,24 @@
         JsonNodeFactory.instance.textNode(text));
   }
 
+  /** Guards against instances of an earlier release, which pass on contents of any size. */
+  @Test
+  void contentOfAnotherInstanceThatTakesTooMuchMemoryIsNullAndHidesNoOther() throws Exception {
+    ObjectRelay relay = addSource("large");
+    ArrayNode large = JsonNodeFactory.instance.arrayNode();
+    for (int index = 0; index < 10_000; index++) {
+      large.addObject();
+    }
+    relay.changed(new StoredObject(new ObjectKey(ObjectKind.RUNNER, "odd"), "5", List.of(), large));
+    relay.changed(object("sound", "text"));
+    relay.confirmed();
+    List<StoredObject> listed =
+        objects.list(ObjectKind.RUNNER).get(LIMIT_SECONDS, TimeUnit.SECONDS).objects();
+    Map<String, Boolean> readable = new HashMap<>();
+    listed.forEach(each -> readable.put(each.key().name(), !each.content().isNull()));
+    assertEquals(Map.of("odd", false, "sound", true), readable);
+  }
+
   private ObjectRelay addSource(String id) {
     Address address = new Address("10.0.0.1", 80);
     sources.add(
--- a/daemon/src/test/java/org/agatefield/daemon/peers/CompressedJsonTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/peers/CompressedJsonTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
+import org.agatefield.store.ContentLimits;
 import org.junit.jupiter.api.Test;
 
 class CompressedJsonTest {
@@ -16,7 +17,7 @@
 
   private static Optional<JsonNode> decompress(int depth) {
     String text = "[".repeat(depth) + "]".repeat(depth);
-    return CompressedJson.decompress(text.getBytes(UTF_8));
+    return CompressedJson.decompress(text.getBytes(UTF_8), ContentLimits.ORDINARY);
   }
 
   @Test
@@ -44,7 +45,8 @@
               tree -> {
                 byte[] bytes = CompressedJson.compress(tree);
                 if (depth <= 80) {
-                  assertEquals(tree, CompressedJson.decompress(bytes).orElseThrow());
+                  assertEquals(
+                      tree, CompressedJson.decompress(bytes, ContentLimits.ORDINARY).orElseThrow());
                 }
               });
     }
--- a/store/src/main/java/org/agatefield/store/BoundedJson.java
+++ b/store/src/main/java/org/agatefield/store/BoundedJson.java
@@ -66,6 +66,17 @@
     }
   }
 
+  /**
+   * Reads a content from a parser, which limits the nesting; the result is null if the content
+   * exceeds the limits.
+   *
+   * @throws IOException if the content is invalid
+   */
+  public static JsonNode readContent(JsonParser parser, ContentLimits limits) throws IOException {
+    HeapAllowance allowance = new HeapAllowance(RESPONSE_HEAP_BYTES);
+    return new BoundedTreeReader(parser, limits, allowance).readContent();
+  }
+
   /**
    * Parses objects, or changes of objects, each of which may be unreadable; empty if they cannot be
    * told apart or take too much memory together.
