A page of other writers' entries is read whatever they hold

By reading the change before: 500 entries of 2 KB, a page as the store lists it, could take 128 KiB each, more than the 32 MiB of a response, so that the list was refused and the sound entries among them with it.

Change: an entry takes at most 48 KiB, 500 of them 24 MiB.

BoundedJsonTest#pageOfLimitedContentsIsRead: red before for {} and []; now green for all five sorts.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/SnapshotExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/SnapshotExchange.java
@@ -57,8 +57,7 @@
     this.configuration = configuration;
     this.runners = runners;
     this.configurationLimits = limits.apply(ObjectKind.CONFIGURATION);
-    long entryBytes = limits.apply(ObjectKind.RUNNER).heapBytes();
-    this.entryLimits = ContentLimits.ofFields(entryBytes, Set.of(NAME_FIELD, CONTENT_FIELD));
+    this.entryLimits = limits.apply(ObjectKind.RUNNER).ofFields(Set.of(NAME_FIELD, CONTENT_FIELD));
   }
 
   /** Requests snapshots from peers until configuration and runners are known. */
--- a/store/src/test/java/org/agatefield/store/BoundedJsonTest.java
+++ b/store/src/test/java/org/agatefield/store/BoundedJsonTest.java
@@ -178,7 +178,7 @@
 
   @Test
   void largeFieldThatIsNotReadLeavesTheOthers() {
-    ContentLimits limits = ContentLimits.ofFields(65_536, Set.of("value"));
+    ContentLimits limits = ContentLimits.OF_OTHER_WRITERS.ofFields(Set.of("value"));
     String content = "{\"note\":[" + "{},".repeat(100_000) + "{}],\"value\":[1,{\"a\":2}]}";
     StoredObject read =
         limitedPage(limits, object("a", content)).orElseThrow().objects().objects().get(0);
@@ -199,6 +199,22 @@
     }
   }
 
+  /** Guards against many entries of another writer that hide all others together. */
+  @ParameterizedTest
+  @ValueSource(strings = {"{}", "[]", "1.5", "{\"a\":null}", "{\"f%d\":[]}"})
+  void pageOfLimitedContentsIsRead(String element) {
+    StringBuilder content = new StringBuilder("[0");
+    for (int index = 0; content.length() < 1_900; index++) {
+      content.append(',').append(element.formatted(index));
+    }
+    String[] items = Collections.nCopies(500, object("a", content + "]")).toArray(String[]::new);
+    items[250] = object("sound", "{\"value\":1}");
+    List<StoredObject> objects =
+        limitedPage(ContentLimits.OF_OTHER_WRITERS, items).orElseThrow().objects().objects();
+    assertEquals(500, objects.size());
+    assertEquals("{\"value\":1}", objects.get(250).content().toString());
+  }
+
   @Test
   void responseWhoseContentsTakeTooMuchTogetherIsRefused() {
     String content = "[" + "{},".repeat(50_000) + "{}]";
