A watch whose changes are too large to read is followed by a list

By reading: a response over 16 MiB, or whose trees take over 32 MiB, ended the watch as if the store were away; the informer asked for the same changes again, and each resumption put off its next list. Large entries of several names within a second get there; a list never does, since the store gives it in pages of one megabyte.

Change: such a response has a failure of its own (TOO_LARGE); the watch then ends like one whose history is gone.

--- a/store/src/main/java/org/agatefield/store/BoundedBody.java
+++ b/store/src/main/java/org/agatefield/store/BoundedBody.java
@@ -4,6 +4,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
+import java.io.IOException;
 
 /**
  * Reads a response body up to a size limit, since a faulty server may send endless data.
@@ -13,6 +14,15 @@
 public final class BoundedBody {
   private BoundedBody() {}
 
+  /** Thrown if a body exceeds its limit. */
+  static final class TooLargeException extends IOException {
+    private static final long serialVersionUID = 1;
+
+    TooLargeException(int maximumBytes) {
+      super("response body exceeds " + maximumBytes + " bytes");
+    }
+  }
+
   /**
    * Reads the whole body.
    *
@@ -30,7 +40,7 @@
             return;
           }
           if (body.length() + bytes.length() > maximumBytes) {
-            result.tryFail("response body exceeds " + maximumBytes + " bytes");
+            result.tryFail(new TooLargeException(maximumBytes));
             response.request().reset();
             return;
           }
--- a/store/src/main/java/org/agatefield/store/BoundedJson.java
+++ b/store/src/main/java/org/agatefield/store/BoundedJson.java
@@ -79,7 +79,9 @@
 
   /**
    * Parses objects, or changes of objects, each of which may be unreadable; empty if they cannot be
-   * told apart or take too much memory together.
+   * told apart.
+   *
+   * @throws StoreException {@link StoreFailure#TOO_LARGE} if they take too much memory together
    */
   static Optional<JsonNode> parseObjects(byte[] bytes, ContentLimits limits) {
     try {
@@ -87,7 +89,7 @@
           response(bytes, limits)
               .read(0, bytes.length, reader -> reader.readObjects(ENVELOPE_NESTING)));
     } catch (BoundedTreeReader.ResponseTooLargeException exception) {
-      return Optional.empty(); // The caller reports the failure.
+      throw tooLarge(exception);
     } catch (IOException exception) {
       return parseMembersOf(response(bytes, limits));
     }
@@ -101,10 +103,14 @@
     try {
       return parseMembers(response, 0, response.bytes().length, ENVELOPE_NESTING);
     } catch (BoundedTreeReader.ResponseTooLargeException exception) {
-      return Optional.empty(); // The caller reports the failure.
+      throw tooLarge(exception);
     }
   }
 
+  private static StoreException tooLarge(BoundedTreeReader.ResponseTooLargeException cause) {
+    return new StoreException(StoreFailure.TOO_LARGE, cause.getMessage(), cause);
+  }
+
   private static Optional<JsonNode> parseMembers(Response response, int start, int end, int nesting)
       throws BoundedTreeReader.ResponseTooLargeException {
     Optional<JsonScanner.Container> container = JsonScanner.split(response.bytes(), start, end);
--- a/store/src/main/java/org/agatefield/store/HttpCall.java
+++ b/store/src/main/java/org/agatefield/store/HttpCall.java
@@ -97,12 +97,18 @@
     finish(String.valueOf(cause.getMessage()), cause);
   }
 
+  private static StoreFailure failureOf(Throwable cause) {
+    return cause instanceof BoundedBody.TooLargeException
+        ? StoreFailure.TOO_LARGE
+        : StoreFailure.UNAVAILABLE;
+  }
+
   private void finish(String reason, Throwable cause) {
     boolean unknown;
     synchronized (this) {
       unknown = sent && write;
     }
-    StoreFailure failure = unknown ? StoreFailure.UNKNOWN_RESULT : StoreFailure.UNAVAILABLE;
+    StoreFailure failure = unknown ? StoreFailure.UNKNOWN_RESULT : failureOf(cause);
     result.completeExceptionally(new StoreException(failure, description + ": " + reason, cause));
   }
 }
--- a/store/src/main/java/org/agatefield/store/LongPollWatch.java
+++ b/store/src/main/java/org/agatefield/store/LongPollWatch.java
@@ -107,6 +107,8 @@
   private void completed(HttpCall.Answer answer, Throwable failure) {
     try {
       process(answer, failure);
+    } catch (StoreException exception) {
+      end(failureToReport(exception), exception.getMessage());
     } catch (RuntimeException exception) {
       LOGGER.error("watch failed kind={}", call.kind(), exception);
       end(StoreFailure.UNAVAILABLE, exception.toString());
@@ -115,7 +117,7 @@
 
   private void process(HttpCall.Answer answer, Throwable failure) {
     if (failure != null) {
-      end(StoreFailure.UNAVAILABLE, String.valueOf(failure.getMessage()));
+      end(failureToReport(failure), String.valueOf(failure.getMessage()));
       return;
     }
     if (!call.sameHistory().test(answer.headers())) {
@@ -142,6 +144,13 @@
     }
   }
 
+  /** Returns a failure after which the objects are listed if the changes are too many to read. */
+  private static StoreFailure failureToReport(Throwable cause) {
+    boolean tooLarge =
+        cause instanceof StoreException known && known.failure() == StoreFailure.TOO_LARGE;
+    return tooLarge ? StoreFailure.VERSION_GONE : StoreFailure.UNAVAILABLE;
+  }
+
   private void report(Batch batch) {
     for (Change change : batch.changes()) {
       if (finished.get()) {
--- a/store/src/main/java/org/agatefield/store/StoreFailure.java
+++ b/store/src/main/java/org/agatefield/store/StoreFailure.java
@@ -8,7 +8,10 @@
   CONFLICT,
   /** No object of that name exists. */
   NOT_FOUND,
-  /** The object exceeds the store's limit of one megabyte; the write had no effect. */
+  /**
+   * The object exceeds the store's limit of one megabyte and the write had no effect; or the
+   * response to a read is larger than is read.
+   */
   TOO_LARGE,
   /** The store refused the call or is unreachable; the call had no effect and never will. */
   UNAVAILABLE,
--- a/store/src/test/java/org/agatefield/store/BoundedJsonTest.java
+++ b/store/src/test/java/org/agatefield/store/BoundedJsonTest.java
@@ -4,6 +4,7 @@
 import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
@@ -219,9 +220,15 @@
   void responseWhoseContentsTakeTooMuchTogetherIsRefused() {
     String content = "[" + "{},".repeat(50_000) + "{}]";
     String[] items = Collections.nCopies(8, object("a", content)).toArray(String[]::new);
-    assertTrue(limitedPage(ContentLimits.ORDINARY, items).isEmpty());
+    assertTooLarge(items);
     items[7] = object("odd", "{\"note\":NaN}");
-    assertTrue(limitedPage(ContentLimits.ORDINARY, items).isEmpty());
+    assertTooLarge(items);
+  }
+
+  private static void assertTooLarge(String... items) {
+    StoreException thrown =
+        assertThrows(StoreException.class, () -> limitedPage(ContentLimits.ORDINARY, items));
+    assertEquals(StoreFailure.TOO_LARGE, thrown.failure());
   }
 
   @Property(tries = 1_000, seed = "44")
--- a/store/src/test/java/org/agatefield/store/OddObjectTest.java
+++ b/store/src/test/java/org/agatefield/store/OddObjectTest.java
@@ -14,6 +14,7 @@
 import io.vertx.core.http.HttpServerResponse;
 import io.vertx.core.http.RequestOptions;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,6 +27,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests objects of another writer in lists and watches over sockets. */
 class OddObjectTest {
@@ -65,6 +67,15 @@
       request.response().write("\n");
       return;
     }
+    String large = request.getParam("large", "");
+    if (large.equals("bytes")) {
+      request.response().end(bytes(" ".repeat(17 * 1_048_576)));
+      return;
+    }
+    if (large.equals("contents")) {
+      String content = "[" + "{},".repeat(50_000) + "{}]";
+      items.addAll(Collections.nCopies(8, object("odd", 2, content)));
+    }
     request
         .response()
         .end(
@@ -185,11 +196,23 @@
 
   @Test
   void longPollWatchEndsIfItsResponseCannotBeProcessed() throws Exception {
+    assertEquals(StoreFailure.UNAVAILABLE, endOfLongPollWatch("/"));
+  }
+
+  /** Guards against watches that ask for the same changes for ever, as a list of pages is small. */
+  @ParameterizedTest
+  @ValueSource(strings = {"/?large=bytes", "/?large=contents"})
+  void longPollWatchWhoseResponseIsTooLargeEndsSoThatObjectsAreListed(String path)
+      throws Exception {
+    assertEquals(StoreFailure.VERSION_GONE, endOfLongPollWatch(path));
+  }
+
+  private StoreFailure endOfLongPollWatch(String path) throws Exception {
     LongPollWatch.Dialect failing =
         new LongPollWatch.Dialect() {
           @Override
           public String path(ObjectKind kind, String fromVersion) {
-            return "/";
+            return path;
           }
 
           @Override
@@ -228,7 +251,7 @@
     try (AutoCloseable watching =
         LongPollWatch.start(call, failing, CALL_TIMEOUT, Duration.ofMillis(1))) {
       await().atMost(TIMEOUT).until(() -> ends.size() == 1);
-      assertEquals(StoreFailure.UNAVAILABLE, ends.get(0).failure());
+      return ends.get(0).failure();
     }
   }
 
