--- a/store/src/main/java/org/agatefield/store/HttpWatch.java
+++ b/store/src/main/java/org/agatefield/store/HttpWatch.java
@@ -25,19 +25,21 @@
   private static final int SUCCESS_STATUS = 200;
 
   private final WatchCall call;
+  private final ContentLimits limits;
   private final ObjectKind kind;
   private final WatchListener listener;
   private final AtomicBoolean finished = new AtomicBoolean();
   private final AtomicReference<HttpClientRequest> request = new AtomicReference<>();
 
-  private HttpWatch(WatchCall call) {
+  private HttpWatch(WatchCall call, ContentLimits limits) {
     this.call = call;
+    this.limits = limits;
     this.kind = call.kind();
     this.listener = call.listener();
   }
 
-  static HttpWatch start(WatchCall call, RequestOptions options) {
-    HttpWatch watch = new HttpWatch(call);
+  static HttpWatch start(WatchCall call, ContentLimits limits, RequestOptions options) {
+    HttpWatch watch = new HttpWatch(call, limits);
     try {
       call.client().request(options).onSuccess(watch::send).onFailure(watch::fail);
     } catch (IllegalStateException closed) {
@@ -106,7 +108,7 @@
       return;
     }
     try {
-      ObjectCodec.parseObjects(line, ContentLimits.ORDINARY)
+      ObjectCodec.parseObjects(line, limits)
           .ifPresentOrElse(
               this::dispatch, () -> LOGGER.warn("watch skips invalid JSON kind={}", kind));
     } catch (RuntimeException exception) {
--- a/store/src/main/java/org/agatefield/store/KubernetesDialect.java
+++ b/store/src/main/java/org/agatefield/store/KubernetesDialect.java
@@ -12,6 +12,8 @@
 /** Implements the Kubernetes API conventions. Stateless and safe for use by any thread. */
 final class KubernetesDialect implements StoreDialect {
   private static final String BASE_PATH = "/apis/agatefield.org/v1/namespaces/default/";
+  private static final ContentLimits INSTANCE_LIMITS =
+      ContentLimits.OF_OTHER_WRITERS.ofFields(StoreInstanceList.FIELDS);
   private static final String ERA_HEADER = "Store-Era";
 
   @Override
@@ -65,6 +67,11 @@
     return ObjectCodec.decodePage(kind, root);
   }
 
+  @Override
+  public ContentLimits contentLimits(ObjectKind kind) {
+    return kind == ObjectKind.INSTANCE ? INSTANCE_LIMITS : ContentLimits.ORDINARY;
+  }
+
   @Override
   public StoreFailure failureOf(boolean write, int status, JsonNode body) {
     return StatusTable.failureOf(write, status, body.path("reason").asText());
@@ -80,7 +87,9 @@
     String query =
         "?watch=true&allowWatchBookmarks=true&resourceVersion=" + encode(call.fromVersion());
     return HttpWatch.start(
-        call, call.options().apply(HttpMethod.GET, kindPath(call.kind()) + query));
+        call,
+        contentLimits(call.kind()),
+        call.options().apply(HttpMethod.GET, kindPath(call.kind()) + query));
   }
 
   private static String encode(String text) {
--- a/store/src/main/java/org/agatefield/store/StoreInstanceList.java
+++ b/store/src/main/java/org/agatefield/store/StoreInstanceList.java
@@ -27,6 +27,10 @@
 public final class StoreInstanceList implements InstanceList, AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(StoreInstanceList.class);
 
+  /** The fields of an instance or an upstream that are read. */
+  static final Set<String> FIELDS =
+      Set.of("callerAddress", "failureDomain", "peerAddress", "region", "role", "state");
+
   private final ObjectInformer informer;
   private final List<Consumer<Snapshot>> listeners = new CopyOnWriteArrayList<>();
   private final Map<String, String> malformed = new HashMap<>();
--- a/store/src/test/java/org/agatefield/store/OddObjectTest.java
+++ b/store/src/test/java/org/agatefield/store/OddObjectTest.java
@@ -3,6 +3,7 @@
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import io.vertx.core.Vertx;
@@ -152,6 +153,29 @@
     }
   }
 
+  /** Guards against processes that large objects of another writer end by memory. */
+  @Test
+  void largeFieldThatNobodyReadsIsNotKeptAndHidesNoInstance() {
+    String note = "[" + "{},".repeat(100_000) + "{}]";
+    String large = "{\"role\":\"UPSTREAM\",\"state\":\"LIVE\",\"note\":" + note + "}";
+    items.addAll(List.of(upstream("a", 1), object("large", 1, large)));
+    List<JsonNode> kept = new CopyOnWriteArrayList<>();
+    InformerListener recorder =
+        new InformerListener() {
+          @Override
+          public void changed(StoredObject object) {
+            kept.add(object.content());
+          }
+        };
+    try (ObjectInformer informer =
+        new ObjectInformer(vertx, store, ObjectKind.INSTANCE, NEVER).listen(recorder).start()) {
+      report("ADDED", object("late", 2, large));
+      await().atMost(TIMEOUT).until(() -> kept.size() == 3);
+      kept.forEach(content -> assertEquals("LIVE", content.path("state").asText()));
+      kept.forEach(content -> assertTrue(content.path("note").isMissingNode()));
+    }
+  }
+
   @Test
   void listenerThatFailsOnOneObjectReceivesTheOthersAndTheWatchGoesOn() {
     items.addAll(List.of(upstream("a", 1), upstream("odd", 1), upstream("z", 1)));
