The own edge refuses statuses that are none of HTTP

UpstreamServiceClient returned whatever status a service's runner sent, and the caller got it, 000 included: for repeatable calls, for those with a key, whose claim recorded it, and for the query of an outcome (which takes 200 only). Engines' answers with any status but 200 are errors already.

Change: such a response fails as UPSTREAM_FAILED (502, run unknown) and its connection is reset, so that a repeatable call is repeated within its limits and one with a key is settled like any lost answer.

--- a/daemon/src/main/java/org/agatefield/daemon/http/UpstreamServiceClient.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/UpstreamServiceClient.java
@@ -20,14 +20,16 @@
 import org.agatefield.model.Address;
 import org.agatefield.model.AgatefieldException;
 import org.agatefield.model.ErrorKind;
+import org.agatefield.model.HttpStatus;
 
 /**
  * Sends calls to the runners of plain services and reads complete answers.
  *
- * <p>Invariants: an exchange is returned only if its whole body was received; a failure has {@code
- * RunState.NO} only if no connection was made. Each call uses a new connection: on a kept one, a
- * late response to an earlier call would be taken for the response to the next, and a connection
- * that the runner has just closed would look like a lost call. Safe for use by any thread.
+ * <p>Invariants: an exchange is returned only if its status is one of HTTP and its whole body was
+ * received; a failure has {@code RunState.NO} only if no connection was made. Each call uses a new
+ * connection: on a kept one, a late response to an earlier call would be taken for the response to
+ * the next, and a connection that the runner has just closed would look like a lost call. Safe for
+ * use by any thread.
  */
 final class UpstreamServiceClient {
   private static final int CONNECT_TIMEOUT_MILLISECONDS = 1_000;
@@ -83,11 +85,25 @@
     result.whenComplete((done, failure) -> resetIfUnfinished(request, result));
     request
         .send(upstreamRequest.body())
-        .compose(response -> new AnswerCollector(response).collect())
+        .compose(response -> read(response, runner))
         .onSuccess(result::complete)
         .onFailure(failure -> result.completeExceptionally(failed(runner, failure)));
   }
 
+  private static Future<ServiceResponse> read(HttpClientResponse response, Address runner) {
+    if (HttpStatus.isAnswer(response.statusCode())) {
+      return new AnswerCollector(response).collect();
+    }
+    return Future.failedFuture(
+        new AgatefieldException(
+            ErrorKind.UPSTREAM_FAILED,
+            "the service runner at "
+                + runner
+                + " answered with status "
+                + response.statusCode()
+                + ", which is none of HTTP"));
+  }
+
   private static void resetIfUnfinished(
       HttpClientRequest request, CompletableFuture<ServiceResponse> result) {
     if (result.isCompletedExceptionally()) {
--- a/daemon/src/test/java/org/agatefield/daemon/http/UpstreamServiceClientTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/http/UpstreamServiceClientTest.java
@@ -11,8 +11,12 @@
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import org.agatefield.model.Address;
+import org.agatefield.model.AgatefieldException;
+import org.agatefield.model.ErrorKind;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Requirement REQ-WHOLE-ANSWER: tests the client of plain services against faulty runners. */
 class UpstreamServiceClientTest {
@@ -61,6 +65,26 @@
     }
   }
 
+  /** Guards against statuses that are no answer and reach callers as one, such as 000 or 600. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "0", "099", "199", "-1", "2xx", "600", "999", "6000"})
+  void statusThatIsNoneOfHttpIsNoAnswer(String status) {
+    String response = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 4\r\n\r\nbody";
+    NetServer server =
+        vertx
+            .createNetServer()
+            .connectHandler(socket -> socket.handler(bytes -> socket.write(response)))
+            .listen(0, "127.0.0.1")
+            .toCompletionStage()
+            .toCompletableFuture()
+            .join();
+    CompletionException thrown =
+        assertThrows(
+            CompletionException.class,
+            () -> client.send(addressOf(server), request("/odd")).join());
+    assertEquals(ErrorKind.UPSTREAM_FAILED, AgatefieldException.from(thrown).kind());
+  }
+
   @Test
   void headThatStopsHalfWayIsNoAnswer() {
     String head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 9\r\n";
