A recorded answer whose status is none of HTTP is a lost outcome

Claims that an earlier release wrote may hold such a status; a caller that repeats its key would get it as the answer. It is read like an outcome that is lost: 504, outcome_unknown, and the call is not run again.

--- a/daemon/src/main/java/org/agatefield/daemon/calls/ClaimCodec.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimCodec.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import org.agatefield.daemon.core.ServiceResponse;
 import org.agatefield.idempotency.Claim;
+import org.agatefield.model.HttpStatus;
 
 /**
  * Converts claims to and from the content of stored objects. A response body is base64-encoded,
@@ -114,16 +115,21 @@
     return switch (outcome.path("state").asText()) {
       case "" -> Optional.empty();
       case "LOST" -> Optional.of(new Claim.Outcome<>(Optional.empty()));
-      default -> Optional.of(new Claim.Outcome<>(Optional.of(decodeAnswer(outcome, parts))));
+      default -> Optional.of(new Claim.Outcome<>(decodeAnswer(outcome, parts)));
     };
   }
 
-  private static ServiceResponse decodeAnswer(JsonNode outcome, Optional<Buffer> parts) {
+  /** Decodes an answer; empty if an earlier release recorded one whose status is none of HTTP. */
+  private static Optional<ServiceResponse> decodeAnswer(JsonNode outcome, Optional<Buffer> parts) {
+    int status = outcome.path("status").asInt();
+    if (!HttpStatus.isAnswer(status)) {
+      return Optional.empty();
+    }
     List<ServiceResponse.Header> headers = new ArrayList<>();
     for (JsonNode header : outcome.path("headers")) {
       headers.add(new ServiceResponse.Header(header.path(0).asText(), header.path(1).asText()));
     }
     Buffer body = parts.orElseGet(() -> bodyOf(outcome));
-    return new ServiceResponse(outcome.path("status").asInt(), headers, body);
+    return Optional.of(new ServiceResponse(status, headers, body));
   }
 }
