--- a/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RunnerLoads.java
@@ -39,12 +39,12 @@
   private static final class OwnLoad {
     private int running;
     private int pendingPrefillTokens;
-    private final Map<String, Boolean> cachedParts =
+    private final Map<SharedParts.Key, Boolean> cachedParts =
         new LinkedHashMap<>(16, 0.75f, true) {
           private static final long serialVersionUID = 1;
 
           @Override
-          protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+          protected boolean removeEldestEntry(Map.Entry<SharedParts.Key, Boolean> eldest) {
             return size() > CACHED_PARTS_PER_RUNNER;
           }
         };
