--- a/forwarding/src/main/java/org/agatefield/forwarding/RequestFingerprint.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/RequestFingerprint.java
@@ -3,8 +3,6 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.util.Arrays;
-import java.util.HexFormat;
 import java.util.Optional;
 
 /**
@@ -17,8 +15,6 @@
  */
 public record RequestFingerprint(String value) {
   private static final String PREFIX = "request-";
-  // Half of a SHA-256 digest.
-  private static final int BYTES = 16;
 
   /**
    * Returns the fingerprint of a request.
@@ -48,8 +44,7 @@
     digest.update((byte) (account.isPresent() ? 1 : 0));
     update(digest, account.orElse("").getBytes(StandardCharsets.UTF_8));
     digest.update(body.digest.digest());
-    byte[] half = Arrays.copyOf(digest.digest(), BYTES);
-    return new RequestFingerprint(PREFIX + HexFormat.of().formatHex(half));
+    return new RequestFingerprint(PREFIX + Sha256.halfOf(digest.digest()));
   }
 
   /** Returns whether the identifier of a trait is the fingerprint of a request. */
--- a/forwarding/src/main/java/org/agatefield/forwarding/Sha256.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/Sha256.java
@@ -2,6 +2,7 @@
 
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
 
 /** Creates SHA-256 digests. Thread safe. */
 final class Sha256 {
@@ -20,6 +21,16 @@
     }
   }
 
+  /** Returns the first half of a digest in hexadecimal. */
+  static String half(byte[] content) {
+    return halfOf(create().digest(content));
+  }
+
+  /** Returns the first half of what was digested in hexadecimal. */
+  static String halfOf(byte[] digest) {
+    return HexFormat.of().formatHex(digest, 0, digest.length / 2);
+  }
+
   private static MessageDigest prototype() {
     try {
       return MessageDigest.getInstance("SHA-256");
