Field names in documents of peers are not interned

Read once more: the store's parser no longer interns names that other writers choose; documents between instances hold the same names.

--- a/daemon/src/main/java/org/agatefield/daemon/peers/CompressedJson.java
+++ b/daemon/src/main/java/org/agatefield/daemon/peers/CompressedJson.java
@@ -36,6 +36,7 @@
       JsonFactory.builder()
           .streamReadConstraints(
               StreamReadConstraints.builder().maxNestingDepth(MAXIMUM_NESTING).build())
+          .disable(JsonFactory.Feature.INTERN_FIELD_NAMES) // Peers pass on names of others.
           .build();
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
