Calls: the reply is cached before its caller gets it

Cause: the cache and the caller's own future were both dependents of one CompletableFuture, which runs the one registered last first, so the caller had the answer before the cache. A retry that found nothing in the cache and then met the end of the execution's registration started a new arrival. Ruled out: a retried read below the claims (the stand-in counts each get, but no read fails in this test). Mend: ClaimExecution tells its listener of the reply before it completes the future.

--- a/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/ClaimExecution.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Consumer;
 import org.agatefield.daemon.core.Dispatch;
 import org.agatefield.daemon.core.DispatchOutcome;
 import org.agatefield.daemon.core.Dispatcher;
@@ -52,7 +51,7 @@
   private final String name;
   private final CallAttempt arrival;
   private final Claim<ServiceResponse> claim;
-  private final Consumer<ClaimExecution> onEnd;
+  private final Listener listener;
   private final ClaimProtocol<ServiceResponse> protocol = new ClaimProtocol<>();
   private final CompletableFuture<ServiceResponse> reply = new CompletableFuture<>();
   private final Backoff polls = new Backoff(INITIAL_POLL_DELAY, MAXIMUM_POLL_DELAY);
@@ -63,6 +62,20 @@
   private Optional<StoredClaim> ownClaim = Optional.empty();
   private boolean createUnknown;
 
+  /** Is told of the progress of an arrival. */
+  interface Listener {
+    /**
+     * Called once, before any caller gets the reply.
+     *
+     * @param answer null if the call failed
+     * @param failure null if the call was answered
+     */
+    void replied(ServiceResponse answer, Throwable failure);
+
+    /** Called at least once when no step of the arrival is pending any more. */
+    void ended(ClaimExecution execution);
+  }
+
   ClaimExecution(
       CallContext context,
       NonRepeatableCall call,
@@ -72,7 +85,7 @@
       String name,
       CallAttempt arrival,
       Claim<ServiceResponse> claim,
-      Consumer<ClaimExecution> onEnd) {
+      Listener listener) {
     this.context = context;
     this.call = call;
     this.request = request;
@@ -81,7 +94,7 @@
     this.name = name;
     this.arrival = arrival;
     this.claim = claim;
-    this.onEnd = onEnd;
+    this.listener = listener;
   }
 
   String bodyHash() {
@@ -142,12 +155,12 @@
     boolean ends = step.state().phase() == ClaimState.Phase.DONE;
     for (ClaimAction<ServiceResponse> action : step.actions()) {
       if (ends && isReply(action)) {
-        onEnd.accept(this);
+        listener.ended(this);
       }
       perform(action);
     }
     if (ends) {
-      onEnd.accept(this);
+      listener.ended(this);
     }
   }
 
@@ -164,8 +177,8 @@
   private void fail(RuntimeException fault) {
     LOGGER.error("unexpected failure of a non-repeatable call request={}", call.requestId(), fault);
     finishDispatch(DispatchOutcome.FAILED);
-    reply.completeExceptionally(AgatefieldException.from(fault));
-    onEnd.accept(this);
+    complete(null, AgatefieldException.from(fault));
+    listener.ended(this);
   }
 
   private void perform(ClaimAction<ServiceResponse> action) {
@@ -207,11 +220,11 @@
           .<ServiceResponse>removeFound(lastRead.orElseThrow().object())
           .thenAccept(this::process);
     } else if (action instanceof ClaimAction.Reply<ServiceResponse> answer) {
-      reply.complete(answer.answer());
+      complete(answer.answer(), null);
     } else if (action instanceof ClaimAction.Refuse<ServiceResponse> refusal) {
       refuse(refusal);
     } else if (action instanceof ClaimAction.RefuseWithError<ServiceResponse> refusal) {
-      reply.completeExceptionally(AgatefieldException.from(refusal.error()));
+      complete(null, AgatefieldException.from(refusal.error()));
     }
   }
 
@@ -380,11 +393,24 @@
     long delay =
         ThreadLocalRandom.current()
             .nextLong(MINIMUM_RETRY_AFTER_MILLISECONDS, MAXIMUM_RETRY_AFTER_MILLISECONDS);
-    reply.completeExceptionally(
+    complete(
+        null,
         new AgatefieldException(
             refusal.kind(), refusal.runState(), refusal.reason(), Duration.ofMillis(delay), null));
   }
 
+  private void complete(ServiceResponse answer, Throwable failure) {
+    if (reply.isDone()) {
+      return;
+    }
+    listener.replied(answer, failure);
+    if (failure == null) {
+      reply.complete(answer);
+    } else {
+      reply.completeExceptionally(failure);
+    }
+  }
+
   private void finishDispatch(DispatchOutcome outcome) {
     Optional<Dispatch> finished;
     synchronized (this) {
--- a/daemon/src/main/java/org/agatefield/daemon/calls/StoreBackedCallExecutor.java
+++ b/daemon/src/main/java/org/agatefield/daemon/calls/StoreBackedCallExecutor.java
@@ -102,11 +102,6 @@
     ClaimExecution running = executions.putIfAbsent(name, created);
     if (running == null) {
       metrics.counter("agatefield.calls.started").inc();
-      created
-          .reply()
-          .whenComplete(
-              (answer, failure) ->
-                  recent.cache(name, claimOf(call, UUID.randomUUID().toString()), answer, failure));
       created.start();
       return withDeadline(created, call);
     }
@@ -167,7 +162,28 @@
         name,
         arrival,
         claimOf(call, arrival.attemptId()),
-        ended -> executions.remove(name, ended));
+        new ArrivalListener(name, call));
+  }
+
+  /** Caches the reply to an arrival and deregisters it when it has ended. */
+  private final class ArrivalListener implements ClaimExecution.Listener {
+    private final String name;
+    private final NonRepeatableCall call;
+
+    ArrivalListener(String name, NonRepeatableCall call) {
+      this.name = name;
+      this.call = call;
+    }
+
+    @Override
+    public void replied(ServiceResponse answer, Throwable failure) {
+      recent.cache(name, claimOf(call, UUID.randomUUID().toString()), answer, failure);
+    }
+
+    @Override
+    public void ended(ClaimExecution execution) {
+      executions.remove(name, execution);
+    }
   }
 
   private Claim<ServiceResponse> claimOf(NonRepeatableCall call, String attemptId) {
--- a/fleet/src/test/java/org/agatefield/fleet/calls/CallCostTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/calls/CallCostTest.java
@@ -128,6 +128,21 @@
         bench.storeCounts().trim());
   }
 
+  /** Guards against a reply that reaches its caller before the instance has cached it. */
+  @Test
+  void retryAtTheMomentOfTheReplyDoesNotReadTheStore() {
+    StoreBackedCallExecutor first = instance("a");
+    book(first, "key").join();
+    await().atMost(GENEROUS).until(() -> first.runningCalls() == 0);
+    StoreBackedCallExecutor second = instance("b");
+    ServiceResponse retried = book(second, "key").thenCompose(reply -> book(second, "key")).join();
+    assertEquals(exchange("execution 1"), retried);
+    assertEquals(
+        "{\"calls\":{\"create\":{\"claims\":1},\"get\":{\"claims\":2},"
+            + "\"update\":{\"claims\":1}},\"total\":4,\"waitingWatches\":0}",
+        bench.storeCounts().trim());
+  }
+
   @Test
   void storedAnswerIsNotReturnedForAnotherBody() {
     StoreBackedCallExecutor first = instance("a");
