--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -148,8 +148,19 @@
     return lease.currentGrant().map(LeaseGrant::fencingToken);
   }
 
+  /**
+   * Records an instance's demand for the models of the configuration. Clients can name any others.
+   */
   void demandReported(String from, List<ModelDemand> demands) {
-    demand.record(from, demands, MonotonicClock.milliseconds());
+    demand.record(
+        from, demands.stream().filter(this::isServed).toList(), MonotonicClock.milliseconds());
+  }
+
+  private boolean isServed(ModelDemand reported) {
+    return configuration
+        .table()
+        .filter(table -> table.hasModel(reported.service(), reported.model()))
+        .isPresent();
   }
 
   /**
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -209,7 +209,10 @@
   }
 
   private void startForwarding() {
-    terms.prompt().ifPresent(prompt -> context.demand().arrived(service, prompt, priority()));
+    terms
+        .prompt()
+        .filter(prompt -> table.hasModel(service, prompt.model()))
+        .ifPresent(prompt -> context.demand().arrived(service, prompt, priority()));
     perform(state.start());
   }
 
--- a/forwarding/src/main/java/org/agatefield/forwarding/ForwardingTable.java
+++ b/forwarding/src/main/java/org/agatefield/forwarding/ForwardingTable.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /**
  * The routes, services and client accounts of one version of the operator's configuration.
@@ -19,6 +21,7 @@
   private final long version;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, ServiceDefinition> services = new HashMap<>();
+  private final Map<String, Set<String>> modelsByService = new HashMap<>();
   private final Map<String, TreeMap<Integer, Long>> objectivesByPriority = new HashMap<>();
   private final AccountTable accounts;
   private final IngressLimits limits;
@@ -41,7 +44,16 @@
     routesByHost.values().forEach(sameHost -> sameHost.forEach(this::addObjective));
     Comparator<Route> longestFirst = Comparator.comparingInt(route -> -route.pathPrefix().length());
     routesByHost.values().forEach(sameHost -> sameHost.sort(longestFirst));
-    services.forEach(service -> this.services.put(service.name(), service));
+    services.forEach(this::addService);
+  }
+
+  private void addService(ServiceDefinition service) {
+    services.put(service.name(), service);
+    Set<String> models =
+        service.engines().map(EnginePool::models).orElse(List.of()).stream()
+            .map(ServedModel::name)
+            .collect(Collectors.toSet());
+    modelsByService.put(service.name(), models);
   }
 
   private void addObjective(Route route) {
@@ -86,6 +98,11 @@
     return Optional.ofNullable(services.get(name));
   }
 
+  /** Returns whether the engines of a service can load a model. */
+  public boolean hasModel(String service, String model) {
+    return modelsByService.getOrDefault(service, Set.of()).contains(model);
+  }
+
   /** Returns all services. */
   public List<ServiceDefinition> services() {
     return List.copyOf(services.values());
--- a/forwarding/src/test/java/org/agatefield/forwarding/ForwardingTableTest.java
+++ b/forwarding/src/test/java/org/agatefield/forwarding/ForwardingTableTest.java
@@ -1,9 +1,11 @@
 package org.agatefield.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class ForwardingTableTest {
@@ -11,7 +13,9 @@
       new ForwardingTable(
           7,
           List.of(route("short", "/a/"), route("long", "/a/b/")),
-          List.of(),
+          List.of(
+              new ServiceDefinition("x", 1, Optional.of(pool("m"))),
+              new ServiceDefinition("y", 1, Optional.empty())),
           AccountTable.NONE,
           IngressLimits.DEFAULTS);
 
@@ -48,6 +52,18 @@
     assertTrue(table.match("other.example", "/a/").isEmpty());
   }
 
+  private static EnginePool pool(String model) {
+    return new EnginePool(1, 1, 1, 1, 1, List.of(new ServedModel(model, 1, 1, 1, 1, 1)));
+  }
+
+  @Test
+  void serviceHasOnlyTheModelsOfItsEngines() {
+    assertTrue(table.hasModel("x", "m"));
+    assertFalse(table.hasModel("x", "n"));
+    assertFalse(table.hasModel("y", "m"));
+    assertFalse(table.hasModel("z", "m"));
+  }
+
   @Test
   void requestsAreSplitByWeight() {
     Route route = table.match("spares.example", "/a/").orElseThrow();
