--- a/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/IngressServer.java
@@ -4,6 +4,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import org.agatefield.daemon.core.RequestTarget;
 import org.agatefield.forwarding.AccountTable;
 import org.agatefield.forwarding.ClientAccount;
 import org.agatefield.forwarding.ForwardingTable;
@@ -85,6 +86,12 @@
       response.reject(BAD_REQUEST, "the request has no identifier");
       return;
     }
+    Optional<String> target = RequestTarget.forwardable(request.uri());
+    if (target.isEmpty()) {
+      LOGGER.info("request={} route={} outcome=odd_target", terms.id(), route.get().name());
+      response.reject(BAD_REQUEST, "the path and query must be ASCII or UTF-8");
+      return;
+    }
     AccountTable accounts = table.get().accounts();
     Optional<ClientAccount> account = terms.key().flatMap(accounts::accountFor);
     if (account.isEmpty() && accounts.requiresKeys() && !route.get().open()) {
@@ -102,7 +109,7 @@
             context,
             request,
             new RequestExchange.AdmittedRequest(
-                table.get(), route.get(), account, terms, bodyDigest),
+                table.get(), route.get(), account, terms, target.get(), bodyDigest),
             content,
             arrivedAt,
             ThreadLocalRandom.current().nextDouble())
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestAttempt.java
@@ -2,7 +2,7 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpMethod;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
@@ -119,7 +119,7 @@
             this);
   }
 
-  void start(HttpServerRequest request, Supplier<MultiMap> headers, Buffer content) {
+  void start(HttpMethod method, String target, Supplier<MultiMap> headers, Buffer content) {
     context
         .limits()
         .requestsPerSecond(runner)
@@ -135,7 +135,7 @@
         context.estimates().sent(context.selector().place(runner, work, sentAt), work, sentAt);
     terms.prompt().ifPresent(prompt -> context.demand().running(service, prompt, runner.id(), 1));
     scheduleStallCheck();
-    call.start(context.client(), runner, request.method(), request.uri(), headers, content);
+    call.start(context.client(), runner, method, target, headers, content);
   }
 
   /** Returns the head of the stream in progress. */
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RequestExchange.java
@@ -57,6 +57,7 @@
   private final RequestMetadata terms;
   private final RequestFingerprint fingerprint;
   private final CrashRisk risk;
+  private final String target;
   private final Buffer content;
   private final RequestTiming timing;
   private final ForwardingTable table;
@@ -77,6 +78,7 @@
    * The inputs of a request that has been admitted. Immutable.
    *
    * @param account the client account that the request belongs to; empty if the route needs none
+   * @param target the path and query to send to a runner
    * @param bodyDigest the digest of its whole body
    */
   record AdmittedRequest(
@@ -84,6 +86,7 @@
       Route route,
       Optional<ClientAccount> account,
       RequestMetadata terms,
+      String target,
       RequestFingerprint.BodyDigest bodyDigest) {}
 
   RequestExchange(
@@ -100,6 +103,7 @@
     this.account = admitted.account();
     this.service = route.serviceFor(randomValue);
     this.terms = admitted.terms();
+    this.target = admitted.target();
     this.content = content;
     this.fingerprint =
         RequestFingerprint.of(
@@ -612,7 +616,7 @@
             send.attempt(),
             chosenRunner);
     RunnerEntry runner = chosenRunner;
-    attempt.start(request, () -> headersFor(runner, send), content);
+    attempt.start(request.method(), target, () -> headersFor(runner, send), content);
   }
 
   private MultiMap headersFor(RunnerEntry runner, RequestAction.Send send) {
--- a/daemon/src/main/java/org/agatefield/daemon/http/ServiceHandler.java
+++ b/daemon/src/main/java/org/agatefield/daemon/http/ServiceHandler.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.agatefield.daemon.core.NonRepeatableCall;
+import org.agatefield.daemon.core.RequestTarget;
 import org.agatefield.daemon.core.ServiceRequest;
 import org.agatefield.daemon.core.ServiceResponse;
 import org.agatefield.daemon.core.UpstreamIdempotencyKeys;
@@ -46,8 +47,7 @@
       RoutingContext context, RequestAttributes attributes, Buffer body, Runnable onCompletion) {
     HttpServerRequest request = context.request();
     PlainService service = service(context.pathParam("name"));
-    String target = request.uri().substring("/services/".length() + service.name().length());
-    String path = target.startsWith("/") ? target : "/" + target;
+    String path = path(request, service);
     CompletableFuture<ServiceResponse> answer;
     if (service.isRepeatable(request.method().name(), pathOnly(path))) {
       answer = repeatable(request, service, path, attributes, body);
@@ -57,6 +57,18 @@
     new ServiceAnswer(dependencies, context, attributes, answer, onCompletion).begin();
   }
 
+  /** Returns the path and query to send to a service. */
+  private static String path(HttpServerRequest request, PlainService service) {
+    String received = request.uri().substring("/services/".length() + service.name().length());
+    String target =
+        RequestTarget.forwardable(received)
+            .orElseThrow(
+                () ->
+                    new AgatefieldException(
+                        ErrorKind.INVALID_REQUEST, "the path and query must be ASCII or UTF-8"));
+    return target.startsWith("/") ? target : "/" + target;
+  }
+
   private PlainService service(String name) {
     return dependencies
         .configuration()
