Planner: adapters with very long names are not tracked

Mend: a name and model of more than 256 characters together are not tracked; such an adapter is still loaded when asked for, but not ahead of requests. Red before: AdapterUseTest, 60,014,890 characters kept, and 4,000 of 4,000 models with long names; green after. Only shown at the class, not with a process.

--- a/placement/src/main/java/org/agatefield/placement/AdapterUse.java
+++ b/placement/src/main/java/org/agatefield/placement/AdapterUse.java
@@ -8,12 +8,14 @@
  * Tracks which adapters of each model are asked for, so that they can be loaded with the model.
  *
  * <p>Invariant: only adapters that were asked for lately are kept, at most {@link
- * #MAXIMUM_ADAPTERS}. Confined to one thread.
+ * #MAXIMUM_ADAPTERS}, and none whose name and model together exceed {@link
+ * #MAXIMUM_NAME_CHARACTERS}, as clients can name any. Confined to one thread.
  */
 public final class AdapterUse {
   private static final double WINDOW_MILLISECONDS = 20_000; // several uses of a common adapter
   private static final double SMALLEST_USE = 0.05; // a single use three windows ago
   private static final int MAXIMUM_ADAPTERS = 4_096;
+  private static final int MAXIMUM_NAME_CHARACTERS = 256;
 
   private final Map<String, Map<String, Use>> uses = new HashMap<>();
   private int size;
@@ -26,6 +28,9 @@
 
   /** Records that an adapter was asked for. */
   public void used(String model, String adapter, long nowMilliseconds) {
+    if (model.length() + adapter.length() > MAXIMUM_NAME_CHARACTERS) {
+      return;
+    }
     if (size >= MAXIMUM_ADAPTERS) {
       forgetUnused(nowMilliseconds);
     }
--- a/placement/src/test/java/org/agatefield/placement/AdapterUseTest.java
+++ b/placement/src/test/java/org/agatefield/placement/AdapterUseTest.java
@@ -31,4 +31,37 @@
     }
     assertEquals(4_096, use.mostUsed("m", 0).size());
   }
+
+  /** Guards against a planner that long names of adapters end by memory. */
+  @Test
+  void namesOfAdaptersAreBoundedByTheirLength() {
+    String name = "a".repeat(15_000);
+    for (int index = 0; index < 4_000; index++) {
+      use.used("m", name + index, 0);
+    }
+    long characters = use.mostUsed("m", 0).stream().mapToLong(String::length).sum();
+    assertTrue(characters <= 1_048_576, "characters " + characters);
+  }
+
+  @Test
+  void namesOfModelsAreBoundedByTheirLength() {
+    String name = "m".repeat(15_000);
+    int kept = 0;
+    for (int index = 0; index < 4_000; index++) {
+      use.used(name + index, "a", 0);
+    }
+    for (int index = 0; index < 4_000; index++) {
+      kept += use.mostUsed(name + index, 0).size();
+    }
+    assertTrue(kept <= 70, "models " + kept);
+  }
+
+  @Test
+  void adapterIsTrackedAgainOnceLongNamesAreForgotten() {
+    for (int index = 0; index < 100; index++) {
+      use.used("m", "a".repeat(15_000) + index, 0);
+    }
+    use.used("m", "b", 120_000);
+    assertEquals(List.of("b"), use.mostUsed("m", 120_000));
+  }
 }
