--- a/review/standin-3/Deployment.java
+++ b/review/standin-3/Deployment.java
@@ -2,6 +2,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
+import java.util.Map;
 
 /** Builds the configuration of a small deployment. */
 final class Deployment {
@@ -25,17 +26,19 @@
     return service.put("protocol", "h1").put("tls", false);
   }
 
-  static ObjectNode modelService(String name, int adapters, List<String> models) {
+  /** Returns a service of model runners; the models are given with their megabytes. */
+  static ObjectNode modelService(String name, int adapters, Map<String, Double> models) {
     ObjectNode service = plainService(name);
     ObjectNode engine = service.putObject("engine").put("slots", 96);
     engine.put("kv_capacity", 131_389).put("kv_token_bytes", 131_072);
     engine.put("weights_mb", 83_000.0).put("adapter_slots", 8).put("load_per_s", 1.5);
     ArrayNode listed = engine.putArray("models");
-    for (String model : models) {
-      ObjectNode each = listed.addObject().put("name", model).put("weights_mb", 34_300.0);
-      each.put("load_s", 5.4).put("warm_s", 0.78).put("disk_s", 1.1);
-      each.put("adapters", adapters).put("adapter_mb", 40.0);
-    }
+    models.forEach(
+        (model, megabytes) -> {
+          ObjectNode each = listed.addObject().put("name", model).put("weights_mb", megabytes);
+          each.put("load_s", 2.6).put("warm_s", 0.54).put("disk_s", 0.7);
+          each.put("adapters", adapters).put("adapter_mb", 40.0);
+        });
     return service;
   }
 
--- a/review/standin-3/RunnerStandin.java
+++ b/review/standin-3/RunnerStandin.java
@@ -11,10 +11,13 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Stands in for one runner: answers requests, reports its state, and carries out orders.
@@ -26,8 +29,9 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int BACKLOG = 500;
   private static final long HEARTBEAT_MILLISECONDS = 1_200;
-  private static final long MODEL_LOAD_MILLISECONDS = 5_400;
+  private static final long MODEL_LOAD_MILLISECONDS = 2_600;
   private static final long ADAPTER_LOAD_MILLISECONDS = 10;
+  private static final double MAXIMUM_MEGABYTES = 83_000;
   private static final int EVENTS = 3;
   private static final long EVENT_MILLISECONDS = 20;
   private static final long PLAIN_WORK_MILLISECONDS = 20;
@@ -43,6 +47,10 @@
   private final Set<String> adapters = new LinkedHashSet<>();
   private final Consumer<Order> onOrder;
   private final Consumer<HttpMessage> onRun;
+  private final List<JsonNode> unanswered = new ArrayList<>();
+  private final Map<String, Double> weights = new HashMap<>();
+  private volatile Predicate<JsonNode> leavesUnanswered = order -> false;
+  private volatile Consumer<String> onTooMuch = text -> {};
   private volatile String address;
   private long heartbeats;
   private int acceptedOrders;
@@ -158,7 +166,7 @@
       byte[] report = MAPPER.writeValueAsBytes(report());
       HttpMessage.writeResponse(output, 200, "Content-Type: application/json\r\n", report);
     } else if (request.target().equals("/api/order")) {
-      HttpMessage.writeResponse(output, order(MAPPER.readTree(request.body())), "", new byte[0]);
+      answerOrder(MAPPER.readTree(request.body()), output);
     } else {
       run(request, output);
     }
@@ -173,6 +181,39 @@
     return report;
   }
 
+  private void answerOrder(JsonNode order, OutputStream output) throws IOException {
+    if (leavesUnanswered.test(order)) {
+      synchronized (this) {
+        unanswered.add(order);
+      }
+      record.write("runner %s leaves order unanswered: %s", id, order);
+      return;
+    }
+    HttpMessage.writeResponse(output, order(order), "", new byte[0]);
+  }
+
+  /** Sets which orders get no answer; they are carried out later, or never. */
+  void leaveUnanswered(Predicate<JsonNode> chosen) {
+    leavesUnanswered = chosen;
+  }
+
+  /** Carries out orders that got no answer, if they still meet their preconditions. */
+  synchronized void carryOutUnanswered(Predicate<JsonNode> chosen) {
+    for (JsonNode order : List.copyOf(unanswered)) {
+      if (chosen.test(order)) {
+        record.write("runner %s carries out late what it left unanswered", id);
+        order(order);
+        unanswered.remove(order);
+      }
+    }
+  }
+
+  /** Sets the megabytes of each model and what is told of an order to load too much. */
+  void setWeights(Map<String, Double> megabytes, Consumer<String> tooMuch) {
+    weights.putAll(megabytes);
+    onTooMuch = tooMuch;
+  }
+
   private synchronized int order(JsonNode order) {
     int status = outcome(order);
     String adapter = order.path("adapter").asText();
@@ -213,6 +254,7 @@
     }
     acceptedOrders++;
     if (load) {
+      checkWeights(model);
       busy = true;
       Threads.start(() -> finishLoad(model));
     } else {
@@ -222,6 +264,19 @@
     return 202;
   }
 
+  private void checkWeights(String model) {
+    double total = weights.getOrDefault(model, 0.0);
+    for (String held : models) {
+      total += weights.getOrDefault(held, 0.0);
+    }
+    if (total > MAXIMUM_MEGABYTES) {
+      onTooMuch.accept(
+          String.format(
+              "runner %s holds %s and is ordered to load %s, %.0f MB of %.0f MB",
+              id, models, model, total, MAXIMUM_MEGABYTES));
+    }
+  }
+
   private int adapterOutcome(String name, String model, boolean load) {
     if (!models.contains(model)) {
       return 400;
--- a/review/standin-3/StaleOrderCase.java
+++ b/review/standin-3/StaleOrderCase.java
@@ -40,7 +40,7 @@
         Deployment.configuration(
             List.of(Deployment.route("draft", "streaming", DEADLINE_MILLISECONDS, "models", 2)),
             List.of(
-                Deployment.modelService("models", ADAPTERS, List.of("model-1")),
+                Deployment.modelService("models", ADAPTERS, Map.of("model-1", 34_300.0)),
                 Deployment.plainService("desk"))));
     Map<String, String> zones = new LinkedHashMap<>();
     zones.put("zone-a", "region-a");
