--- a/review/standin-3/RunnerStandin.java
+++ b/review/standin-3/RunnerStandin.java
@@ -7,6 +7,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -16,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 
@@ -29,7 +31,7 @@
   private static final ObjectMapper MAPPER = new ObjectMapper();
   private static final int BACKLOG = 500;
   private static final long HEARTBEAT_MILLISECONDS = 1_200;
-  private static final long MODEL_LOAD_MILLISECONDS = 2_600;
+  private static final long MODEL_LOAD_MILLISECONDS = 1_100;
   private static final long ADAPTER_LOAD_MILLISECONDS = 10;
   private static final double MAXIMUM_MEGABYTES = 83_000;
   private static final int EVENTS = 3;
@@ -41,8 +43,11 @@
   private final String zone;
   private final StoreStandin store;
   private final CaseRecord record;
-  private final ServerSocket listener;
-  private final long born = System.currentTimeMillis();
+  private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+  private volatile ServerSocket listener;
+  private volatile boolean down;
+  private volatile long born = System.currentTimeMillis();
+  private final boolean hasEngine;
   private final List<String> models = new ArrayList<>();
   private final Set<String> adapters = new LinkedHashSet<>();
   private final Consumer<Order> onOrder;
@@ -73,6 +78,7 @@
     this.service = service;
     this.zone = zone;
     this.models.addAll(models);
+    this.hasEngine = !models.isEmpty();
     this.store = store;
     this.record = record;
     this.onOrder = onOrder;
@@ -92,7 +98,9 @@
     Threads.start(
         () -> {
           while (true) {
-            writeEntry();
+            if (!down) {
+              writeEntry();
+            }
             Threads.pause(HEARTBEAT_MILLISECONDS);
           }
         });
@@ -102,11 +110,45 @@
     start(address);
   }
 
+  /** Ends the process of the runner: all connections are reset, and nothing listens. */
+  synchronized void crash() throws IOException {
+    record.write("runner %s crashes", id);
+    down = true;
+    listener.close();
+    for (Socket connection : connections) {
+      if (!connection.isClosed()) {
+        connection.setSoLinger(true, 0);
+        connection.close();
+      }
+    }
+    connections.clear();
+    models.clear();
+    adapters.clear();
+    acceptedOrders = 0;
+    busy = false;
+  }
+
+  /** Starts the runner again under its identifier and its address; it holds nothing. */
+  void restart() throws IOException {
+    ServerSocket opened = new ServerSocket();
+    opened.setReuseAddress(true);
+    opened.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), listener.getLocalPort()));
+    listener = opened;
+    born = System.currentTimeMillis();
+    heartbeats = 0;
+    down = false;
+    record.write("runner %s is back under its identifier", id);
+    Threads.start(this::accept);
+    writeEntry();
+  }
+
   private void accept() {
+    ServerSocket accepting = listener;
     while (true) {
       try {
-        Socket connection = listener.accept();
+        Socket connection = accepting.accept();
         connection.setTcpNoDelay(true);
+        connections.add(connection);
         Threads.start(() -> serve(connection));
       } catch (IOException exception) {
         return;
@@ -127,7 +169,7 @@
   }
 
   private boolean isModelRunner() {
-    return !models.isEmpty();
+    return hasEngine;
   }
 
   private void addModels(ObjectNode target) {
@@ -155,6 +197,7 @@
     } catch (IOException exception) {
       // The caller has closed its connection.
     }
+    connections.remove(connection);
   }
 
   private void answer(HttpMessage request, OutputStream output) throws IOException {
@@ -208,6 +251,10 @@
     }
   }
 
+  synchronized int acceptedOrders() {
+    return acceptedOrders;
+  }
+
   /** Sets the megabytes of each model and what is told of an order to load too much. */
   void setWeights(Map<String, Double> megabytes, Consumer<String> tooMuch) {
     weights.putAll(megabytes);
@@ -297,8 +344,12 @@
   }
 
   private void finishLoad(String model) {
+    long process = born;
     Threads.pause(MODEL_LOAD_MILLISECONDS);
     synchronized (this) {
+      if (born != process) {
+        return;
+      }
       models.add(model);
       busy = false;
     }
