--- a/review/standin-3/OverloadCase.java
+++ b/review/standin-3/OverloadCase.java
@@ -39,7 +39,7 @@
   private volatile boolean unloadSeen;
 
   public static void main(String[] arguments) {
-    new OverloadCase().run(arguments[0]);
+    new OverloadCase().run(arguments);
   }
 
   @Override
--- a/review/standin-3/RestartedRunnerCase.java
+++ b/review/standin-3/RestartedRunnerCase.java
@@ -39,7 +39,7 @@
   private volatile double lateSince = -1;
 
   public static void main(String[] arguments) {
-    new RestartedRunnerCase().run(arguments[0]);
+    new RestartedRunnerCase().run(arguments);
   }
 
   @Override
--- a/review/standin-3/ReviewCase.java
+++ b/review/standin-3/ReviewCase.java
@@ -17,15 +17,22 @@
   private final List<EntryProcess> entries = new ArrayList<>();
   private Path folder;
   private CaseRecord record;
+  private boolean trouble;
 
   /** Plays the case; returns whether the rule was broken. */
   abstract boolean play() throws Exception;
 
-  void run(String recordPath) {
+  /**
+   * Plays the case and ends the program.
+   *
+   * @param arguments the path of the record, and the value of TROUBLE
+   */
+  void run(String[] arguments) {
+    trouble = !arguments[1].equals("0");
     int verdict = NOT_RUN;
     Runtime.getRuntime().addShutdownHook(new Thread(() -> entries.forEach(EntryProcess::kill)));
     try {
-      record = new CaseRecord(recordPath);
+      record = new CaseRecord(arguments[0]);
       folder = Files.createTempDirectory("agatefield-review");
       record.write("disruption: %s", isTrouble() ? "yes" : "no");
       boolean broken = play();
@@ -50,8 +57,9 @@
     }
   }
 
-  static boolean isTrouble() {
-    return !"0".equals(System.getenv("TROUBLE"));
+  /** Returns whether the disruption is to be brought about. */
+  boolean isTrouble() {
+    return trouble;
   }
 
   CaseRecord record() {
--- a/review/standin-3/SmuggledRequestCase.java
+++ b/review/standin-3/SmuggledRequestCase.java
@@ -22,7 +22,7 @@
   private final Set<String> run = ConcurrentHashMap.newKeySet();
 
   public static void main(String[] arguments) {
-    new SmuggledRequestCase().run(arguments[0]);
+    new SmuggledRequestCase().run(arguments);
   }
 
   @Override
--- a/review/standin-3/StaleOrderCase.java
+++ b/review/standin-3/StaleOrderCase.java
@@ -23,7 +23,7 @@
   private final ConcurrentLinkedQueue<RunnerStandin.Order> orders = new ConcurrentLinkedQueue<>();
 
   public static void main(String[] arguments) {
-    new StaleOrderCase().run(arguments[0]);
+    new StaleOrderCase().run(arguments);
   }
 
   @Override
