--- a/review/standin-3/RestartedRunnerCase.java
+++ b/review/standin-3/RestartedRunnerCase.java
@@ -16,12 +16,18 @@
  */
 final class RestartedRunnerCase extends ReviewCase {
   private static final Map<String, Double> MODELS = new LinkedHashMap<>();
+  private static final Map<String, List<String>> OTHER_RUNNERS =
+      Map.of(
+          "runner-2", List.of("model-f", "model-g"),
+          "runner-3", List.of("model-h", "model-i"),
+          "runner-4", List.of("model-j", "model-k"));
   private static final String BASE = "model-a";
   private static final String IDLE = "model-b";
   private static final String OTHER_IDLE = "model-c";
   private static final String LATE = "model-d";
   private static final String THEN_WANTED = "model-e";
   private static final long REQUEST_INTERVAL_MILLISECONDS = 60;
+  private static final int OTHER_NUMBERS = 100_000;
   private static final int DEADLINE_MILLISECONDS = 5_000;
   private static final int SHORT_DEADLINE_MILLISECONDS = 1_000;
   private static final double LONGEST_DELAY_SECONDS = 11.5;
@@ -32,6 +38,7 @@
     MODELS.put(OTHER_IDLE, 16_100.0);
     MODELS.put(LATE, 34_300.0);
     MODELS.put(THEN_WANTED, 34_300.0);
+    OTHER_RUNNERS.values().forEach(held -> held.forEach(each -> MODELS.put(each, 34_300.0)));
   }
 
   private final ConcurrentLinkedQueue<String> tooMuch = new ConcurrentLinkedQueue<>();
@@ -57,15 +64,17 @@
             run -> {});
     runner.setWeights(MODELS, tooMuch::add);
     runner.start();
-    plainRunner("desk-1", store).start();
-    plainRunner("desk-2", store).start();
+    for (Map.Entry<String, List<String>> other : OTHER_RUNNERS.entrySet()) {
+      RunnerStandin started = modelRunner(other.getKey(), other.getValue(), store);
+      started.setWeights(MODELS, tooMuch::add);
+      started.start();
+    }
     store.put(
         "config",
         "main",
         Deployment.configuration(
             List.of(Deployment.route("draft", "streaming", DEADLINE_MILLISECONDS, "models", 2)),
-            List.of(
-                Deployment.modelService("models", 0, MODELS), Deployment.plainService("desk"))));
+            List.of(Deployment.modelService("models", 0, MODELS))));
     Map<String, String> zones = new LinkedHashMap<>();
     zones.put("zone-a", "region-a");
     zones.put("zone-b", "region-a");
@@ -111,9 +120,10 @@
     return !tooMuch.isEmpty();
   }
 
-  private RunnerStandin plainRunner(String id, StoreStandin store) throws IOException {
+  private RunnerStandin modelRunner(String id, List<String> held, StoreStandin store)
+      throws IOException {
     return new RunnerStandin(
-        id, "desk", "zone-b", List.of(), store, record(), order -> {}, run -> {});
+        id, "models", "zone-b", held, store, record(), order -> {}, run -> {});
   }
 
   /** Chooses the orders for the model that is loaded late. */
@@ -144,6 +154,9 @@
       int each = number;
       String model = number % 2 == 0 ? BASE : wanted;
       Threads.start(() -> sendRequest(entry, model, each));
+      List<String> others = OTHER_RUNNERS.values().stream().flatMap(List::stream).toList();
+      String other = others.get(number % others.size());
+      Threads.start(() -> sendRequest(entry, other, OTHER_NUMBERS + each));
       Threads.pause(REQUEST_INTERVAL_MILLISECONDS);
     }
   }
