Log the count of orders that a plan was made from, and counts that it doesn't explain

Change: the placement line has accepted_before and held; a line is written when a runner reports another count than this planner's orders explain. One line a changed report, nothing else changes.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -193,6 +193,11 @@
     return onDisk;
   }
 
+  /** Returns the number of orders that the runner had accepted when its models were last known. */
+  long acceptedOrders() {
+    return acceptedOrders;
+  }
+
   /** Returns whether a move can begin now. */
   boolean isReady() {
     return acceptedOrders >= 0 && !busy && current.isEmpty() && tasks.isEmpty();
@@ -577,6 +582,19 @@
     }
     final boolean countChanged = acceptedOrders >= 0 && report.acceptedOrders() > acceptedOrders;
     uncountedOrder |= countChanged;
+    if (acceptedOrders >= 0 && report.acceptedOrders() != acceptedOrders) {
+      LOGGER.info(
+          "runner={} accepted_expected={} accepted_reported={} models={} busy={} order={} model={}"
+              + " queued={}",
+          runner.id(),
+          acceptedOrders,
+          report.acceptedOrders(),
+          report.models().stream().map(LoadedModel::name).toList(),
+          report.busy(),
+          current.map(task -> task.action().toString()).orElse("none"),
+          current.map(EngineTask::model).orElse(""),
+          tasks.size());
+    }
     acceptedOrders = report.acceptedOrders();
     busy = report.busy();
     setModels(report.models());
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -303,8 +303,11 @@
         continue; // A late order would load the model again beside the new one.
       }
       LOGGER.info(
-          "placement runner={} speed={} load={} engines={} unload={} from_store={} demand={}",
+          "placement runner={} accepted_before={} held={} speed={} load={} engines={} unload={}"
+              + " from_store={} demand={}",
           move.runner(),
+          engine.acceptedOrders(),
+          engine.possiblyHeld(),
           estimates.speed(move.runner()),
           move.load(),
           offeredLoad(move.load(), profiles, demands),
