--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -31,8 +31,10 @@
  * it executes an order for a model, so that they pass a model's order once its outcome is known.
  * Every order states how many orders the runner has accepted before. An order whose response is
  * lost is sent again with the same count, so that at most one of the two takes effect, whenever
- * they arrive. Invariants: an order is sent only under a valid grant; models that an unanswered
- * order may still load count as held. Confined to one event loop.
+ * they arrive. Invariants: an order is sent only under a valid grant; an order of a move is sent
+ * only with the count that the move was planned from, so that it takes effect on the planned state
+ * or not at all; models that an unanswered order may still load count as held. Confined to one
+ * event loop.
  */
 final class EngineController {
   private static final Logger LOGGER = LogManager.getLogger(EngineController.class);
@@ -74,8 +76,9 @@
   private boolean reading;
   private boolean sending;
   private boolean unloading;
-  // An order that is not in the count took effect after the task began.
-  private boolean uncountedOrder;
+  // The count of accepted orders in which the current move was planned, plus this planner's orders
+  // that were accepted since. Unlike acceptedOrders, it is never read from a report.
+  private long plannedCount = -1;
   private boolean loadingFromStore;
 
   /** Provides the planner's lease grant and receives load events. */
@@ -225,6 +228,7 @@
 
   void begin(ReplicaMove move) {
     loadingFromStore = move.fromStore();
+    plannedCount = acceptedOrders;
     for (String model : move.unload()) {
       planner.dropping(runner.id(), model);
       tasks.add(new EngineTask(Action.UNLOAD, model, Optional.empty()));
@@ -334,7 +338,6 @@
       refusesAdapters = false;
       if (!tasks.isEmpty()) {
         current = Optional.of(tasks.poll());
-        uncountedOrder = false;
         send(current.get());
         return;
       }
@@ -358,6 +361,17 @@
       abandonAll();
       return;
     }
+    if (!task.isForAdapter() && isPlanOutdated()) {
+      LOGGER.info(
+          "runner={} {} {} abandoned planned_count={} accepted_before={}",
+          runner.id(),
+          task.action(),
+          task.model(),
+          plannedCount,
+          acceptedOrders);
+      complete(task, false);
+      return;
+    }
     boolean adapterWithoutSlot =
         task.adapter().isPresent()
             && task.action() == Action.LOAD
@@ -435,6 +449,11 @@
             });
   }
 
+  /** Returns whether the runner's models may differ from those that the move was planned from. */
+  private boolean isPlanOutdated() {
+    return plannedCount != acceptedOrders;
+  }
+
   private static boolean mayHaveBegun(OrderOutcome outcome) {
     return outcome == OrderOutcome.ACCEPTED || outcome == OrderOutcome.UNKNOWN;
   }
@@ -492,6 +511,7 @@
 
   private void accepted(EngineTask task, OrderOutcome outcome) {
     acceptedOrders++;
+    plannedCount++;
     task.accept(acceptedOrders);
     if (task.isForAdapter()) {
       adapterOrderAccepted(task, outcome);
@@ -580,8 +600,6 @@
     if (!settled || sending) {
       return;
     }
-    final boolean countChanged = acceptedOrders >= 0 && report.acceptedOrders() > acceptedOrders;
-    uncountedOrder |= countChanged;
     if (acceptedOrders >= 0 && report.acceptedOrders() != acceptedOrders) {
       LOGGER.info(
           "runner={} accepted_expected={} accepted_reported={} models={} busy={} order={} model={}"
@@ -610,8 +628,8 @@
     EngineTask task = current.get();
     if (isFulfilled(task)) {
       complete(task, true);
-    } else if ((task.isAccepted() && !countChanged) || (uncountedOrder && loadsModel(task))) {
-      complete(task, false); // The runner's models differ from those that the plan was based on.
+    } else if (task.isAccepted()) {
+      complete(task, false); // The runner accepted the order but holds another state.
     } else {
       send(task);
     }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -248,9 +248,13 @@
   }
 
   private void startLoad(String model) {
+    startMove(List.of(), model);
+  }
+
+  private void startMove(List<String> unload, String load) {
     onLoop(
         () -> {
-          controller.begin(new ReplicaMove("r", List.of(), model, true, 1_000));
+          controller.begin(new ReplicaMove("r", unload, load, true, 1_000));
           return null;
         });
   }
@@ -287,8 +291,12 @@
   }
 
   private void holdModel(String model) {
-    report = report(0, false, model);
-    await().atMost(TIMEOUT).until(() -> afterTick(controller::possiblyHeld).contains(model));
+    holdModels(model);
+  }
+
+  private void holdModels(String... held) {
+    report = report(0, false, held);
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::possiblyHeld).equals(Set.of(held)));
     await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
   }
 
@@ -399,4 +407,34 @@
     assertTrue(ready);
     assertEquals(Set.of("b"), onLoop(controller::possiblyHeld));
   }
+
+  /** Guards against a load beside a model that a late order loaded (review/12). */
+  @Test
+  void moveIsAbandonedWhenAnotherOrderTookEffectWhileItsUnloadWasPending() {
+    holdModels("a", "b");
+    orderStatus = CONFLICT;
+    startMove(List.of("b"), "d");
+    await().atMost(TIMEOUT).until(() -> orders.size() == 1);
+    report = report(1, false, "a", "b", "c");
+    orderStatus = ACCEPTED;
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
+    assertEquals(List.of("UNLOAD b 0"), orders);
+    assertEquals(Set.of("a", "b", "c"), onLoop(controller::possiblyHeld));
+  }
+
+  /** Guards against a move that waits behind another order and outlives its plan (review/12). */
+  @Test
+  void moveIsAbandonedWhenAnotherOrderTookEffectBeforeItsFirstOrder() {
+    holdModels("a", "b");
+    orderStatus = BROKEN;
+    ensureAdapter("a", "x");
+    startMove(List.of("b"), "d");
+    await().atMost(TIMEOUT).until(() -> orders.size() >= 2);
+    orderStatus = CONFLICT;
+    report = report(1, false, "a", "b", "c");
+    await().atMost(TIMEOUT).until(() -> afterTick(() -> reports.contains(report)));
+    orderStatus = ACCEPTED;
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
+    assertFalse(orders.stream().anyMatch(order -> !order.contains("a/x")), orders.toString());
+  }
 }
