A move is given up when the model that it unloads is not there

A runner that answers 200 to an order to unload says that it held another state than the plan assumed, though the count fits (it restarted unnoticed, and its count came to the same number). The move went on: the answer was counted as an accepted order, though 200 is none ("seq (the number of orders accepted)", "200: the order already holds"), and the load followed.

Change: a 200 to an order for a model counts as nothing, gives up the rest of the move and has the runner's state read before the next order.

Test, red before: moveIsAbandonedWhenTheModelToUnloadIsNotThere, [UNLOAD b 0, LOAD d 1] for [UNLOAD b 0].

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -509,7 +509,20 @@
         || currentAdapter.filter(each -> each == task).isPresent();
   }
 
+  /**
+   * Ends a task for a model whose order had no effect. The runner holds other models than the plan
+   * assumed, so that its state is read again before the next order.
+   */
+  private void hadNoEffect(EngineTask task) {
+    acceptedOrders = -1;
+    complete(task, task.action() == Action.LOAD);
+  }
+
   private void accepted(EngineTask task, OrderOutcome outcome) {
+    if (outcome == OrderOutcome.FULFILLED && !task.isForAdapter()) {
+      hadNoEffect(task);
+      return;
+    }
     acceptedOrders++;
     plannedCount++;
     task.accept(acceptedOrders);
@@ -523,7 +536,7 @@
       adapters.forgetModel(task.model());
     }
     boolean moreToCome = unloading && !tasks.isEmpty();
-    if (outcome == OrderOutcome.FULFILLED || moreToCome) {
+    if (moreToCome) {
       // The runner refuses the next order until the unload is complete.
       complete(task, true);
       return;
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -43,6 +43,7 @@
   // Per the specification, reports are some hundred milliseconds old.
   private static final long REPORT_AGE_MILLISECONDS = 250;
   private static final int ACCEPTED = 202;
+  private static final int FULFILLED = 200;
   private static final int CONFLICT = 409;
   private static final int BROKEN = 500;
 
@@ -102,6 +103,7 @@
       return switch (status) {
         case ACCEPTED -> OrderOutcome.ACCEPTED;
         case CONFLICT -> OrderOutcome.CONFLICT;
+        case FULFILLED -> OrderOutcome.FULFILLED;
         default -> OrderOutcome.UNKNOWN;
       };
     }
@@ -437,4 +439,17 @@
     await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
     assertFalse(orders.stream().anyMatch(order -> !order.contains("a/x")), orders.toString());
   }
+
+  /** Guards against a load beside models that the plan did not know of. */
+  @Test
+  void moveIsAbandonedWhenTheModelToUnloadIsNotThere() {
+    holdModels("a", "b");
+    orderStatus = FULFILLED;
+    startMove(List.of("b"), "d");
+    await().atMost(TIMEOUT).until(() -> !orders.isEmpty());
+    report = report(0, false, "a", "c");
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
+    assertEquals(List.of("UNLOAD b 0"), orders);
+    assertEquals(Set.of("a", "c"), onLoop(controller::possiblyHeld));
+  }
 }
