A report of another process than the runner's entry plans nothing

A report that came before the entry of the restarted runner, or after it from the process before, was used as if the counts were of one process; a move went on if the count happened to be the same.

Change: a report whose start time differs from the entry's gives up what is planned and orders nothing until both are of one process. Without a start time in either nothing changes. While the store is away the entry can't follow, but then the planner's lease ends within its own time, so that no order is lost by it.

Test, red before: moveIsAbandonedWhenTheRunnerReportsAnotherProcess sent UNLOAD b 0 to the later process.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -600,10 +600,14 @@
   }
 
   private void applyReport(RunnerReport report, long requestedAt) {
+    planner.reported(runner, report);
+    if (isOfOtherProcess(report)) {
+      otherProcessReported(report);
+      return;
+    }
     inHostMemory = report.inHostMemory();
     onDisk = report.onDisk();
     hasWork = report.work().filter(work -> work.running() + work.waiting() > 0).isPresent();
-    planner.reported(runner, report);
     if (completesLoad(report)) {
       busy = false;
       complete(current.get(), true);
@@ -648,6 +652,29 @@
     }
   }
 
+  /** Returns whether a report is of another process of the runner than its entry. */
+  private boolean isOfOtherProcess(RunnerReport report) {
+    return report.startTimeMilliseconds() > 0
+        && runner.startTimeMilliseconds() > 0
+        && report.startTimeMilliseconds() != runner.startTimeMilliseconds();
+  }
+
+  /**
+   * Abandons all tasks until the entry and a report are of the same process: the counts of two
+   * processes say nothing of each other.
+   */
+  private void otherProcessReported(RunnerReport report) {
+    if (acceptedOrders >= 0) {
+      LOGGER.info(
+          "runner={} report=other_process started={} entry_started={}",
+          runner.id(),
+          report.startTimeMilliseconds(),
+          runner.startTimeMilliseconds());
+    }
+    acceptedOrders = -1;
+    abandonAll();
+  }
+
   /**
    * Returns whether a report shows that the current load is complete, even if orders for adapters
    * were sent after it was requested.
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -165,9 +165,14 @@
   }
 
   private static RunnerReport report(long acceptedOrders, boolean busy, String... models) {
+    return report(1, acceptedOrders, busy, models);
+  }
+
+  private static RunnerReport report(
+      long startTime, long acceptedOrders, boolean busy, String... models) {
     List<LoadedModel> held =
         java.util.Arrays.stream(models).map(name -> new LoadedModel(name, Set.of())).toList();
-    return new RunnerReport(1, held, Set.of(), busy, acceptedOrders, Set.of(), Set.of());
+    return new RunnerReport(startTime, held, Set.of(), busy, acceptedOrders, Set.of(), Set.of());
   }
 
   @BeforeEach
@@ -198,11 +203,15 @@
   }
 
   private RunnerEntry entry(String... models) {
+    return entry(1, models);
+  }
+
+  private RunnerEntry entry(long startTime, String... models) {
     List<LoadedModel> held =
         java.util.Arrays.stream(models).map(name -> new LoadedModel(name, Set.of())).toList();
     return new RunnerEntry(
         "r",
-        1,
+        startTime,
         OptionalLong.empty(),
         "service",
         new Address("127.0.0.1", port),
@@ -452,4 +461,26 @@
     assertEquals(List.of("UNLOAD b 0"), orders);
     assertEquals(Set.of("a", "c"), onLoop(controller::possiblyHeld));
   }
+
+  /** Guards against a move that goes on in a later process whose count is the same. */
+  @Test
+  void moveIsAbandonedWhenTheRunnerReportsAnotherProcess() {
+    holdModels("a", "b");
+    orderStatus = CONFLICT;
+    startMove(List.of("b"), "d");
+    await().atMost(TIMEOUT).until(() -> orders.size() == 1);
+    report = report(2, 0, false, "b", "c");
+    orderStatus = ACCEPTED;
+    await().atMost(TIMEOUT).until(() -> afterTick(() -> reports.contains(report)));
+    assertFalse(afterTick(controller::isReady), "the entry is of the process before");
+    RunnerEntry restarted = entry(2);
+    onLoop(
+        () -> {
+          controller.update(restarted, true, 8);
+          return null;
+        });
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
+    assertEquals(List.of("UNLOAD b 0"), orders);
+    assertEquals(Set.of("b", "c"), onLoop(controller::possiblyHeld));
+  }
 }
