Adapters of a model that is being unloaded keep their slots until the unload is complete

An unload waits for the runs of its model ("An unload waits for its runs to finish and then drops what the runner kept"), but the slots of its adapters counted as free once the unload was accepted, so that adapters of other models could be ordered beyond adapter_slots, which crashes the runner.

Change: those adapters can't be used or evicted, but occupy their slots until the runner accepts the load that follows, which it does only after the unload, or until a report no longer lists them.

Test, red before: adaptersOfLeavingModelKeepTheirSlotsUntilItsUnloadIsComplete (the adapter was ordered). AdapterSlotsTest asked that forgotten adapters free their slots; it asks the same of the complete unload and more of the pending one.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/AdapterSlots.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/AdapterSlots.java
@@ -9,8 +9,8 @@
 /**
  * Tracks the adapters that occupy slots of one runner, written as {@code model/adapter}.
  *
- * <p>Invariant: an adapter ordered to be unloaded occupies its slot until the runner confirms the
- * unload. Confined to one event loop.
+ * <p>Invariant: an adapter ordered to be unloaded, by itself or with its model, occupies its slot
+ * until the runner confirms the unload. Confined to one event loop.
  */
 final class AdapterSlots {
   // Instances tell of an adapter that they use more often than that.
@@ -81,8 +81,18 @@
     slotsByAdapter.remove(adapter);
   }
 
-  void forgetModel(String model) {
-    slotsByAdapter.keySet().removeIf(adapter -> adapter.startsWith(model + '/'));
+  /** Records that a model is being unloaded; its adapters stay until its requests have ended. */
+  void modelLeaves(String model) {
+    slotsByAdapter.forEach((adapter, slot) -> slot.unloading |= modelOf(adapter).equals(model));
+  }
+
+  /** Records that the runner has unloaded all models but the given ones, with their adapters. */
+  void retainModels(Set<String> models) {
+    slotsByAdapter.keySet().removeIf(adapter -> !models.contains(modelOf(adapter)));
+  }
+
+  private static String modelOf(String adapter) {
+    return adapter.split("/", 2)[0];
   }
 
   /** Applies the adapters that the runner reports as loaded or loading. */
--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -533,7 +533,9 @@
     unloading = task.action() == Action.UNLOAD;
     if (task.action() == Action.UNLOAD) {
       models.remove(task.model());
-      adapters.forgetModel(task.model());
+      adapters.modelLeaves(task.model());
+    } else {
+      adapters.retainModels(models); // The runner accepts a load only after its unloads.
     }
     boolean moreToCome = unloading && !tasks.isEmpty();
     if (moreToCome) {
--- a/daemon/src/test/java/org/agatefield/daemon/forward/AdapterSlotsTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/AdapterSlotsTest.java
@@ -46,7 +46,10 @@
     slots.reported(Set.of("m/a2", "n/a1"));
     assertEquals(2, slots.used());
     assertFalse(slots.holds("m/a1"));
-    slots.forgetModel("m");
+    slots.modelLeaves("m");
+    assertEquals(2, slots.used());
+    assertFalse(slots.touch("m/a2", LATER));
+    slots.retainModels(Set.of("n"));
     assertEquals(1, slots.used());
   }
 }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.agatefield.daemon.forward.wire.OrderOutcome;
 import org.agatefield.daemon.forward.wire.RateLimitAnnouncement;
@@ -52,6 +53,7 @@
   private final List<String> orders = new CopyOnWriteArrayList<>();
   private volatile RunnerReport report = report(0, false);
   private volatile int orderStatus = ACCEPTED;
+  private volatile Predicate<String> refused = order -> false;
   private volatile long answerDelay = 1;
   private final List<RunnerReport> reports = new CopyOnWriteArrayList<>();
   private final AtomicInteger storeLoadsAsked = new AtomicInteger();
@@ -239,7 +241,7 @@
         .onSuccess(
             body -> {
               orders.add(body.toString());
-              int status = orderStatus;
+              int status = refused.test(body.toString()) ? CONFLICT : orderStatus;
               vertx.setTimer(answerDelay, fired -> request.response().setStatusCode(status).end());
             });
   }
@@ -483,4 +485,30 @@
     assertEquals(List.of("UNLOAD b 0"), orders);
     assertEquals(Set.of("b", "c"), onLoop(controller::possiblyHeld));
   }
+
+  /** Guards against more adapters than slots while a model leaves: its runs keep its adapters. */
+  @Test
+  void adaptersOfLeavingModelKeepTheirSlotsUntilItsUnloadIsComplete() {
+    onLoop(
+        () -> {
+          controller.update(controller.runner(), false, 1);
+          return null;
+        });
+    LoadedModel leaving = new LoadedModel("b", Set.of("x"));
+    LoadedModel staying = new LoadedModel("a", Set.of());
+    report =
+        new RunnerReport(1, List.of(leaving, staying), Set.of(), false, 0, Set.of(), Set.of());
+    await()
+        .atMost(TIMEOUT)
+        .until(() -> afterTick(controller::possiblyHeld).equals(Set.of("a", "b")));
+    refused = order -> order.equals("LOAD d 1"); // The runner still executes the unload.
+    startMove(List.of("b"), "d");
+    await().atMost(TIMEOUT).until(() -> orders.contains("LOAD d 1"));
+    assertFalse(ensureAdapter("a", "y").join());
+    assertFalse(orders.contains("LOAD a/y 1"), orders.toString());
+    refused = order -> false;
+    report = report(2, false, "a", "d");
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
+    assertTrue(ensureAdapter("a", "y").join());
+  }
 }
