Show that an adapter isn't ordered again without a free slot

The test passes on the code as it was; with the check of slots taken out it fails (LOAD a/y 1, seven times).

--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -170,6 +170,11 @@
     return report(1, acceptedOrders, busy, models);
   }
 
+  private static RunnerReport report(long acceptedOrders, LoadedModel... models) {
+    return new RunnerReport(
+        1, List.of(models), Set.of(), false, acceptedOrders, Set.of(), Set.of());
+  }
+
   private static RunnerReport report(
       long startTime, long acceptedOrders, boolean busy, String... models) {
     List<LoadedModel> held =
@@ -496,8 +501,7 @@
         });
     LoadedModel leaving = new LoadedModel("b", Set.of("x"));
     LoadedModel staying = new LoadedModel("a", Set.of());
-    report =
-        new RunnerReport(1, List.of(leaving, staying), Set.of(), false, 0, Set.of(), Set.of());
+    report = report(0, leaving, staying);
     await()
         .atMost(TIMEOUT)
         .until(() -> afterTick(controller::possiblyHeld).equals(Set.of("a", "b")));
@@ -511,4 +515,21 @@
     await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady));
     assertTrue(ensureAdapter("a", "y").join());
   }
+
+  /** Guards against more adapters than slots when a late order takes the last one (review/12). */
+  @Test
+  void adapterIsNotOrderedAgainWhenAnotherOrderTookItsSlot() {
+    holdModel("a");
+    onLoop(
+        () -> {
+          controller.update(controller.runner(), false, 1);
+          return null;
+        });
+    orderStatus = CONFLICT;
+    CompletableFuture<Boolean> adapter = ensureAdapter("a", "y");
+    report = report(1, new LoadedModel("a", Set.of("x")));
+    await().atMost(TIMEOUT).until(() -> afterTick(adapter::isDone));
+    assertFalse(adapter.join());
+    assertEquals(List.of("LOAD a/y 0"), orders);
+  }
 }
