--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -486,13 +486,7 @@
   }
 
   private void startPlanner(HttpObjectStore store, String id) {
-    HttpClient client =
-        vertx.createHttpClient(
-            new HttpClientOptions()
-                .setProtocolVersion(HttpVersion.HTTP_1_1)
-                .setConnectTimeout(CONNECT_MILLISECONDS)
-                .setTcpNoDelay(true),
-            new PoolOptions().setHttp1MaxSize(2));
+    HttpClient client = RunnerClient.createHttpClient(vertx);
     closer.register(client::close);
     lease =
         closer.register(
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -6,9 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vertx.core.Context;
-import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerRequest;
 import java.time.Duration;
@@ -21,12 +19,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
-import org.agatefield.daemon.forward.wire.OrderOutcome;
-import org.agatefield.daemon.forward.wire.RateLimitAnnouncement;
-import org.agatefield.daemon.forward.wire.ResponseKind;
-import org.agatefield.daemon.forward.wire.RunnerDialect;
-import org.agatefield.daemon.forward.wire.RunnerOrder;
-import org.agatefield.daemon.forward.wire.SendTerms;
 import org.agatefield.forwarding.LoadedModel;
 import org.agatefield.forwarding.RunnerEntry;
 import org.agatefield.forwarding.RunnerReport;
@@ -61,71 +53,6 @@
   private int port;
   private EngineController controller;
 
-  /**
-   * Encodes orders as text with the model's name; reports are passed directly instead of being
-   * decoded.
-   */
-  private final class Dialect implements RunnerDialect {
-    @Override
-    public void writeTerms(SendTerms terms, MultiMap headers) {}
-
-    @Override
-    public ResponseKind responseKind(int status, MultiMap headers, String requestId) {
-      return ResponseKind.SUCCESS;
-    }
-
-    @Override
-    public boolean isLeaving(MultiMap headers) {
-      return false;
-    }
-
-    @Override
-    public OptionalLong backoffMilliseconds(int status, MultiMap headers) {
-      return OptionalLong.empty();
-    }
-
-    @Override
-    public RateLimitAnnouncement rateLimit(MultiMap headers) {
-      return new RateLimitAnnouncement.NotLimited();
-    }
-
-    @Override
-    public String orderPath() {
-      return "/order";
-    }
-
-    @Override
-    public Buffer encodeOrder(RunnerOrder order) {
-      String load = order.adapter().map(name -> order.model() + "/" + name).orElse(order.model());
-      return Buffer.buffer(order.action() + " " + load + " " + order.acceptedOrders());
-    }
-
-    @Override
-    public OrderOutcome orderOutcome(int status) {
-      return switch (status) {
-        case ACCEPTED -> OrderOutcome.ACCEPTED;
-        case CONFLICT -> OrderOutcome.CONFLICT;
-        case FULFILLED -> OrderOutcome.FULFILLED;
-        default -> OrderOutcome.UNKNOWN;
-      };
-    }
-
-    @Override
-    public String expectedRunnerHeader() {
-      return "Expected";
-    }
-
-    @Override
-    public String reportPath() {
-      return "/report";
-    }
-
-    @Override
-    public Optional<RunnerReport> decodeReport(Buffer body) {
-      return Optional.of(report);
-    }
-  }
-
   private final class Granted implements EngineController.PlannerCallbacks {
     @Override
     public Optional<LeaseGrant> grant() {
@@ -199,8 +126,8 @@
           controller =
               new EngineController(
                   vertx,
-                  vertx.createHttpClient(),
-                  new Dialect(),
+                  RunnerClient.createHttpClient(vertx),
+                  new TextRunnerDialect(() -> report),
                   new Granted(),
                   new OutstandingOrders());
           controller.update(entry, true, 8);
