--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -214,7 +214,9 @@
     }
     if (!active) {
       active = true;
-      outstandingOrders.tookOver(MonotonicClock.milliseconds());
+      if (!grant.get().isFirst()) {
+        outstandingOrders.tookOver(MonotonicClock.milliseconds());
+      }
       LOGGER.info("planner={} token={}", instance, grant.get().fencingToken());
       announcements.tookOver(grant.get().fencingToken());
       List.copyOf(runners.all()).forEach(entry -> attach(entry, true));
--- a/daemon/src/main/java/org/agatefield/daemon/forward/NewestEntries.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/NewestEntries.java
@@ -44,6 +44,11 @@
         && entry.startTimeMilliseconds() != known.startTimeMilliseconds();
   }
 
+  /** Returns whether nothing is known of the processes of a runner but this entry. */
+  boolean isFirstOf(RunnerEntry entry) {
+    return isNumbered(entry) && !newest.containsKey(entry.id());
+  }
+
   /** Records an entry that is in use. */
   void record(RunnerEntry entry) {
     if (isNumbered(entry)) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/OutstandingOrdersByRunner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/OutstandingOrdersByRunner.java
@@ -21,7 +21,7 @@
     return orders.computeIfAbsent(runner, ignored -> new OutstandingOrders());
   }
 
-  /** Records that this instance has become the planner. */
+  /** Records that this instance has become the planner after another process. */
   void tookOver(long now) {
     plannerSince = now;
   }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerDirectory.java
@@ -44,7 +44,7 @@
   private final NewestEntries newest = new NewestEntries();
   private final Set<String> unreadable = new HashSet<>(); // Logged once, however often rewritten.
   private final Map<String, Long> expiredAt = new HashMap<>();
-  private final Map<String, Long> restartedAt = new HashMap<>();
+  private final RunnerRestarts restarts = new RunnerRestarts();
   private final Set<String> knownFromPeersOnly = new HashSet<>();
   private final Map<String, List<RunnerEntry>> usableByService = new HashMap<>();
   private final List<Listener> listeners = new ArrayList<>();
@@ -81,6 +81,7 @@
   @Override
   public void updated(Map<String, StoredObject> objects) {
     confirmedAt = MonotonicClock.milliseconds();
+    restarts.watchBegan(confirmedAt);
     if (firstListAt.isEmpty()) {
       firstListAt = OptionalLong.of(confirmedAt);
     }
@@ -142,7 +143,7 @@
   /** Removes runners whose expired entries were not rewritten in time. */
   void removeExpired(long now) {
     newest.forgetOld(now);
-    restartedAt.values().removeIf(at -> now - at > OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS);
+    restarts.forgetOld(now);
     // The store may have been away before this process first reached it.
     long contactAt = Math.max(storeReturnedAt, firstListAt.orElse(storeReturnedAt));
     if (expiredAt.isEmpty() || !storeAvailable || now - contactAt < RETURN_MILLISECONDS) {
@@ -170,10 +171,9 @@
     return Optional.ofNullable(entries.get(id));
   }
 
-  /** Returns when a runner was first seen as another process under its identifier, if it was. */
+  /** Returns when a runner started again under its identifier, or may have; empty if it did not. */
   OptionalLong restartedAt(String id) {
-    Long at = restartedAt.get(id);
-    return at == null ? OptionalLong.empty() : OptionalLong.of(at);
+    return restarts.of(id);
   }
 
   Collection<RunnerEntry> all() {
@@ -218,7 +218,9 @@
     }
     expiredAt.remove(id);
     if (newest.isOfOtherProcess(entry)) {
-      restartedAt.put(id, MonotonicClock.milliseconds());
+      restarts.restarted(id, MonotonicClock.milliseconds());
+    } else if (newest.isFirstOf(entry)) {
+      restarts.firstSeen(entry, MonotonicClock.milliseconds(), System.currentTimeMillis());
     }
     newest.record(entry);
     RunnerEntry before = entries.put(id, entry);
--- a/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/RunnerDirectoryTest.java
@@ -283,6 +283,13 @@
     assertTrue(directory.restartedAt("a").isPresent());
   }
 
+  /** Guards against a restart that came before this instance's first list (review/13). */
+  @Test
+  void runnerThatStartedShortlyBeforeTheFirstListMayHaveRestarted() {
+    directory.changed(entry("a", "ready 0 " + (System.currentTimeMillis() - 1_000)));
+    assertTrue(directory.restartedAt("a").isPresent());
+  }
+
   /**
    * Guards against a runner that left soon after this instance's first list and seems to return.
    */
--- a/lease/src/main/java/org/agatefield/lease/LeaseProtocol.java
+++ b/lease/src/main/java/org/agatefield/lease/LeaseProtocol.java
@@ -26,8 +26,6 @@
  * <p>Uses neither wall clocks nor clocks of other processes. Immutable and thread-safe.
  */
 public final class LeaseProtocol {
-  private static final long FIRST_TOKEN = 1;
-
   private final String holder;
   private final LeaseTerms terms;
   private final Predicate<String> dead;
@@ -126,8 +124,9 @@
   }
 
   private long nextToken(LeaseState.Observation observed) {
-    long next = observed.lease().map(lease -> lease.fencingToken() + 1).orElse(FIRST_TOKEN);
-    long first = observed.version().firstToken() + FIRST_TOKEN;
+    long next =
+        observed.lease().map(lease -> lease.fencingToken() + 1).orElse(LeaseGrant.FIRST_TOKEN);
+    long first = observed.version().firstToken() + LeaseGrant.FIRST_TOKEN;
     return Math.max(Math.max(first, observed.version().minimumToken()), next);
   }
 
