--- a/daemon/src/main/java/org/agatefield/daemon/connections/CountingRequestDecoder.java
+++ b/daemon/src/main/java/org/agatefield/daemon/connections/CountingRequestDecoder.java
@@ -7,15 +7,21 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.impl.VertxHttpRequestDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -23,8 +29,8 @@
  *
  * <p>Invariants: a request is not decoded before the one ahead of it is answered and its response
  * sent; one connection decodes at most {@link #PIECES_PER_TURN} pieces before the event loop reads
- * the others; nothing is passed on after the connection was given up. Confined to the connection's
- * event loop.
+ * the others; nothing is passed on after the connection was given up, nor of a request whose end is
+ * ambiguous. Confined to the connection's event loop.
  */
 final class CountingRequestDecoder extends VertxHttpRequestDecoder {
   static final int PIECES_PER_TURN = 256;
@@ -39,6 +45,8 @@
   private final HeldConnection connection;
   private ChannelHandlerContext context;
   private boolean inBody;
+  private Optional<ChunkFraming> chunks = Optional.empty();
+  private boolean bodyRejected;
   private boolean unanswered;
   private boolean responseBegun;
   private boolean refused;
@@ -100,14 +108,14 @@
   @Override
   protected void decode(ChannelHandlerContext channelContext, ByteBuf buffer, List<Object> out)
       throws Exception {
-    if (refused) {
+    if (refused || bodyRejected) {
       buffer.skipBytes(buffer.readableBytes());
       return;
     }
     if (isBetweenRequests()) {
       blankBytes += skipBlanks(buffer);
       if (blankBytes > maximumHeadBytes()) {
-        rejectHead(buffer, out);
+        rejectHead(buffer, out, tooLong());
         return;
       }
       if (!buffer.isReadable()) {
@@ -132,13 +140,23 @@
     pieces++;
     if (inBody) {
       countBody(buffer, start, consumed, out.size() > decoded);
+      if (chunks.isPresent() && !chunks.get().accepts(buffer, start, consumed)) {
+        discard(out, decoded);
+        rejectBody(buffer);
+        return;
+      }
     } else {
       headBytes += consumed;
       lines += linesIn(buffer, start, consumed);
       int incomplete = out.size() > decoded ? 0 : buffer.readableBytes();
       if (headBytes + incomplete > maximumHeadBytes()) {
-        out.subList(decoded, out.size()).clear();
-        rejectHead(buffer, out);
+        discard(out, decoded);
+        rejectHead(buffer, out, tooLong());
+        return;
+      }
+      if (hasAmbiguousLength(out, decoded)) {
+        discard(out, decoded);
+        rejectHead(buffer, out, new IllegalArgumentException("the body's length is ambiguous"));
         return;
       }
     }
@@ -199,11 +217,60 @@
     return configured + configured / 8;
   }
 
-  private void rejectHead(ByteBuf buffer, List<Object> out) {
+  private static TooLongHttpHeaderException tooLong() {
+    return new TooLongHttpHeaderException("the head is larger than allowed");
+  }
+
+  /**
+   * Returns whether a decoded head leaves open where its body ends: the only transfer coding that
+   * is understood is chunked, in HTTP/1.1 (RFC 9112, sections 6.1 and 6.3).
+   */
+  private static boolean hasAmbiguousLength(List<Object> out, int from) {
+    for (int index = from; index < out.size(); index++) {
+      boolean isAmbiguous =
+          out.get(index) instanceof HttpRequest request
+              && request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+              && !isChunkedOnly(request);
+      if (isAmbiguous) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static boolean isChunkedOnly(HttpRequest request) {
+    List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+    return codings.size() == 1
+        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(codings.get(0))
+        && request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+  }
+
+  /** Rejects a head with both a length and a coding, of which the inherited method drops one. */
+  @Override
+  protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+    throw new IllegalArgumentException("both a length and a transfer coding");
+  }
+
+  private static void discard(List<Object> out, int from) {
+    List<Object> discarded = out.subList(from, out.size());
+    discarded.forEach(ReferenceCountUtil::release);
+    discarded.clear();
+  }
+
+  private void rejectBody(ByteBuf buffer) {
+    buffer.skipBytes(buffer.readableBytes());
+    bodyRejected = true;
+    closeAsInvalid();
+  }
+
+  private void closeAsInvalid() {
+    context.channel().eventLoop().execute(() -> answerAndClose("400 Bad Request", ""));
+  }
+
+  private void rejectHead(ByteBuf buffer, List<Object> out, Exception cause) {
     buffer.skipBytes(buffer.readableBytes());
     HttpMessage request = createMessage(new String[] {"GET", "/bad-request", "HTTP/1.1"});
-    request.setDecoderResult(
-        DecoderResult.failure(new TooLongHttpHeaderException("the head is larger than allowed")));
+    request.setDecoderResult(DecoderResult.failure(cause));
     out.add(request);
     refused = true;
   }
@@ -218,8 +285,12 @@
       rejected(message);
       return;
     }
-    if (message instanceof HttpRequest) {
+    if (message instanceof HttpRequest request) {
       inBody = true;
+      chunks =
+          HttpUtil.isTransferEncodingChunked(request)
+              ? Optional.of(new ChunkFraming())
+              : Optional.empty();
       unanswered = true;
       responseBegun = false;
       blankBytes = 0;
@@ -248,7 +319,7 @@
       refused = true; // The server answers it and closes the connection.
       return;
     }
-    context.channel().eventLoop().execute(() -> answerAndClose("400 Bad Request", ""));
+    closeAsInvalid();
   }
 
   private void count() {
--- a/daemon/src/test/java/org/agatefield/daemon/connections/CountingRequestDecoderTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/connections/CountingRequestDecoderTest.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vertx.core.http.HttpServerOptions;
 import java.nio.charset.StandardCharsets;
@@ -133,6 +134,85 @@
     channel.finishAndReleaseAll();
   }
 
+  /** Guards against a request that is read out of the body of another one (review/14). */
+  @Test
+  void requestWhoseLengthIsAmbiguousIsRejectedWithAllThatFollows() {
+    List<String> fields =
+        List.of(
+            "Transfer-Encoding: gzip",
+            "Transfer-Encoding: chunked, gzip",
+            "Transfer-Encoding: gzip, chunked",
+            "Transfer-Encoding: chunked, chunked",
+            "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+            "Transfer-Encoding: xchunked",
+            "Transfer-Encoding:",
+            "Transfer-Encoding: chunked\r\nContent-Length: 4",
+            "Content-Length: 4\r\nTransfer-Encoding: chunked",
+            "Content-Length: 4\r\nContent-Length: 5",
+            "Content-Length: 4, 5",
+            "Content-Length: +4");
+    for (String each : fields) {
+      EmbeddedChannel channel = channel();
+      send(channel, "POST /b HTTP/1.1\r\nHost: h\r\n" + each + "\r\n\r\n" + REQUEST);
+      assertEquals("!", decoded(channel), each);
+      channel.finishAndReleaseAll();
+    }
+    EmbeddedChannel channel = channel();
+    send(channel, CHUNKED_REQUEST.replace("HTTP/1.1", "HTTP/1.0"));
+    assertEquals("!", decoded(channel));
+    channel.finishAndReleaseAll();
+  }
+
+  /** Guards against a chunk whose size is kept in fewer digits than it has (review/14). */
+  @Test
+  void requestWithInvalidChunkIsGivenUpBeforeItsBodyEnds() {
+    List<String> chunks =
+        List.of(
+            "100000000\r\n\r\n",
+            "10000000000000000\r\n\r\n",
+            "0100000000;x=y\r\n\r\n",
+            "80000000\r\n\r\n",
+            "\r\n\r\n",
+            " 0\r\n\r\n",
+            "0x0\r\n\r\n",
+            "-0\r\n\r\n",
+            "0\n\r\n",
+            "4\r\nbodyx\r\n0\r\n\r\n",
+            "4\r\nbody\n0\r\n\r\n");
+    String head = "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (String chunk : chunks) {
+      for (int split = 0; split <= chunk.length(); split++) {
+        EmbeddedChannel channel = channel();
+        send(channel, head + chunk.substring(0, split));
+        if (channel.isActive()) {
+          send(channel, chunk.substring(split) + REQUEST);
+        }
+        channel.runPendingTasks();
+        assertFalse(
+            channel.inboundMessages().stream().anyMatch(LastHttpContent.class::isInstance),
+            chunk + " ended the body");
+        assertFalse(channel.isActive(), chunk + " left the connection open");
+        channel.finishAndReleaseAll();
+      }
+    }
+  }
+
+  @Test
+  void soundChunksAreDecodedHoweverTheyArrive() {
+    String request =
+        "POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: Chunked\r\n\r\n"
+            + "0004;x=\"y\"\r\nbody\r\nA\r\n0123456789\r\n00\r\nTrailer: t\r\n\r\n";
+    for (int split = 0; split <= request.length(); split++) {
+      EmbeddedChannel channel = channel();
+      send(channel, request.substring(0, split));
+      send(channel, request.substring(split) + REQUEST);
+      assertEquals("/bbody0123456789", decoded(channel));
+      answer(channel);
+      assertEquals("/abody", decoded(channel));
+      channel.finishAndReleaseAll();
+    }
+  }
+
   @Test
   void headWithinTheLimitIsDecoded() {
     EmbeddedChannel channel = channel();
