RunnerClient: its invariant says what a reset can promise

The comment said that a call that was given up leaves no bytes that may still reach the runner; bytes that are already on their way may.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/RunnerClient.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/RunnerClient.java
@@ -20,7 +20,7 @@
  * Sends orders to runners and reads their reports.
  *
  * <p>Every call names the runner it is meant for, since addresses are reused. Invariant: a call
- * that was given up leaves no bytes that may still reach the runner, nor does the end of this
+ * that was given up leaves no bytes that this machine may still send, nor does the end of this
  * process. Futures complete on the calling event loop. Confined to one event loop.
  */
 final class RunnerClient {
