Track orders without a response, and log them when the planner's lease ends

Change: OrdersInTransit counts each copy of an order until its response arrives or it can no longer be delivered; the line at the end of the lease has the oldest of each runner. Nothing else changes.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -58,6 +58,7 @@
   private final Deque<EngineTask> tasks = new ArrayDeque<>();
   private final AdapterSlots adapters = new AdapterSlots();
   private final OutstandingOrders outstanding;
+  private final OrdersInTransit inTransit;
   private Set<String> models = new HashSet<>();
   private Set<String> inHostMemory = Set.of();
   private Set<String> onDisk = Set.of();
@@ -123,14 +124,17 @@
    * Creates the controller of a runner whose state is not known yet.
    *
    * @param outstanding loads that were ordered from earlier processes of the runner
+   * @param inTransit orders to all runners that may still arrive
    */
   EngineController(
       Vertx vertx,
       HttpClient client,
       RunnerDialect dialect,
       PlannerCallbacks planner,
-      OutstandingOrders outstanding) {
+      OutstandingOrders outstanding,
+      OrdersInTransit inTransit) {
     this.outstanding = outstanding;
+    this.inTransit = inTransit;
     this.vertx = vertx;
     this.runnerClient = new RunnerClient(client, dialect);
     this.dialect = dialect;
@@ -411,6 +415,8 @@
         task.action() == Action.LOAD
             ? OptionalLong.of(outstanding.sent(task.load(), lastOrderAt))
             : OptionalLong.empty();
+    final String runnerId = runner.id();
+    final long number = inTransit.sent(runnerId, order.fencingToken(), lastOrderAt);
     planner.orderSent(runner);
     runnerClient
         .sendOrder(runner, dialect.encodeOrder(order))
@@ -418,7 +424,12 @@
             (response, failure) -> {
               sending = false;
               if (failure == null) {
+                inTransit.answered(runnerId, number, MonotonicClock.milliseconds());
                 planner.responded(runner, response);
+              } else if (failure instanceof ConnectException) {
+                inTransit.notSent(runnerId, number);
+              } else {
+                inTransit.notAnswered(runnerId);
               }
               // Reports requested before this response may be older than the order.
               lastOrderAt = MonotonicClock.milliseconds();
@@ -592,9 +603,11 @@
                 planner.responded(runner, response);
               }
               if (failure != null || response.status() != SUCCESS) {
+                inTransit.notAnswered(runner.id());
                 LOGGER.debug("runner={} report not read", runner.id());
                 return;
               }
+              inTransit.responded(runner.id(), reportAt);
               dialect
                   .decodeReport(response.body())
                   .ifPresent(report -> applyReport(report, requestedAt));
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -82,6 +82,7 @@
   private final DemandTracker demand = new DemandTracker();
   private final Map<String, EngineController> engines = new HashMap<>();
   private final OutstandingOrdersByRunner outstandingOrders = new OutstandingOrdersByRunner();
+  private final OrdersInTransit inTransit = new OrdersInTransit();
   private final Map<String, LoadBudget> budgets = new HashMap<>();
   private boolean active;
   private long loggedAt;
@@ -236,7 +237,10 @@
       return;
     }
     active = false;
-    LOGGER.info("planner={} lease=ended", instance);
+    LOGGER.info(
+        "planner={} lease=ended unanswered={}",
+        instance,
+        inTransit.unanswered(MonotonicClock.milliseconds()));
     engines.values().forEach(EngineController::abandonAll);
     engines.clear();
   }
@@ -251,7 +255,8 @@
     EngineController engine =
         existing != null
             ? existing
-            : new EngineController(vertx, client, dialect, new GrantedOrders(), outstanding);
+            : new EngineController(
+                vertx, client, dialect, new GrantedOrders(), outstanding, inTransit);
     engines.put(entry.id(), engine);
     engine.update(entry, newProcess || existing == null, pool.get().adapterSlots());
     engine.setTellsWork(pool.get().cacheTokens() > 0);
--- /dev/null
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/OrdersInTransit.java
@@ -0,0 +1,124 @@
+package org.agatefield.daemon.forward;
+
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+
+/**
+ * Tracks orders without a response, which may still arrive at their runner.
+ *
+ * <p>The network may hold an order while it has no path to the runner and deliver it later, even if
+ * its connection was closed meanwhile. The order is then retransmitted at intervals that double, so
+ * that its delay after the path is back is at most as long as the time that it was held. Whether
+ * the path is back is known by a response. Invariant: an order counts until its response arrives or
+ * it can no longer be delivered. Times are those of a monotonic clock in milliseconds. Thread-safe.
+ */
+final class OrdersInTransit {
+  /** Longer than a network holds an order for a runner that does not respond any more. */
+  static final long MAXIMUM_AGE_MILLISECONDS = 60_000;
+
+  /** The interval before the first retransmission, between distant regions. */
+  static final long FIRST_RETRANSMISSION_MILLISECONDS = 500;
+
+  private final Map<String, Transit> runners = new HashMap<>();
+  private long lastNumber;
+
+  /**
+   * The oldest order to a runner that has no response. Immutable.
+   *
+   * @param runner the runner's identifier
+   * @param ageMilliseconds how long ago it was sent
+   */
+  record Unanswered(String runner, long ageMilliseconds) {}
+
+  private record Sent(long fencingToken, long at) {
+    boolean mayArrive(OptionalLong respondsSince, long now) {
+      if (respondsSince.isEmpty() || respondsSince.getAsLong() < at) {
+        return now - at <= MAXIMUM_AGE_MILLISECONDS;
+      }
+      long held = respondsSince.getAsLong() - at;
+      return now - respondsSince.getAsLong() <= held + FIRST_RETRANSMISSION_MILLISECONDS;
+    }
+  }
+
+  /** The orders to one runner. Guarded by the lock of the object that holds it. */
+  private static final class Transit {
+    private final Map<Long, Sent> orders = new HashMap<>();
+    // Since when every call has been responded to; empty if the last one was not.
+    private OptionalLong respondsSince = OptionalLong.empty();
+
+    private void removeDelivered(long now) {
+      orders.values().removeIf(order -> !order.mayArrive(respondsSince, now));
+    }
+
+    private long oldest() {
+      return orders.values().stream().mapToLong(Sent::at).min().orElseThrow();
+    }
+  }
+
+  /**
+   * Records that an order is being sent.
+   *
+   * @return the number of this copy of the order
+   */
+  synchronized long sent(String runner, long fencingToken, long now) {
+    lastNumber++;
+    Transit transit = runners.computeIfAbsent(runner, ignored -> new Transit());
+    transit.removeDelivered(now);
+    transit.orders.put(lastNumber, new Sent(fencingToken, now));
+    return lastNumber;
+  }
+
+  /** Records the response to an order, whatever it says. */
+  synchronized void answered(String runner, long number, long now) {
+    Transit transit = runners.get(runner);
+    if (transit != null) {
+      transit.orders.remove(number);
+      responded(runner, now);
+    }
+  }
+
+  /** Records that an order was not sent, since no connection to its runner could be opened. */
+  synchronized void notSent(String runner, long number) {
+    Transit transit = runners.get(runner);
+    if (transit != null) {
+      transit.orders.remove(number);
+      transit.respondsSince = OptionalLong.empty();
+    }
+  }
+
+  /** Records that a runner responded to a call. */
+  synchronized void responded(String runner, long now) {
+    Transit transit = runners.get(runner);
+    if (transit == null) {
+      return;
+    }
+    if (transit.respondsSince.isEmpty()) {
+      transit.respondsSince = OptionalLong.of(now);
+    }
+    transit.removeDelivered(now);
+    if (transit.orders.isEmpty()) {
+      runners.remove(runner);
+    }
+  }
+
+  /** Records that a call to a runner had no response. */
+  synchronized void notAnswered(String runner) {
+    Transit transit = runners.get(runner);
+    if (transit != null) {
+      transit.respondsSince = OptionalLong.empty();
+    }
+  }
+
+  /** Returns the oldest order to each runner to which one may still arrive, the oldest first. */
+  synchronized List<Unanswered> unanswered(long now) {
+    runners.values().forEach(transit -> transit.removeDelivered(now));
+    runners.values().removeIf(transit -> transit.orders.isEmpty());
+    return runners.entrySet().stream()
+        .map(entry -> new Unanswered(entry.getKey(), now - entry.getValue().oldest()))
+        .sorted(Comparator.comparingLong(Unanswered::ageMilliseconds).reversed())
+        .toList();
+  }
+}
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -129,7 +129,8 @@
                   RunnerClient.createHttpClient(vertx),
                   new TextRunnerDialect(() -> report),
                   new Granted(),
-                  new OutstandingOrders());
+                  new OutstandingOrders(),
+                  new OrdersInTransit());
           controller.update(entry, true, 8);
           return null;
         });
--- /dev/null
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/OrdersInTransitTest.java
@@ -0,0 +1,79 @@
+package org.agatefield.daemon.forward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.agatefield.daemon.forward.OrdersInTransit.Unanswered;
+import org.junit.jupiter.api.Test;
+
+class OrdersInTransitTest {
+  private static final long MARGIN = OrdersInTransit.FIRST_RETRANSMISSION_MILLISECONDS;
+
+  private final OrdersInTransit orders = new OrdersInTransit();
+
+  private void sendUnanswered(String runner, long now) {
+    orders.sent(runner, 1, now);
+    orders.notAnswered(runner);
+  }
+
+  @Test
+  void answeredOrderCanNoLongerArrive() {
+    orders.answered("r", orders.sent("r", 1, 0), 10);
+    assertEquals(List.of(), orders.unanswered(10));
+  }
+
+  @Test
+  void orderThatWasNeverSentCannotArrive() {
+    orders.notSent("r", orders.sent("r", 1, 0));
+    assertEquals(List.of(), orders.unanswered(10));
+  }
+
+  @Test
+  void unansweredOrderMayArriveForAsLongAfterContactAsItWasHeld() {
+    sendUnanswered("r", 0);
+    orders.responded("r", 2_000);
+    assertEquals(List.of(new Unanswered("r", 4_000 + MARGIN)), orders.unanswered(4_000 + MARGIN));
+    assertEquals(List.of(), orders.unanswered(4_001 + MARGIN));
+  }
+
+  @Test
+  void contactCountsFromTheLastSilence() {
+    sendUnanswered("r", 0);
+    orders.responded("r", 2_000);
+    orders.notAnswered("r");
+    orders.responded("r", 3_000);
+    assertEquals(1, orders.unanswered(6_000 + MARGIN).size());
+    assertEquals(List.of(), orders.unanswered(6_001 + MARGIN));
+  }
+
+  @Test
+  void laterContactDoesNotExtendTheTime() {
+    sendUnanswered("r", 0);
+    orders.responded("r", 2_000);
+    orders.responded("r", 3_500);
+    assertEquals(List.of(), orders.unanswered(4_001 + MARGIN));
+  }
+
+  @Test
+  void answerToLaterOrderSaysNothingOfAnEarlierOne() {
+    sendUnanswered("r", 0);
+    orders.answered("r", orders.sent("r", 1, 1_000), 1_010);
+    assertEquals(List.of(new Unanswered("r", 1_500)), orders.unanswered(1_500));
+  }
+
+  @Test
+  void oldestOrderOfEachRunnerIsNamedTheOldestFirst() {
+    sendUnanswered("new", 500);
+    sendUnanswered("old", 100);
+    sendUnanswered("new", 900);
+    assertEquals(
+        List.of(new Unanswered("old", 900), new Unanswered("new", 500)), orders.unanswered(1_000));
+  }
+
+  @Test
+  void ordersToRunnerThatNeverRespondsAreForgottenInTime() {
+    sendUnanswered("r", 0);
+    assertEquals(1, orders.unanswered(OrdersInTransit.MAXIMUM_AGE_MILLISECONDS).size());
+    assertEquals(List.of(), orders.unanswered(OrdersInTransit.MAXIMUM_AGE_MILLISECONDS + 1));
+  }
+}
