--- a/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ForwardingDaemon.java
@@ -488,6 +488,7 @@
   private void startPlanner(HttpObjectStore store, String id) {
     HttpClient client = RunnerClient.createHttpClient(vertx);
     closer.register(client::close);
+    OrdersInTransit inTransit = new OrdersInTransit();
     lease =
         closer.register(
             new LeaseManager(
@@ -497,7 +498,8 @@
                 id,
                 LEASE_DURATION,
                 this::isEarlierProcessOfThisInstance,
-                () -> peers.relays().representsDomain()));
+                () -> peers.relays().representsDomain(),
+                new PlannerHandover(inTransit)));
     planner =
         new ModelPlanner(
             vertx,
@@ -513,6 +515,7 @@
             permits,
             new LearnedWorkRates(rates),
             runnerStates,
+            inTransit,
             plannerClient);
     plannerClient.connectLocalPlanner(planner);
     planner.start();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -82,7 +82,7 @@
   private final DemandTracker demand = new DemandTracker();
   private final Map<String, EngineController> engines = new HashMap<>();
   private final OutstandingOrdersByRunner outstandingOrders = new OutstandingOrdersByRunner();
-  private final OrdersInTransit inTransit = new OrdersInTransit();
+  private final OrdersInTransit inTransit;
   private final Map<String, LoadBudget> budgets = new HashMap<>();
   private boolean active;
   private long loggedAt;
@@ -117,6 +117,7 @@
       RunnerPermits permits,
       WorkRates rates,
       KnowledgeTable<RunnerState> runnerStates,
+      OrdersInTransit inTransit,
       Announcements announcements) {
     this.vertx = vertx;
     this.client = client;
@@ -131,6 +132,7 @@
     this.permits = permits;
     this.rates = rates;
     this.runnerStates = runnerStates;
+    this.inTransit = inTransit;
     this.announcements = announcements;
     runners.listen(this);
   }
@@ -218,7 +220,12 @@
       if (!grant.get().isFirst()) {
         outstandingOrders.tookOver(MonotonicClock.milliseconds());
       }
-      LOGGER.info("planner={} token={}", instance, grant.get().fencingToken());
+      inTransit.planningBegins();
+      LOGGER.info(
+          "planner={} token={} unanswered={}",
+          instance,
+          grant.get().fencingToken(),
+          inTransit.unanswered(MonotonicClock.milliseconds()));
       announcements.tookOver(grant.get().fencingToken());
       List.copyOf(runners.all()).forEach(entry -> attach(entry, true));
     }
@@ -228,8 +235,11 @@
   }
 
   private boolean mayReceiveUnknownOrder(String runner) {
-    return outstandingOrders.mayReceiveUnknownOrder(
-        runners.restartedAt(runner), MonotonicClock.milliseconds());
+    long now = MonotonicClock.milliseconds();
+    return outstandingOrders.mayReceiveUnknownOrder(runners.restartedAt(runner), now)
+        || fencingToken()
+            .filter(token -> inTransit.mayReceiveEarlierOrder(runner, token, now))
+            .isPresent();
   }
 
   private void deactivate() {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/OrdersInTransit.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/OrdersInTransit.java
@@ -13,7 +13,8 @@
  * its connection was closed meanwhile. The order is then retransmitted at intervals that double, so
  * that its delay after the path is back is at most as long as the time that it was held. Whether
  * the path is back is known by a response. Invariant: an order counts until its response arrives or
- * it can no longer be delivered. Times are those of a monotonic clock in milliseconds. Thread-safe.
+ * it can no longer be delivered. Includes the orders of earlier planners, as far as these have
+ * named their runners. Times are those of a monotonic clock in milliseconds. Thread-safe.
  */
 final class OrdersInTransit {
   /** Longer than a network holds an order for a runner that does not respond any more. */
@@ -22,6 +23,9 @@
   /** The interval before the first retransmission, between distant regions. */
   static final long FIRST_RETRANSMISSION_MILLISECONDS = 500;
 
+  // Lower than the token of any grant.
+  private static final long TOKEN_OF_EARLIER_PLANNERS = 0;
+
   private final Map<String, Transit> runners = new HashMap<>();
   private long lastNumber;
 
@@ -112,6 +116,37 @@
     }
   }
 
+  /** Records that this instance begins to plan, so that what it knows of runners is outdated. */
+  synchronized void planningBegins() {
+    runners.values().forEach(transit -> transit.respondsSince = OptionalLong.empty());
+  }
+
+  /**
+   * Records the orders to which earlier planners have no response. Replaces those that were
+   * recorded before.
+   */
+  synchronized void inherited(List<Unanswered> orders, long now) {
+    runners
+        .values()
+        .forEach(
+            transit ->
+                transit
+                    .orders
+                    .values()
+                    .removeIf(order -> order.fencingToken() == TOKEN_OF_EARLIER_PLANNERS));
+    orders.forEach(
+        order -> sent(order.runner(), TOKEN_OF_EARLIER_PLANNERS, now - order.ageMilliseconds()));
+  }
+
+  /** Returns whether an order of an earlier grant than the given one may still arrive. */
+  synchronized boolean mayReceiveEarlierOrder(String runner, long fencingToken, long now) {
+    Transit transit = runners.get(runner);
+    return transit != null
+        && transit.orders.values().stream()
+            .filter(order -> order.fencingToken() < fencingToken)
+            .anyMatch(order -> order.mayArrive(transit.respondsSince, now));
+  }
+
   /** Returns the oldest order to each runner to which one may still arrive, the oldest first. */
   synchronized List<Unanswered> unanswered(long now) {
     runners.values().forEach(transit -> transit.removeDelivered(now));
--- a/daemon/src/main/java/org/agatefield/daemon/leases/LeaseManager.java
+++ b/daemon/src/main/java/org/agatefield/daemon/leases/LeaseManager.java
@@ -2,10 +2,12 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Context;
 import io.vertx.core.Vertx;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -45,6 +47,7 @@
   private static final long RELEASE_TIMEOUT_SECONDS = 1;
   private static final int RENEWALS_PER_DURATION = 4;
   private static final long NANOSECONDS_PER_MILLISECOND = 1_000_000;
+  private static final String HANDOVER = "handover";
 
   private final Vertx vertx;
   private final ObjectStore store;
@@ -52,8 +55,11 @@
   private final String holder;
   private final LeaseProtocol protocol;
   private final BooleanSupplier shouldContend;
+  private final LeaseHandover handover;
   private LeaseState state = LeaseState.unknown();
   private Optional<StoredObject> latestObject = Optional.empty();
+  // When the last call was sent that returned the lease, or that showed that there is none.
+  private OptionalLong seenAt = OptionalLong.empty();
   private long timer = -1;
   private boolean holding;
   private int grantEpoch;
@@ -68,7 +74,7 @@
    */
   public LeaseManager(
       Vertx vertx, ObjectStore store, String leaseName, String holder, Duration duration) {
-    this(vertx, store, leaseName, holder, duration, other -> false, () -> true);
+    this(vertx, store, leaseName, holder, duration, other -> false, () -> true, LeaseHandover.NONE);
   }
 
   /**
@@ -80,6 +86,7 @@
    * @param duration how long a grant lasts after a write
    * @param isDead returns true only for holders proven to have ended
    * @param shouldContend whether this process should acquire the lease if it is free
+   * @param handover what the holder passes on to the next one
    */
   public LeaseManager(
       Vertx vertx,
@@ -88,12 +95,14 @@
       String holder,
       Duration duration,
       Predicate<String> isDead,
-      BooleanSupplier shouldContend) {
+      BooleanSupplier shouldContend,
+      LeaseHandover handover) {
     this.vertx = vertx;
     this.store = new ResolvingObjectStore(store);
     this.key = new ObjectKey(ObjectKind.LEASE, leaseName);
     this.holder = holder;
     this.shouldContend = shouldContend;
+    this.handover = handover;
     long nanoseconds = duration.toNanos();
     this.protocol =
         new LeaseProtocol(
@@ -172,27 +181,43 @@
       schedule(leaseDurationNanoseconds() / RENEWALS_PER_DURATION, this::read);
       return;
     }
-    store.get(key).whenComplete(this::readCompleted);
+    long sentAt = System.nanoTime();
+    store.get(key).whenComplete((found, failure) -> readCompleted(found, failure, sentAt));
   }
 
-  private void readCompleted(StoredObject found, Throwable failure) {
+  private void readCompleted(StoredObject found, Throwable failure, long sentAt) {
     Optional<StoreFailure> known = StoreException.failureOf(failure);
     if (failure != null && !known.equals(Optional.of(StoreFailure.NOT_FOUND))) {
       scheduleRead(protocol.renewIntervalNanoseconds());
       return;
     }
     synchronized (this) {
+      long now = System.nanoTime();
       if (failure == null) {
+        receiveHandover(found, now);
         latestObject = Optional.of(found);
-        state = protocol.observe(state, versionOf(found), decode(found), System.nanoTime());
+        state = protocol.observe(state, versionOf(found), decode(found), now);
       } else {
         latestObject = Optional.empty();
-        state = protocol.observeAbsent(state, store.era(), System.nanoTime());
+        state = protocol.observeAbsent(state, store.era(), now);
       }
+      seenAt = OptionalLong.of(sentAt);
     }
     act();
   }
 
+  private void receiveHandover(StoredObject found, long now) {
+    boolean known =
+        latestObject
+            .filter(latest -> latest.resourceVersion().equals(found.resourceVersion()))
+            .isPresent();
+    if (known || decode(found).holder().equals(holder)) {
+      return;
+    }
+    long writtenAfter = seenAt.orElse(now - leaseDurationNanoseconds());
+    handover.received(found.content().path(HANDOVER), Duration.ofNanos(now - writtenAfter));
+  }
+
   private void act() {
     LeaseDecision decision;
     Optional<StoredObject> previous;
@@ -243,6 +268,7 @@
         return;
       }
       latestObject = Optional.of(object);
+      seenAt = OptionalLong.of(sentAt);
       state = protocol.recordWrite(state, lease, versionOf(object), sentAt, now);
       updateHolding(now);
     }
@@ -293,12 +319,15 @@
     return UUID.randomUUID().toString();
   }
 
-  private static JsonNode encode(LeaseRecord lease) {
-    return JsonNodeFactory.instance
-        .objectNode()
-        .put("holder", lease.holder())
-        .put("fencingToken", lease.fencingToken())
-        .put("durationMilliseconds", lease.durationNanoseconds() / NANOSECONDS_PER_MILLISECOND);
+  private JsonNode encode(LeaseRecord lease) {
+    ObjectNode content =
+        JsonNodeFactory.instance
+            .objectNode()
+            .put("holder", lease.holder())
+            .put("fencingToken", lease.fencingToken())
+            .put("durationMilliseconds", lease.durationNanoseconds() / NANOSECONDS_PER_MILLISECOND);
+    handover.describe().ifPresent(described -> content.set(HANDOVER, described));
+    return content;
   }
 
   private static LeaseRecord decode(StoredObject object) {
--- a/daemon/src/test/java/org/agatefield/daemon/forward/OrdersInTransitTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/OrdersInTransitTest.java
@@ -1,6 +1,8 @@
 package org.agatefield.daemon.forward;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.agatefield.daemon.forward.OrdersInTransit.Unanswered;
@@ -76,4 +78,45 @@
     assertEquals(1, orders.unanswered(OrdersInTransit.MAXIMUM_AGE_MILLISECONDS).size());
     assertEquals(List.of(), orders.unanswered(OrdersInTransit.MAXIMUM_AGE_MILLISECONDS + 1));
   }
+
+  @Test
+  void orderOfEarlierGrantMayArriveUntilItsTimeAfterContactIsOver() {
+    sendUnanswered("r", 0);
+    assertFalse(orders.mayReceiveEarlierOrder("r", 1, 1_000), "an order of the same grant");
+    assertFalse(orders.mayReceiveEarlierOrder("other", 2, 1_000));
+    assertTrue(orders.mayReceiveEarlierOrder("r", 2, 1_000));
+    orders.responded("r", 2_000);
+    assertTrue(orders.mayReceiveEarlierOrder("r", 2, 4_000 + MARGIN));
+    assertFalse(orders.mayReceiveEarlierOrder("r", 2, 4_001 + MARGIN));
+  }
+
+  /** Guards against a successor's order that overtakes one of its predecessor (review/11). */
+  @Test
+  void inheritedOrderIsOlderThanEachGrantAndIsHandedOnWithItsAge() {
+    orders.inherited(List.of(new Unanswered("r", 2_000)), 5_000);
+    assertTrue(orders.mayReceiveEarlierOrder("r", 1, 5_000));
+    assertEquals(List.of(new Unanswered("r", 3_000)), orders.unanswered(6_000));
+    orders.responded("r", 7_000);
+    assertTrue(orders.mayReceiveEarlierOrder("r", 1, 11_000 + MARGIN));
+    assertFalse(orders.mayReceiveEarlierOrder("r", 1, 11_001 + MARGIN));
+  }
+
+  @Test
+  void newerHandoverReplacesInheritedOrdersButNotThoseOfThisInstance() {
+    sendUnanswered("own", 0);
+    orders.inherited(List.of(new Unanswered("old", 10)), 100);
+    orders.inherited(List.of(new Unanswered("new", 10)), 200);
+    assertEquals(
+        List.of(new Unanswered("own", 300), new Unanswered("new", 110)), orders.unanswered(300));
+  }
+
+  @Test
+  void contactFromBeforePlanningDoesNotCount() {
+    sendUnanswered("r", 0);
+    orders.responded("r", 500);
+    orders.planningBegins();
+    assertTrue(orders.mayReceiveEarlierOrder("r", 2, 5_000));
+    orders.responded("r", 6_000);
+    assertTrue(orders.mayReceiveEarlierOrder("r", 2, 12_000));
+  }
 }
--- a/fleet/src/test/java/org/agatefield/fleet/platform/LeaseManagerTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/platform/LeaseManagerTest.java
@@ -4,9 +4,17 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.IntNode;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.agatefield.daemon.leases.LeaseHandover;
 import org.agatefield.daemon.leases.LeaseManager;
 import org.agatefield.lease.LeaseGrant;
 import org.junit.jupiter.api.AfterEach;
@@ -89,4 +97,49 @@
         .until(() -> bench.counts().at("/calls/update/leases").asLong() > updates + 6);
     await().atMost(GENEROUS).until(() -> holders().size() == 1);
   }
+
+  private LeaseManager contender(String name, LeaseHandover handover) {
+    return bench.closer.register(
+        new LeaseManager(
+            bench.vertx,
+            bench.newClient(),
+            "handed-over",
+            name,
+            DURATION,
+            other -> false,
+            () -> true,
+            handover));
+  }
+
+  /** Guards against a successor that does not learn what its predecessor left (review/11). */
+  @Test
+  void successorReceivesWhatTheClosedHolderKnewLast() {
+    AtomicInteger known = new AtomicInteger(1);
+    LeaseManager first =
+        contender(
+            "first", handover(() -> Optional.of(IntNode.valueOf(known.get())), content -> {}));
+    await().atMost(GENEROUS).until(() -> first.currentGrant().isPresent());
+    List<JsonNode> received = new CopyOnWriteArrayList<>();
+    LeaseManager second = contender("second", handover(Optional::empty, received::add));
+    await().atMost(GENEROUS).until(() -> received.contains(IntNode.valueOf(1)));
+    known.set(2);
+    first.close();
+    await().atMost(GENEROUS).until(() -> second.currentGrant().isPresent());
+    assertEquals(IntNode.valueOf(2), received.get(received.size() - 1));
+  }
+
+  private static LeaseHandover handover(
+      Supplier<Optional<JsonNode>> described, Consumer<JsonNode> receiver) {
+    return new LeaseHandover() {
+      @Override
+      public Optional<JsonNode> describe() {
+        return described.get();
+      }
+
+      @Override
+      public void received(JsonNode content, Duration maximumAge) {
+        receiver.accept(content);
+      }
+    };
+  }
 }
