A runner that is silent gets one order, and its count shows when that has arrived

Change: after an order without a response only report requests are sent until the runner responds, so that no more than one order is held for it. The lease names that order's expected count; a report with a higher count shows that it has arrived, and ends the hold. Where several orders may still take effect, the count says nothing, and the time decides. Retries of a task have one timer.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -33,7 +33,8 @@
  * lost is sent again with the same count, so that at most one of the two takes effect, whenever
  * they arrive. Invariants: an order is sent only under a valid grant; an order of a move is sent
  * only with the count that the move was planned from, so that it takes effect on the planned state
- * or not at all; models that an unanswered order may still load count as held. Confined to one
+ * or not at all; after an order without a response none is sent until the runner has responded to a
+ * report request; models that an unanswered order may still load count as held. Confined to one
  * event loop.
  */
 final class EngineController {
@@ -207,7 +208,11 @@
 
   /** Returns whether a move can begin now. */
   boolean isReady() {
-    return acceptedOrders >= 0 && !busy && current.isEmpty() && tasks.isEmpty();
+    return acceptedOrders >= 0
+        && !busy
+        && current.isEmpty()
+        && tasks.isEmpty()
+        && !inTransit.isSilent(runner.id());
   }
 
   /** Returns whether a load from the weight store may be in progress. */
@@ -291,7 +296,12 @@
   void tick() {
     long now = MonotonicClock.milliseconds();
     boolean waitingForOrder =
-        current.isPresent() || currentAdapter.isPresent() || busy || acceptedOrders < 0;
+        current.isPresent()
+            || currentAdapter.isPresent()
+            || busy
+            || acceptedOrders < 0
+            || inTransit.isSilent(runner.id())
+            || inTransit.awaitsCount(runner.id(), now);
     boolean frequent = waitingForOrder && !planner.isLimited(runner);
     long quiet =
         tellsWork && hasWork && !planner.isLimited(runner)
@@ -376,6 +386,10 @@
       complete(task, false);
       return;
     }
+    if (inTransit.isSilent(runner.id())) {
+      awaitContact(task);
+      return;
+    }
     boolean adapterWithoutSlot =
         task.adapter().isPresent()
             && task.action() == Action.LOAD
@@ -387,17 +401,10 @@
     }
     boolean fromStore = loadsModel(task) && loadingFromStore;
     if (fromStore && !planner.beginStoreLoad(runner)) {
-      vertx.setTimer(STORE_RETRY_MILLISECONDS, fired -> resend(task));
+      scheduleRetry(task, STORE_RETRY_MILLISECONDS);
       return;
     }
-    task.countTry();
-    if (task.tries() > MAXIMUM_TRIES) {
-      LOGGER.warn(
-          "runner={} {} {} abandoned after too many attempts",
-          runner.id(),
-          task.action(),
-          task.model());
-      complete(task, false);
+    if (!mayTryAgain(task)) {
       return;
     }
     final RunnerOrder order =
@@ -416,7 +423,8 @@
             ? OptionalLong.of(outstanding.sent(task.load(), lastOrderAt))
             : OptionalLong.empty();
     final String runnerId = runner.id();
-    final long number = inTransit.sent(runnerId, order.fencingToken(), lastOrderAt);
+    final long number =
+        inTransit.sent(runnerId, order.fencingToken(), order.acceptedOrders(), lastOrderAt);
     planner.orderSent(runner);
     runnerClient
         .sendOrder(runner, dialect.encodeOrder(order))
@@ -427,9 +435,9 @@
                 inTransit.answered(runnerId, number, MonotonicClock.milliseconds());
                 planner.responded(runner, response);
               } else if (failure instanceof ConnectException) {
-                inTransit.notSent(runnerId, number);
+                inTransit.notSent(runnerId, number, MonotonicClock.milliseconds());
               } else {
-                inTransit.notAnswered(runnerId);
+                inTransit.notAnswered(runnerId, MonotonicClock.milliseconds());
               }
               // Reports requested before this response may be older than the order.
               lastOrderAt = MonotonicClock.milliseconds();
@@ -460,6 +468,32 @@
             });
   }
 
+  /** Counts another try; abandons the task if there were too many. */
+  private boolean mayTryAgain(EngineTask task) {
+    task.countTry();
+    if (task.tries() <= MAXIMUM_TRIES) {
+      return true;
+    }
+    LOGGER.warn(
+        "runner={} {} {} abandoned after too many attempts",
+        runner.id(),
+        task.action(),
+        task.model());
+    complete(task, false);
+    return false;
+  }
+
+  /**
+   * Reads reports until the runner responds, so that no more than one order can be held on the way
+   * to it.
+   */
+  private void awaitContact(EngineTask task) {
+    if (reading || mayTryAgain(task)) {
+      readReport();
+      scheduleRetry(task, UNLOAD_RETRY_MILLISECONDS);
+    }
+  }
+
   /** Returns whether the runner's models may differ from those that the move was planned from. */
   private boolean isPlanOutdated() {
     return plannedCount != acceptedOrders;
@@ -489,13 +523,13 @@
           refusesAdapters = true;
           complete(task, false);
         } else if (afterUnload && task.tries() < MAXIMUM_TRIES / 2) {
-          vertx.setTimer(UNLOAD_RETRY_MILLISECONDS, fired -> resend(task));
+          scheduleRetry(task, UNLOAD_RETRY_MILLISECONDS);
         } else {
           scheduleReport();
           proceed();
         }
       }
-      case UNKNOWN -> vertx.setTimer(UNLOAD_RETRY_MILLISECONDS, fired -> resend(task));
+      case UNKNOWN -> scheduleRetry(task, UNLOAD_RETRY_MILLISECONDS);
       case INVALID -> {
         acceptedOrders = -1; // Read the report again before sending further orders.
         complete(task, false);
@@ -504,12 +538,26 @@
     }
   }
 
+  /** Sends a task again after a delay, unless that is scheduled already. */
+  private void scheduleRetry(EngineTask task, long delayMilliseconds) {
+    if (task.isRetryScheduled()) {
+      return;
+    }
+    task.setRetryScheduled(true);
+    vertx.setTimer(
+        delayMilliseconds,
+        fired -> {
+          task.setRetryScheduled(false);
+          resend(task);
+        });
+  }
+
   private void resend(EngineTask task) {
     if (!isCurrent(task)) {
       return;
     }
     if (sending) {
-      vertx.setTimer(UNLOAD_RETRY_MILLISECONDS, fired -> resend(task));
+      scheduleRetry(task, UNLOAD_RETRY_MILLISECONDS);
       return;
     }
     send(task);
@@ -603,7 +651,7 @@
                 planner.responded(runner, response);
               }
               if (failure != null || response.status() != SUCCESS) {
-                inTransit.notAnswered(runner.id());
+                inTransit.notAnswered(runner.id(), reportAt);
                 LOGGER.debug("runner={} report not read", runner.id());
                 return;
               }
@@ -620,6 +668,7 @@
       otherProcessReported(report);
       return;
     }
+    inTransit.acceptedOrdersReported(runner.id(), report.acceptedOrders());
     inHostMemory = report.inHostMemory();
     onDisk = report.onDisk();
     hasWork = report.work().filter(work -> work.running() + work.waiting() > 0).isPresent();
--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineTask.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineTask.java
@@ -14,6 +14,7 @@
   private boolean accepted;
   private long acceptedAsNumber = Long.MAX_VALUE;
   private boolean outcomeUnknown;
+  private boolean retryScheduled;
 
   EngineTask(Action action, String model, Optional<String> adapter) {
     this.action = action;
@@ -90,4 +91,13 @@
         && model.equals(wantedModel)
         && adapter.equals(Optional.of(wantedAdapter));
   }
+
+  /** Returns whether the order will be sent again by a timer. */
+  boolean isRetryScheduled() {
+    return retryScheduled;
+  }
+
+  void setRetryScheduled(boolean scheduled) {
+    retryScheduled = scheduled;
+  }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -220,12 +220,13 @@
       if (!grant.get().isFirst()) {
         outstandingOrders.tookOver(MonotonicClock.milliseconds());
       }
-      inTransit.planningBegins();
+      long now = MonotonicClock.milliseconds();
+      inTransit.planningBegins(now);
       LOGGER.info(
           "planner={} token={} unanswered={}",
           instance,
           grant.get().fencingToken(),
-          inTransit.unanswered(MonotonicClock.milliseconds()));
+          inTransit.unanswered(now));
       announcements.tookOver(grant.get().fencingToken());
       List.copyOf(runners.all()).forEach(entry -> attach(entry, true));
     }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/OrdersInTransit.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/OrdersInTransit.java
@@ -1,9 +1,11 @@
 package org.agatefield.daemon.forward;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 
 /**
@@ -12,8 +14,10 @@
  * <p>The network may hold an order while it has no path to the runner and deliver it later, even if
  * its connection was closed meanwhile. The order is then retransmitted at intervals that double, so
  * that its delay after the path is back is at most as long as the time that it was held. Whether
- * the path is back is known by a response. Invariant: an order counts until its response arrives or
- * it can no longer be delivered. Includes the orders of earlier planners, as far as these have
+ * the path is back is known by a response. A runner accepts an order only if it states how many
+ * orders were accepted before, so that the next count shows that the only order without a response
+ * has arrived. Invariant: an order counts until its response arrives, it is known to have arrived
+ * or it can no longer be delivered. Includes the orders of earlier planners, as far as these have
  * named their runners. Times are those of a monotonic clock in milliseconds. Thread-safe.
  */
 final class OrdersInTransit {
@@ -34,11 +38,29 @@
    *
    * @param runner the runner's identifier
    * @param ageMilliseconds how long ago it was sent
+   * @param acceptedBefore how many orders it expects to have been accepted before, if it is the
+   *     only one that the runner may accept
    */
-  record Unanswered(String runner, long ageMilliseconds) {}
+  record Unanswered(String runner, long ageMilliseconds, OptionalLong acceptedBefore) {}
+
+  private record Sent(long fencingToken, long at, OptionalLong acceptedBefore, boolean arrived) {
+    Sent amongOthers() {
+      return new Sent(fencingToken, at, OptionalLong.empty(), arrived);
+    }
+
+    Sent asOf(OptionalLong respondsSince, long now) {
+      return new Sent(fencingToken, at, acceptedBefore, !mayArrive(respondsSince, now));
+    }
+
+    /** Returns whether the runner may still execute the order, even if it has arrived. */
+    boolean mayTakeEffect(long now) {
+      return now - at <= OutstandingOrders.MAXIMUM_DELAY_MILLISECONDS;
+    }
 
-  private record Sent(long fencingToken, long at) {
     boolean mayArrive(OptionalLong respondsSince, long now) {
+      if (arrived) {
+        return false;
+      }
       if (respondsSince.isEmpty() || respondsSince.getAsLong() < at) {
         return now - at <= MAXIMUM_AGE_MILLISECONDS;
       }
@@ -50,28 +72,49 @@
   /** The orders to one runner. Guarded by the lock of the object that holds it. */
   private static final class Transit {
     private final Map<Long, Sent> orders = new HashMap<>();
-    // Since when every call has been responded to; empty if the last one was not.
+    // Since when every call has been responded to; empty if that is not known.
     private OptionalLong respondsSince = OptionalLong.empty();
+    private boolean silent;
 
     private void removeDelivered(long now) {
-      orders.values().removeIf(order -> !order.mayArrive(respondsSince, now));
+      orders
+          .values()
+          .removeIf(order -> !order.mayArrive(respondsSince, now) && !order.mayTakeEffect(now));
     }
 
-    private long oldest() {
-      return orders.values().stream().mapToLong(Sent::at).min().orElseThrow();
+    private void contactUnknown(long now) {
+      orders.replaceAll((number, order) -> order.asOf(respondsSince, now));
+      respondsSince = OptionalLong.empty();
+    }
+
+    private void notAnswered(long now) {
+      contactUnknown(now);
+      silent = true;
+    }
+
+    private Optional<Sent> oldest(long now) {
+      return orders.values().stream()
+          .filter(order -> order.mayArrive(respondsSince, now))
+          .min(Comparator.comparingLong(Sent::at));
     }
   }
 
   /**
    * Records that an order is being sent.
    *
+   * @param acceptedBefore how many orders it expects to have been accepted before
    * @return the number of this copy of the order
    */
-  synchronized long sent(String runner, long fencingToken, long now) {
+  synchronized long sent(String runner, long fencingToken, long acceptedBefore, long now) {
+    return add(runner, new Sent(fencingToken, now, OptionalLong.of(acceptedBefore), false), now);
+  }
+
+  private long add(String runner, Sent order, long now) {
     lastNumber++;
     Transit transit = runners.computeIfAbsent(runner, ignored -> new Transit());
     transit.removeDelivered(now);
-    transit.orders.put(lastNumber, new Sent(fencingToken, now));
+    transit.orders.replaceAll((number, other) -> other.amongOthers());
+    transit.orders.put(lastNumber, transit.orders.isEmpty() ? order : order.amongOthers());
     return lastNumber;
   }
 
@@ -85,11 +128,11 @@
   }
 
   /** Records that an order was not sent, since no connection to its runner could be opened. */
-  synchronized void notSent(String runner, long number) {
+  synchronized void notSent(String runner, long number, long now) {
     Transit transit = runners.get(runner);
     if (transit != null) {
       transit.orders.remove(number);
-      transit.respondsSince = OptionalLong.empty();
+      transit.notAnswered(now);
     }
   }
 
@@ -99,6 +142,7 @@
     if (transit == null) {
       return;
     }
+    transit.silent = false;
     if (transit.respondsSince.isEmpty()) {
       transit.respondsSince = OptionalLong.of(now);
     }
@@ -108,17 +152,46 @@
     }
   }
 
+  /** Records how many orders a runner says that it has accepted. */
+  synchronized void acceptedOrdersReported(String runner, long count) {
+    Transit transit = runners.get(runner);
+    if (transit == null) {
+      return;
+    }
+    transit
+        .orders
+        .values()
+        .removeIf(
+            order ->
+                order.acceptedBefore().isPresent() && order.acceptedBefore().getAsLong() < count);
+  }
+
+  /** Returns whether the count of a runner may show that an order has arrived. */
+  synchronized boolean awaitsCount(String runner, long now) {
+    Transit transit = runners.get(runner);
+    return transit != null
+        && transit.orders.values().stream()
+            .filter(order -> order.acceptedBefore().isPresent())
+            .anyMatch(order -> order.mayArrive(transit.respondsSince, now));
+  }
+
+  /** Returns whether the last call to a runner with an order in transit had no response. */
+  synchronized boolean isSilent(String runner) {
+    Transit transit = runners.get(runner);
+    return transit != null && transit.silent;
+  }
+
   /** Records that a call to a runner had no response. */
-  synchronized void notAnswered(String runner) {
+  synchronized void notAnswered(String runner, long now) {
     Transit transit = runners.get(runner);
     if (transit != null) {
-      transit.respondsSince = OptionalLong.empty();
+      transit.notAnswered(now);
     }
   }
 
   /** Records that this instance begins to plan, so that what it knows of runners is outdated. */
-  synchronized void planningBegins() {
-    runners.values().forEach(transit -> transit.respondsSince = OptionalLong.empty());
+  synchronized void planningBegins(long now) {
+    runners.values().forEach(transit -> transit.contactUnknown(now));
   }
 
   /**
@@ -134,8 +207,13 @@
                     .orders
                     .values()
                     .removeIf(order -> order.fencingToken() == TOKEN_OF_EARLIER_PLANNERS));
-    orders.forEach(
-        order -> sent(order.runner(), TOKEN_OF_EARLIER_PLANNERS, now - order.ageMilliseconds()));
+    for (Unanswered order : orders) {
+      long sentAt = now - order.ageMilliseconds();
+      add(
+          order.runner(),
+          new Sent(TOKEN_OF_EARLIER_PLANNERS, sentAt, order.acceptedBefore(), false),
+          now);
+    }
   }
 
   /** Returns whether an order of an earlier grant than the given one may still arrive. */
@@ -151,9 +229,14 @@
   synchronized List<Unanswered> unanswered(long now) {
     runners.values().forEach(transit -> transit.removeDelivered(now));
     runners.values().removeIf(transit -> transit.orders.isEmpty());
-    return runners.entrySet().stream()
-        .map(entry -> new Unanswered(entry.getKey(), now - entry.getValue().oldest()))
-        .sorted(Comparator.comparingLong(Unanswered::ageMilliseconds).reversed())
-        .toList();
+    List<Unanswered> oldest = new ArrayList<>();
+    runners.forEach(
+        (runner, transit) ->
+            transit
+                .oldest(now)
+                .map(order -> new Unanswered(runner, now - order.at(), order.acceptedBefore()))
+                .ifPresent(oldest::add));
+    oldest.sort(Comparator.comparingLong(Unanswered::ageMilliseconds).reversed());
+    return oldest;
   }
 }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -47,6 +47,8 @@
   private volatile int orderStatus = ACCEPTED;
   private volatile Predicate<String> refused = order -> false;
   private volatile long answerDelay = 1;
+  private volatile boolean silent;
+  private final List<String> received = new CopyOnWriteArrayList<>();
   private final List<RunnerReport> reports = new CopyOnWriteArrayList<>();
   private final AtomicInteger storeLoadsAsked = new AtomicInteger();
   private volatile boolean storeAllowsLoads = true;
@@ -165,6 +167,10 @@
   }
 
   private void answer(HttpServerRequest request) {
+    if (silent) {
+      request.body().onSuccess(body -> received.add(request.path()));
+      return;
+    }
     if (request.path().equals("/report")) {
       request.response().end("{}");
       return;
@@ -460,4 +466,19 @@
     assertFalse(adapter.join());
     assertEquals(List.of("LOAD a/y 0"), orders);
   }
+
+  /** Guards against several orders that the network holds for one runner (review/11). */
+  @Test
+  void silentRunnerReceivesOneOrderAndThenOnlyReportRequestsUntilItResponds() {
+    silent = true;
+    startLoad("a");
+    await()
+        .atMost(TIMEOUT)
+        .until(
+            () -> afterTick(() -> true) && received.stream().filter("/report"::equals).count() > 3);
+    assertEquals(1, received.stream().filter("/order"::equals).count(), received.toString());
+    silent = false;
+    await().atMost(TIMEOUT).until(() -> !orders.isEmpty());
+    assertEquals(List.of("LOAD a 0"), orders);
+  }
 }
--- a/daemon/src/test/java/org/agatefield/daemon/forward/PlannerHandoverTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/PlannerHandoverTest.java
@@ -29,7 +29,7 @@
 
   @Test
   void successorLearnsWhichRunnersMayStillReceiveOrders() {
-    sent.sent("r", 1, MonotonicClock.milliseconds());
+    sent.sent("r", 1, 0, MonotonicClock.milliseconds());
     successor.received(new PlannerHandover(sent).describe().orElseThrow(), Duration.ZERO);
     assertTrue(mayReceiveEarlierOrder("r"));
     assertFalse(mayReceiveEarlierOrder("other"));
@@ -37,7 +37,7 @@
 
   @Test
   void ageOfTheHandoverCountsAsAgeOfItsOrders() {
-    sent.sent("r", 1, MonotonicClock.milliseconds());
+    sent.sent("r", 1, 0, MonotonicClock.milliseconds());
     Duration age = Duration.ofSeconds(3);
     successor.received(new PlannerHandover(sent).describe().orElseThrow(), age);
     long now = MonotonicClock.milliseconds();
@@ -46,7 +46,7 @@
 
   @Test
   void leaseWithoutHandoverEndsWhatWasLearntBefore() {
-    sent.sent("r", 1, MonotonicClock.milliseconds());
+    sent.sent("r", 1, 0, MonotonicClock.milliseconds());
     successor.received(new PlannerHandover(sent).describe().orElseThrow(), Duration.ZERO);
     successor.received(MissingNode.getInstance(), Duration.ZERO);
     assertFalse(mayReceiveEarlierOrder("r"));
