No copy of an order goes out under a later grant while its first copy may still arrive

Change: EngineController.send, through which every order passes, gives a task up while an order of an earlier grant may still arrive at that runner; the planner plans anew when that has ended.

Evidence: orderIsAbandonedUnderLaterGrantWhileItsFirstCopyMayStillArrive, before: expected [] but was [LOAD a 0]; now green.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -31,11 +31,11 @@
  * it executes an order for a model, so that they pass a model's order once its outcome is known.
  * Every order states how many orders the runner has accepted before. An order whose response is
  * lost is sent again with the same count, so that at most one of the two takes effect, whenever
- * they arrive. Invariants: an order is sent only under a valid grant; an order of a move is sent
- * only with the count that the move was planned from, so that it takes effect on the planned state
- * or not at all; after an order without a response none is sent until the runner has responded to a
- * report request; models that an unanswered order may still load count as held. Confined to one
- * event loop.
+ * they arrive. Invariants: an order is sent only under a valid grant, and only if none of an
+ * earlier grant may still arrive; an order of a move is sent only with the count that the move was
+ * planned from, so that it takes effect on the planned state or not at all; after an order without
+ * a response none is sent until the runner has responded to a report request; models that an
+ * unanswered order may still load count as held. Confined to one event loop.
  */
 final class EngineController {
   private static final Logger LOGGER = LogManager.getLogger(EngineController.class);
@@ -390,6 +390,17 @@
       awaitContact(task);
       return;
     }
+    long now = MonotonicClock.milliseconds();
+    if (inTransit.mayReceiveEarlierOrder(runner.id(), grant.get().fencingToken(), now)) {
+      LOGGER.info(
+          "runner={} {} {} abandoned token={} earlier_order=unanswered",
+          runner.id(),
+          task.action(),
+          task.model(),
+          grant.get().fencingToken());
+      complete(task, false);
+      return;
+    }
     boolean adapterWithoutSlot =
         task.adapter().isPresent()
             && task.action() == Action.LOAD
--- a/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
+++ b/daemon/src/test/java/org/agatefield/daemon/forward/EngineControllerTest.java
@@ -48,6 +48,7 @@
   private volatile Predicate<String> refused = order -> false;
   private volatile long answerDelay = 1;
   private volatile boolean silent;
+  private volatile long token = 1;
   private final List<String> received = new CopyOnWriteArrayList<>();
   private final List<RunnerReport> reports = new CopyOnWriteArrayList<>();
   private final AtomicInteger storeLoadsAsked = new AtomicInteger();
@@ -58,7 +59,7 @@
   private final class Granted implements EngineController.PlannerCallbacks {
     @Override
     public Optional<LeaseGrant> grant() {
-      return Optional.of(new LeaseGrant(1, Long.MAX_VALUE));
+      return Optional.of(new LeaseGrant(token, Long.MAX_VALUE));
     }
 
     @Override
@@ -481,4 +482,19 @@
     await().atMost(TIMEOUT).until(() -> !orders.isEmpty());
     assertEquals(List.of("LOAD a 0"), orders);
   }
+
+  /**
+   * Guards against a copy of an order under a later grant that overtakes the first copy: the runner
+   * would receive the lower token after the higher one.
+   */
+  @Test
+  void orderIsAbandonedUnderLaterGrantWhileItsFirstCopyMayStillArrive() {
+    silent = true;
+    startLoad("a");
+    await().atMost(TIMEOUT).until(() -> afterTick(() -> true) && received.contains("/report"));
+    token = 2;
+    silent = false;
+    await().atMost(TIMEOUT).until(() -> afterTick(controller::isReady) || !orders.isEmpty());
+    assertEquals(List.of(), orders);
+  }
 }
