An order is sent only to a runner that has just responded

Cause: orders were sent on kept connections to runners whose last response may be seconds old, so that each runner that was cut off held one.

Change: an order goes out within 100 ms of a response of the runner; otherwise a report is read first, which also confirms the count that the order states. A runner that limits requests is excepted, as each report counts there.

--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineController.java
@@ -33,9 +33,9 @@
  * lost is sent again with the same count, so that at most one of the two takes effect, whenever
  * they arrive. Invariants: an order is sent only under a valid grant, and only if none of an
  * earlier grant may still arrive; an order of a move is sent only with the count that the move was
- * planned from, so that it takes effect on the planned state or not at all; after an order without
- * a response none is sent until the runner has responded to a report request; models that an
- * unanswered order may still load count as held. Confined to one event loop.
+ * planned from, so that it takes effect on the planned state or not at all; an order is sent only
+ * if the runner has just responded, so that no more than one can be held on the way to it; models
+ * that an unanswered order may still load count as held. Confined to one event loop.
  */
 final class EngineController {
   private static final Logger LOGGER = LogManager.getLogger(EngineController.class);
@@ -50,6 +50,8 @@
   private static final long BUSY_POLL_MILLISECONDS = 1_000;
   private static final long STORE_RETRY_MILLISECONDS = 50;
   private static final int SUCCESS = 200;
+  // An order that is sent as the runner loses contact may be held for seconds.
+  private static final long RECENT_CONTACT_MILLISECONDS = 100;
 
   private final Vertx vertx;
   private final RunnerClient runnerClient;
@@ -77,6 +79,8 @@
   private boolean busy;
   private boolean reading;
   private boolean sending;
+  private long respondedAt = Long.MIN_VALUE / 2;
+  private boolean silent; // the last call had no response
   private boolean unloading;
   // The count of accepted orders in which the current move was planned, plus this planner's orders
   // that were accepted since. Unlike acceptedOrders, it is never read from a report.
@@ -208,11 +212,7 @@
 
   /** Returns whether a move can begin now. */
   boolean isReady() {
-    return acceptedOrders >= 0
-        && !busy
-        && current.isEmpty()
-        && tasks.isEmpty()
-        && !inTransit.isSilent(runner.id());
+    return acceptedOrders >= 0 && !busy && current.isEmpty() && tasks.isEmpty() && !silent;
   }
 
   /** Returns whether a load from the weight store may be in progress. */
@@ -300,7 +300,7 @@
             || currentAdapter.isPresent()
             || busy
             || acceptedOrders < 0
-            || inTransit.isSilent(runner.id())
+            || silent
             || inTransit.awaitsCount(runner.id(), now);
     boolean frequent = waitingForOrder && !planner.isLimited(runner);
     long quiet =
@@ -386,10 +386,6 @@
       complete(task, false);
       return;
     }
-    if (inTransit.isSilent(runner.id())) {
-      awaitContact(task);
-      return;
-    }
     long now = MonotonicClock.milliseconds();
     if (inTransit.mayReceiveEarlierOrder(runner.id(), grant.get().fencingToken(), now)) {
       LOGGER.info(
@@ -415,6 +411,13 @@
       scheduleRetry(task, STORE_RETRY_MILLISECONDS);
       return;
     }
+    if (!hasRecentContact(now)) {
+      if (fromStore) {
+        planner.storeLoadRefused(runner);
+      }
+      awaitContact(task);
+      return;
+    }
     if (!mayTryAgain(task)) {
       return;
     }
@@ -427,6 +430,7 @@
             grant.get().fencingToken(),
             acceptedOrders);
     sending = true;
+    task.setAwaitingContact(false);
     task.setOutcomeUnknown(true);
     lastOrderAt = MonotonicClock.milliseconds();
     final OptionalLong copy =
@@ -443,11 +447,14 @@
             (response, failure) -> {
               sending = false;
               if (failure == null) {
-                inTransit.answered(runnerId, number, MonotonicClock.milliseconds());
+                responded();
+                inTransit.answered(runnerId, number, respondedAt);
                 planner.responded(runner, response);
               } else if (failure instanceof ConnectException) {
+                silent = true;
                 inTransit.notSent(runnerId, number, MonotonicClock.milliseconds());
               } else {
+                silent = true;
                 inTransit.notAnswered(runnerId, MonotonicClock.milliseconds());
               }
               // Reports requested before this response may be older than the order.
@@ -494,14 +501,29 @@
     return false;
   }
 
-  /**
-   * Reads reports until the runner responds, so that no more than one order can be held on the way
-   * to it.
-   */
+  private boolean hasRecentContact(long now) {
+    boolean recent = now - respondedAt <= RECENT_CONTACT_MILLISECONDS;
+    return !silent && (recent || planner.isLimited(runner));
+  }
+
+  /** Delays a task until the runner has responded to a report request. */
   private void awaitContact(EngineTask task) {
-    if (reading || mayTryAgain(task)) {
-      readReport();
-      scheduleRetry(task, UNLOAD_RETRY_MILLISECONDS);
+    task.setAwaitingContact(true);
+    readReport();
+  }
+
+  private void contactTried(boolean responded) {
+    List<EngineTask> awaiting =
+        Stream.concat(current.stream(), currentAdapter.stream())
+            .filter(EngineTask::isAwaitingContact)
+            .toList();
+    for (EngineTask task : awaiting) {
+      task.setAwaitingContact(false);
+      if (responded) {
+        resend(task);
+      } else if (mayTryAgain(task)) {
+        scheduleRetry(task, UNLOAD_RETRY_MILLISECONDS);
+      }
     }
   }
 
@@ -564,7 +586,7 @@
   }
 
   private void resend(EngineTask task) {
-    if (!isCurrent(task)) {
+    if (!isCurrent(task) || task.isAccepted()) {
       return;
     }
     if (sending) {
@@ -661,18 +683,27 @@
               if (failure == null) {
                 planner.responded(runner, response);
               }
-              if (failure != null || response.status() != SUCCESS) {
+              boolean success = failure == null && response.status() == SUCCESS;
+              if (success) {
+                responded();
+                inTransit.responded(runner.id(), reportAt);
+                dialect
+                    .decodeReport(response.body())
+                    .ifPresent(report -> applyReport(report, requestedAt));
+              } else {
+                silent = true;
                 inTransit.notAnswered(runner.id(), reportAt);
                 LOGGER.debug("runner={} report not read", runner.id());
-                return;
               }
-              inTransit.responded(runner.id(), reportAt);
-              dialect
-                  .decodeReport(response.body())
-                  .ifPresent(report -> applyReport(report, requestedAt));
+              contactTried(success);
             });
   }
 
+  private void responded() {
+    respondedAt = MonotonicClock.milliseconds();
+    silent = false;
+  }
+
   private void applyReport(RunnerReport report, long requestedAt) {
     planner.reported(runner, report);
     if (isOfOtherProcess(report)) {
--- a/daemon/src/main/java/org/agatefield/daemon/forward/EngineTask.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/EngineTask.java
@@ -15,6 +15,7 @@
   private long acceptedAsNumber = Long.MAX_VALUE;
   private boolean outcomeUnknown;
   private boolean retryScheduled;
+  private boolean awaitingContact;
 
   EngineTask(Action action, String model, Optional<String> adapter) {
     this.action = action;
@@ -100,4 +101,13 @@
   void setRetryScheduled(boolean scheduled) {
     retryScheduled = scheduled;
   }
+
+  /** Returns whether the order is sent once the runner has responded to a report request. */
+  boolean isAwaitingContact() {
+    return awaitingContact;
+  }
+
+  void setAwaitingContact(boolean awaiting) {
+    awaitingContact = awaiting;
+  }
 }
--- a/daemon/src/main/java/org/agatefield/daemon/forward/OrdersInTransit.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/OrdersInTransit.java
@@ -74,7 +74,6 @@
     private final Map<Long, Sent> orders = new HashMap<>();
     // Since when every call has been responded to; empty if that is not known.
     private OptionalLong respondsSince = OptionalLong.empty();
-    private boolean silent;
 
     private void removeDelivered(long now) {
       orders
@@ -87,11 +86,6 @@
       respondsSince = OptionalLong.empty();
     }
 
-    private void notAnswered(long now) {
-      contactUnknown(now);
-      silent = true;
-    }
-
     private Optional<Sent> oldest(long now) {
       return orders.values().stream()
           .filter(order -> order.mayArrive(respondsSince, now))
@@ -132,7 +126,7 @@
     Transit transit = runners.get(runner);
     if (transit != null) {
       transit.orders.remove(number);
-      transit.notAnswered(now);
+      transit.contactUnknown(now);
     }
   }
 
@@ -142,7 +136,6 @@
     if (transit == null) {
       return;
     }
-    transit.silent = false;
     if (transit.respondsSince.isEmpty()) {
       transit.respondsSince = OptionalLong.of(now);
     }
@@ -175,17 +168,11 @@
             .anyMatch(order -> order.mayArrive(transit.respondsSince, now));
   }
 
-  /** Returns whether the last call to a runner with an order in transit had no response. */
-  synchronized boolean isSilent(String runner) {
-    Transit transit = runners.get(runner);
-    return transit != null && transit.silent;
-  }
-
   /** Records that a call to a runner had no response. */
   synchronized void notAnswered(String runner, long now) {
     Transit transit = runners.get(runner);
     if (transit != null) {
-      transit.notAnswered(now);
+      transit.contactUnknown(now);
     }
   }
 
