--- a/store/src/main/java/org/agatefield/store/HttpObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/HttpObjectStore.java
@@ -30,14 +30,13 @@
 public final class HttpObjectStore implements ObjectStore, AutoCloseable {
   private static final int MAXIMUM_CONNECTIONS = 16;
   private static final int MAXIMUM_WAITING_CALLS = 1_000;
-  private static final int MAXIMUM_WATCHES = 16;
 
   private final Vertx vertx;
   private final Address store;
   private final Duration timeout;
   private final StoreDialect dialect;
   private final HttpClient client;
-  private final HttpClient watchClient;
+  private final WatchConnections watchConnections;
   private final StoreEra era = new StoreEra();
   private final Closer closer = new Closer();
 
@@ -68,10 +67,9 @@
             new PoolOptions()
                 .setHttp1MaxSize(MAXIMUM_CONNECTIONS)
                 .setMaxWaitQueueSize(MAXIMUM_WAITING_CALLS));
-    this.watchClient =
-        vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(MAXIMUM_WATCHES));
+    this.watchConnections = new WatchConnections(vertx, options);
     closer.register(client::close);
-    closer.register(watchClient::close);
+    closer.register(watchConnections);
   }
 
   @Override
@@ -159,15 +157,22 @@
   @Override
   public AutoCloseable watch(ObjectKind kind, String fromVersion, WatchListener listener) {
     StoreVersion from = StoreVersion.parse(fromVersion);
-    return dialect.watch(
-        new WatchCall(
-            vertx,
-            watchClient,
-            this::options,
-            kind,
-            from.revision(),
-            headers -> isOfEra(from.era(), headers),
-            new EraListener(from.era(), listener)));
+    HttpClient connection = watchConnections.acquire();
+    Runnable release = () -> watchConnections.release(connection);
+    AutoCloseable watch =
+        dialect.watch(
+            new WatchCall(
+                vertx,
+                connection,
+                this::options,
+                kind,
+                from.revision(),
+                headers -> isOfEra(from.era(), headers),
+                new EraListener(from.era(), listener, release)));
+    return () -> {
+      watch.close();
+      release.run();
+    };
   }
 
   /**
@@ -274,7 +279,8 @@
   }
 
   /** Adds the era in which a watch began to the versions that it reports. */
-  private record EraListener(long era, WatchListener listener) implements WatchListener {
+  private record EraListener(long era, WatchListener listener, Runnable release)
+      implements WatchListener {
     @Override
     public void changed(StoredObject object) {
       listener.changed(inEra(era, object));
@@ -292,6 +298,7 @@
 
     @Override
     public void ended(StoreException failure) {
+      release.run();
       listener.ended(failure);
     }
   }
