--- a/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/ModelPlanner.java
@@ -44,7 +44,9 @@
  * Places models and adapters on runners while this instance holds the planner lease.
  *
  * <p>Invariants: no order is sent without a valid lease grant; a new lease holder reads each
- * runner's state before sending its first order to it. Confined to one event loop.
+ * runner's state before sending its first order to it; a runner that may still receive an order of
+ * an earlier grant, of this instance or another, gets none of a later one. Confined to one event
+ * loop.
  */
 final class ModelPlanner implements RunnerDirectory.Listener {
   private static final Logger LOGGER = LogManager.getLogger(ModelPlanner.class);
--- a/daemon/src/main/java/org/agatefield/daemon/forward/OrdersInTransit.java
+++ b/daemon/src/main/java/org/agatefield/daemon/forward/OrdersInTransit.java
@@ -21,10 +21,10 @@
  * named their runners. Times are those of a monotonic clock in milliseconds. Thread-safe.
  */
 final class OrdersInTransit {
-  /** Longer than a network holds an order for a runner that does not respond any more. */
+  /** Longer than any known partition, for runners that never respond again. */
   static final long MAXIMUM_AGE_MILLISECONDS = 60_000;
 
-  /** The interval before the first retransmission, between distant regions. */
+  /** The longest interval before the first retransmission. */
   static final long FIRST_RETRANSMISSION_MILLISECONDS = 500;
 
   // Lower than the token of any grant.
@@ -44,10 +44,12 @@
   record Unanswered(String runner, long ageMilliseconds, OptionalLong acceptedBefore) {}
 
   private record Sent(long fencingToken, long at, OptionalLong acceptedBefore, boolean arrived) {
+    /** Returns the order as one of several, whose arrival no count can show. */
     Sent amongOthers() {
       return new Sent(fencingToken, at, OptionalLong.empty(), arrived);
     }
 
+    /** Returns the order with what is known now of its arrival, for when contact is lost. */
     Sent asOf(OptionalLong respondsSince, long now) {
       return new Sent(fencingToken, at, acceptedBefore, !mayArrive(respondsSince, now));
     }
--- a/daemon/src/main/java/org/agatefield/daemon/leases/LeaseManager.java
+++ b/daemon/src/main/java/org/agatefield/daemon/leases/LeaseManager.java
@@ -38,8 +38,9 @@
 /**
  * Acquires a lease, renews it until closed, and then releases it.
  *
- * <p>Invariant: at most one call of the store is in flight. Thread-safe: state is guarded by the
- * object's lock, which is not held during calls.
+ * <p>Invariants: at most one call of the store is in flight; each write carries the holder's {@link
+ * LeaseHandover}, and that of another holder is received before this process acquires the lease
+ * from it. Thread-safe: state is guarded by the object's lock, which is not held during calls.
  */
 public final class LeaseManager implements LeaseView, AutoCloseable {
   private static final Logger LOGGER = LogManager.getLogger(LeaseManager.class);
--- a/store/src/main/java/org/agatefield/store/HttpObjectStore.java
+++ b/store/src/main/java/org/agatefield/store/HttpObjectStore.java
@@ -36,7 +36,7 @@
   private final Duration timeout;
   private final StoreDialect dialect;
   private final HttpClient client;
-  private final WatchConnections watchConnections;
+  private final OwnConnections ownConnections;
   private final StoreEra era = new StoreEra();
   private final Closer closer = new Closer();
 
@@ -67,9 +67,9 @@
             new PoolOptions()
                 .setHttp1MaxSize(MAXIMUM_CONNECTIONS)
                 .setMaxWaitQueueSize(MAXIMUM_WAITING_CALLS));
-    this.watchConnections = new WatchConnections(vertx, options);
+    this.ownConnections = new OwnConnections(vertx, options);
     closer.register(client::close);
-    closer.register(watchConnections);
+    closer.register(ownConnections);
   }
 
   @Override
@@ -127,23 +127,25 @@
   /** Reads all pages; returns the version of the first one, so that a watch misses no change. */
   @Override
   public CompletableFuture<ObjectList> list(ObjectKind kind) {
-    return call(HttpMethod.GET, dialect.kindPath(kind), Buffer.buffer())
+    HttpClient connection = ownConnections.acquire();
+    return read(connection, dialect.kindPath(kind))
         .thenApply(answer -> pageOf(kind, answer))
-        .thenCompose(page -> readRemainingPages(kind, page.objects(), page));
+        .thenCompose(page -> readRemainingPages(connection, kind, page.objects(), page))
+        .whenComplete((list, failure) -> ownConnections.release(connection));
   }
 
   private CompletableFuture<ObjectList> readRemainingPages(
-      ObjectKind kind, ObjectList read, ObjectPage page) {
+      HttpClient connection, ObjectKind kind, ObjectList read, ObjectPage page) {
     if (page.continueToken().isEmpty()) {
       return CompletableFuture.completedFuture(read);
     }
     String path = dialect.nextPagePath(kind, page.continueToken().get());
-    return call(HttpMethod.GET, path, Buffer.buffer())
+    return read(connection, path)
         .thenApply(answer -> pageOf(kind, answer))
         .thenCompose(
             next -> {
               requireSameEra(kind, read, next.objects());
-              return readRemainingPages(kind, read.append(next.objects()), next);
+              return readRemainingPages(connection, kind, read.append(next.objects()), next);
             });
   }
 
@@ -157,8 +159,8 @@
   @Override
   public AutoCloseable watch(ObjectKind kind, String fromVersion, WatchListener listener) {
     StoreVersion from = StoreVersion.parse(fromVersion);
-    HttpClient connection = watchConnections.acquire();
-    Runnable release = () -> watchConnections.release(connection);
+    HttpClient connection = ownConnections.acquire();
+    Runnable release = () -> ownConnections.release(connection);
     AutoCloseable watch =
         dialect.watch(
             new WatchCall(
@@ -189,7 +191,12 @@
   }
 
   private CompletableFuture<HttpCall.Answer> call(HttpMethod method, String path, Buffer body) {
-    return HttpCall.start(vertx, client, options(method, path), body, timeout)
+    return call(client, method, path, body);
+  }
+
+  private CompletableFuture<HttpCall.Answer> call(
+      HttpClient connection, HttpMethod method, String path, Buffer body) {
+    return HttpCall.start(vertx, connection, options(method, path), body, timeout)
         .thenApply(
             answer -> {
               if (eraOf(answer) < era.current()) {
@@ -201,6 +208,10 @@
             });
   }
 
+  private CompletableFuture<HttpCall.Answer> read(HttpClient connection, String path) {
+    return call(connection, HttpMethod.GET, path, Buffer.buffer());
+  }
+
   private long eraOf(HttpCall.Answer answer) {
     return era.observe(dialect.era(answer.headers()));
   }
--- a/store/src/main/java/org/agatefield/store/WatchConnections.java
+++ b/store/src/main/java/org/agatefield/store/OwnConnections.java
@@ -8,22 +8,22 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Provides each watch with a connection of its own.
+ * Provides each watch and each list with a connection of its own.
  *
- * <p>Open connections can fall silent while new ones work, so that a watch must not be resumed on
- * one that another watch has left open. Thread-safe.
+ * <p>Open connections can fall silent while new ones work, so that what decides whether the store
+ * is available must not use one that another call has left open. Thread-safe.
  */
-final class WatchConnections implements AutoCloseable {
+final class OwnConnections implements AutoCloseable {
   private final Vertx vertx;
   private final HttpClientOptions options;
   private final Set<HttpClient> clients = ConcurrentHashMap.newKeySet();
 
-  WatchConnections(Vertx vertx, HttpClientOptions options) {
+  OwnConnections(Vertx vertx, HttpClientOptions options) {
     this.vertx = vertx;
     this.options = options;
   }
 
-  /** Creates a client for one watch; {@link #release} closes it. */
+  /** Creates a client with one connection; {@link #release} closes it. */
   HttpClient acquire() {
     HttpClient client = vertx.createHttpClient(options, new PoolOptions().setHttp1MaxSize(1));
     clients.add(client);
