--- a/daemon/src/main/java/org/agatefield/daemon/leases/LeaseManager.java
+++ b/daemon/src/main/java/org/agatefield/daemon/leases/LeaseManager.java
@@ -263,7 +263,7 @@
       return;
     }
     synchronized (this) {
-      long now = System.nanoTime();
+      final long now = System.nanoTime();
       if (epoch != grantEpoch) {
         scheduleRead(0);
         return;
--- a/fleet/src/test/java/org/agatefield/fleet/platform/LeaseManagerTest.java
+++ b/fleet/src/test/java/org/agatefield/fleet/platform/LeaseManagerTest.java
@@ -120,7 +120,7 @@
             "first", handover(() -> Optional.of(IntNode.valueOf(known.get())), content -> {}));
     await().atMost(GENEROUS).until(() -> first.currentGrant().isPresent());
     List<JsonNode> received = new CopyOnWriteArrayList<>();
-    LeaseManager second = contender("second", handover(Optional::empty, received::add));
+    final LeaseManager second = contender("second", handover(Optional::empty, received::add));
     await().atMost(GENEROUS).until(() -> received.contains(IntNode.valueOf(1)));
     known.set(2);
     first.close();
